--- /dev/null
+++ b/cicadadoor/links/__init__.py
@@ -0,0 +1,1 @@
+"""Carry messages between the system's own processes."""
--- /dev/null
+++ b/cicadadoor/links/transport.py
@@ -0,0 +1,262 @@
+"""Send messages over pynng."""
+
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+import msgspec
+import pynng
+
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.kernel import Kernel
+from cicadadoor.links.messages import (
+    MAX_MESSAGE_BYTES,
+    Codec,
+    Message,
+    Refusal,
+    encode,
+)
+from cicadadoor.settings import Address, Settings
+from cicadadoor.telemetry import logs, metrics
+
+log = logs.logger('link')
+
+_MS_PER_S = 1000
+_SERVER_CONTEXTS = 8
+_PAIR_SEND_TIMEOUT_S = 1.0
+_DIAL_RETRY_MS = 100
+_DIAL_RETRY_MAX_MS = 1000
+
+Handler = Callable[[Message], Awaitable[Message]]
+
+
+class PeerSecurity:
+    """Hold the certificates of links between hosts, or none on loopback."""
+
+    __slots__ = ('ca_pem', 'certificate_pem')
+
+    def __init__(self, certificate_pem: str = '', ca_pem: str = '') -> None:
+        self.certificate_pem = certificate_pem
+        self.ca_pem = ca_pem
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> 'PeerSecurity':
+        """Read the certificate files that the settings name."""
+        if not settings.peer_certificate_file or not settings.peer_ca_file:
+            return cls()
+        return cls(
+            Path(settings.peer_certificate_file).read_text(encoding='ascii'),
+            Path(settings.peer_ca_file).read_text(encoding='ascii'),
+        )
+
+    def url(self, address: Address | str) -> str:
+        """Return the transport URL of an address."""
+        scheme = 'tls+tcp' if self.certificate_pem else 'tcp'
+        return f'{scheme}://{address}'
+
+    def apply(self, socket: pynng.Socket, *, is_server: bool) -> None:
+        """Require certificates on both sides, if there are any."""
+        if not self.certificate_pem:
+            return
+        mode = pynng.TLSConfig.MODE_SERVER if is_server else pynng.TLSConfig.MODE_CLIENT
+        socket.tls_config = pynng.TLSConfig(
+            mode,
+            auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+            own_key_string=self.certificate_pem,
+            own_cert_string=self.certificate_pem,
+            ca_string=self.ca_pem,
+        )
+
+
+class MessageStamp:
+    """Give each outgoing message the instance and a number of its own."""
+
+    def __init__(self, instance: str) -> None:
+        self.instance = instance
+        self._last_id = 0
+
+    def apply(self, message: Message, in_reply_to: int = 0) -> Message:
+        """Return the message with sender and number set."""
+        self._last_id += 1
+        return msgspec.structs.replace(
+            message,
+            sender_instance=self.instance,
+            message_id=self._last_id,
+            in_reply_to=in_reply_to,
+        )
+
+
+class PeerServer:
+    """Answer requests of other hosts, several at a time."""
+
+    def __init__(
+        self,
+        stamp: MessageStamp,
+        codec: Codec,
+        handler: Handler,
+        security: PeerSecurity,
+    ) -> None:
+        self._stamp = stamp
+        self._codec = codec
+        self._handler = handler
+        self._security = security
+        self._socket: pynng.Rep0 | None = None
+
+    def start(self, kernel: Kernel, address: Address) -> None:
+        """Listen and answer until closed; raise pynng.NNGException if in use."""
+        socket = pynng.Rep0()
+        socket.recv_max_size = MAX_MESSAGE_BYTES
+        self._security.apply(socket, is_server=True)
+        socket.listen(self._security.url(address))
+        self._socket = socket
+        for _ in range(_SERVER_CONTEXTS):
+            kernel.spawn(self._serve, socket.new_context())
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    async def _serve(self, context: pynng.Context) -> None:
+        while True:
+            try:
+                encoded = await context.arecv()
+                await context.asend(await self._answer(encoded))
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                log.warning('peer_answer_failed', error=type(error).__name__)
+
+    async def _answer(self, encoded: bytes) -> bytes:
+        request = self._codec.decode(encoded)
+        if isinstance(request, Failure):
+            return self._refuse(request, 0)
+        try:
+            answer = await self._handler(request)
+        except Exception:
+            log.exception('peer_handler_failed', message=type(request).__name__)
+            failure = Failure(ErrorKind.INTERNAL, 'the handler failed')
+            return self._refuse(failure, request.message_id)
+        return encode(self._stamp.apply(answer, request.message_id))
+
+    def _refuse(self, failure: Failure, in_reply_to: int) -> bytes:
+        metrics.DROPPED_MESSAGES.labels(failure.kind.value).inc()
+        log.warning('peer_message_refused', reason=failure.reason)
+        refusal = Refusal(kind=failure.kind.value, reason=failure.reason)
+        return encode(self._stamp.apply(refusal, in_reply_to))
+
+
+class PeerClient:
+    """Send requests to one other host."""
+
+    def __init__(
+        self,
+        stamp: MessageStamp,
+        codec: Codec,
+        address: str,
+        security: PeerSecurity,
+    ) -> None:
+        self.address = address
+        self._stamp = stamp
+        self._codec = codec
+        socket = pynng.Req0(
+            resend_time=-1,
+            reconnect_time_min=_DIAL_RETRY_MS,
+            reconnect_time_max=_DIAL_RETRY_MAX_MS,
+        )
+        socket.recv_max_size = MAX_MESSAGE_BYTES
+        security.apply(socket, is_server=False)
+        socket.dial(security.url(address), block=False)
+        self._socket = socket
+
+    async def request(self, message: Message, timeout_s: float) -> Message | Failure:
+        """Send a request and return its answer; PEER_UNREACHABLE if none came.
+
+        The peer may have applied the request although no answer came.
+        """
+        stamped = self._stamp.apply(message)
+        try:
+            with anyio.fail_after(timeout_s), self._socket.new_context() as context:
+                await context.asend(encode(stamped))
+                encoded = await context.arecv()
+        except (TimeoutError, pynng.NNGException) as error:
+            return Failure(
+                ErrorKind.PEER_UNREACHABLE,
+                f'peer {self.address}: {type(error).__name__}',
+            )
+        return self._check(self._codec.decode(encoded), stamped.message_id)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._socket.close()
+
+    def _check(
+        self,
+        answer: Message | Failure,
+        message_id: int,
+    ) -> Message | Failure:
+        if isinstance(answer, Failure):
+            return answer
+        if isinstance(answer, Refusal):
+            return Failure(ErrorKind(answer.kind), answer.reason)
+        if answer.in_reply_to != message_id:
+            metrics.DROPPED_MESSAGES.labels('late_answer').inc()
+            return Failure(
+                ErrorKind.MESSAGE_INVALID,
+                f'answer to message {answer.in_reply_to}, not {message_id}',
+            )
+        return answer
+
+
+class PairLink:
+    """Exchange messages with the other daemon of this host."""
+
+    def __init__(self, stamp: MessageStamp, codec: Codec) -> None:
+        self._stamp = stamp
+        self._codec = codec
+        self._socket = pynng.Pair0(
+            send_timeout=int(_PAIR_SEND_TIMEOUT_S * _MS_PER_S),
+            reconnect_time_min=_DIAL_RETRY_MS,
+            reconnect_time_max=_DIAL_RETRY_MAX_MS,
+        )
+        self._socket.recv_max_size = MAX_MESSAGE_BYTES
+
+    def listen(self, address: Address) -> None:
+        """Wait for the other daemon; raise pynng.NNGException if in use."""
+        self._socket.listen(f'tcp://{address}')
+
+    def dial(self, address: Address) -> None:
+        """Connect to the other daemon, now or when it is there."""
+        self._socket.dial(f'tcp://{address}', block=False)
+
+    async def send(self, message: Message) -> None | Failure:
+        """Send a message; PEER_UNREACHABLE if the other daemon is not there."""
+        try:
+            await self._socket.asend(encode(self._stamp.apply(message)))
+        except pynng.NNGException as error:
+            return Failure(
+                ErrorKind.PEER_UNREACHABLE,
+                f'the other daemon of this host: {type(error).__name__}',
+            )
+        return None
+
+    async def receive(self) -> Message | None:
+        """Return the next well-formed message, or None when the link is closed."""
+        while True:
+            try:
+                encoded = await self._socket.arecv()
+            except pynng.Closed:
+                return None
+            except pynng.NNGException as error:
+                log.warning('link_receive_failed', error=type(error).__name__)
+                continue
+            message = self._codec.decode(encoded)
+            if isinstance(message, Message):
+                return message
+            metrics.DROPPED_MESSAGES.labels(message.kind.value).inc()
+            log.warning('link_message_dropped', reason=message.reason)
+
+    def close(self) -> None:
+        """Close the link."""
+        self._socket.close()
--- /dev/null
+++ b/cicadadoor/object_store/__init__.py
@@ -0,0 +1,1 @@
+"""Read and write objects in the platform's object API."""
--- /dev/null
+++ b/cicadadoor/object_store/base.py
@@ -0,0 +1,79 @@
+"""Define the calls of the platform's object API."""
+
+import abc
+from collections.abc import AsyncIterator
+from enum import Enum, unique
+
+import msgspec
+
+from cicadadoor.errors import Failure
+
+MAX_OBJECT_BYTES = 1_000_000
+
+
+class StoredObject(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one object; `writer` and `nonce` identify the attempt that wrote it."""
+
+    kind: str
+    name: str
+    body: bytes
+    version: int = 0
+    writer: str = ''
+    nonce: str = ''
+
+
+@unique
+class ChangeType(Enum):
+    """Name what happened to an object."""
+
+    PUT = 'put'
+    DELETED = 'deleted'
+
+
+class ChangeEvent(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell one change seen by a watch."""
+
+    change: ChangeType
+    changed: StoredObject
+
+
+class ObjectList(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the objects of a kind and the store version they were read at."""
+
+    version: int
+    objects: list[StoredObject]
+
+
+class ObjectStore(abc.ABC):
+    """Call the platform's object API; every call returns a result or a failure."""
+
+    @abc.abstractmethod
+    async def get(self, kind: str, name: str) -> StoredObject | Failure:
+        """Read one object."""
+
+    @abc.abstractmethod
+    async def list(self, kind: str) -> ObjectList | Failure:
+        """Read all objects of a kind."""
+
+    @abc.abstractmethod
+    async def create(self, wanted: StoredObject) -> StoredObject | Failure:
+        """Write an object that must not exist yet."""
+
+    @abc.abstractmethod
+    async def update(self, wanted: StoredObject) -> StoredObject | Failure:
+        """Replace the object whose version is the given one."""
+
+    @abc.abstractmethod
+    async def delete(self, kind: str, name: str, version: int) -> None | Failure:
+        """Delete the object if it has the version."""
+
+    @abc.abstractmethod
+    def watch(
+        self,
+        kind: str,
+        since_version: int,
+    ) -> AsyncIterator[ChangeEvent | Failure]:
+        """Yield changes after the version; a failure is the last item."""
+
+    async def close(self) -> None:  # noqa: B027
+        """Release connections."""
--- /dev/null
+++ b/cicadadoor/object_store/http.py
@@ -0,0 +1,163 @@
+"""Call the platform's object API over HTTP."""
+
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+from urllib.parse import quote
+
+import httpx
+import msgspec
+
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.object_store.base import (
+    MAX_OBJECT_BYTES,
+    ChangeEvent,
+    ObjectList,
+    ObjectStore,
+    StoredObject,
+)
+
+_CALL_TIMEOUT_S = 3.0
+# A watch without a line for this long is taken as broken; the platform sends an
+# empty line every few seconds.
+_WATCH_SILENCE_S = 15.0
+
+_FAILURE_KINDS = {  # noqa: WPS407
+    HTTPStatus.NOT_FOUND: ErrorKind.STORE_NOT_FOUND,
+    HTTPStatus.CONFLICT: ErrorKind.STORE_CONFLICT,
+    HTTPStatus.GONE: ErrorKind.STORE_COMPACTED,
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: ErrorKind.STORE_TOO_LARGE,
+}
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class HttpObjectStore(ObjectStore):
+    """Call the object API at a base URL."""
+
+    def __init__(self, base_url: str) -> None:
+        self._client = httpx.AsyncClient(
+            base_url=f'{base_url}/api/v1/',
+            timeout=_CALL_TIMEOUT_S,
+            trust_env=False,
+        )
+
+    async def get(self, kind: str, name: str) -> StoredObject | Failure:
+        """Read one object."""
+        body = await self._call('GET', _path(kind, name))
+        return body if isinstance(body, Failure) else _decode(body, StoredObject)
+
+    async def list(self, kind: str) -> ObjectList | Failure:
+        """Read all objects of a kind."""
+        body = await self._call('GET', kind)
+        return body if isinstance(body, Failure) else _decode(body, ObjectList)
+
+    async def create(self, wanted: StoredObject) -> StoredObject | Failure:
+        """Write an object that must not exist yet."""
+        return await self._write('POST', wanted.kind, wanted)
+
+    async def update(self, wanted: StoredObject) -> StoredObject | Failure:
+        """Replace the object whose version is the given one."""
+        return await self._write('PUT', _path(wanted.kind, wanted.name), wanted)
+
+    async def delete(self, kind: str, name: str, version: int) -> None | Failure:
+        """Delete the object if it has the version."""
+        path = f'{_path(kind, name)}?version={version}'
+        body = await self._call('DELETE', path, writes=True)
+        return body if isinstance(body, Failure) else None
+
+    async def watch(
+        self,
+        kind: str,
+        since_version: int,
+    ) -> AsyncIterator[ChangeEvent | Failure]:
+        """Yield changes after the version; a failure is the last item."""
+        timeout = httpx.Timeout(_CALL_TIMEOUT_S, read=_WATCH_SILENCE_S)
+        path = f'{kind}?watch=1&since={since_version}'
+        try:
+            async with self._client.stream('GET', path, timeout=timeout) as response:
+                if response.status_code != HTTPStatus.OK:
+                    yield _status_failure(response.status_code, path, b'')
+                    return
+                async for line in response.aiter_lines():
+                    if line:
+                        yield _decode(line.encode(), ChangeEvent)
+        except httpx.HTTPError as error:
+            yield Failure(
+                ErrorKind.STORE_UNAVAILABLE,
+                f'the watch of {kind} broke: {type(error).__name__}',
+            )
+            return
+        yield Failure(ErrorKind.STORE_UNAVAILABLE, f'the watch of {kind} ended')
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def _write(
+        self,
+        method: str,
+        path: str,
+        wanted: StoredObject,
+    ) -> StoredObject | Failure:
+        if len(wanted.body) > MAX_OBJECT_BYTES:
+            return Failure(
+                ErrorKind.STORE_TOO_LARGE,
+                f'{wanted.kind}/{wanted.name} has {len(wanted.body)} bytes; '
+                f'at most {MAX_OBJECT_BYTES} are allowed',
+            )
+        encoded = msgspec.json.encode(wanted)
+        body = await self._call(method, path, encoded, writes=True)
+        return body if isinstance(body, Failure) else _decode(body, StoredObject)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        encoded: bytes | None = None,
+        *,
+        writes: bool = False,
+    ) -> bytes | Failure:
+        try:
+            response = await self._client.request(method, path, content=encoded)
+        except _NOT_SENT as error:
+            return _unavailable(method, path, error)
+        except httpx.HTTPError as error:
+            if writes:
+                return Failure(
+                    ErrorKind.STORE_OUTCOME_UNKNOWN,
+                    f'{method} {path}: no answer ({type(error).__name__})',
+                )
+            return _unavailable(method, path, error)
+        if response.is_success:
+            return response.content
+        failure = _status_failure(response.status_code, path, response.content)
+        is_unclear = writes and failure.kind is ErrorKind.STORE_UNAVAILABLE
+        if is_unclear and response.status_code != HTTPStatus.SERVICE_UNAVAILABLE:
+            failure.kind = ErrorKind.STORE_OUTCOME_UNKNOWN
+        return failure
+
+
+def _path(kind: str, name: str) -> str:
+    return f'{kind}/{quote(name, safe="")}'
+
+
+def _decode(body: bytes, wanted: type) -> 'StoredObject | ObjectList | Failure':  # type: ignore[type-arg]
+    try:
+        return msgspec.json.decode(body, type=wanted)
+    except msgspec.MsgspecError as error:
+        return Failure(
+            ErrorKind.STORE_UNAVAILABLE,
+            f'the platform sent a malformed answer: {error}',
+        )
+
+
+def _unavailable(method: str, path: str, error: Exception) -> Failure:
+    return Failure(
+        ErrorKind.STORE_UNAVAILABLE,
+        f'{method} {path}: {type(error).__name__}',
+    )
+
+
+def _status_failure(status: int, path: str, content: bytes) -> Failure:
+    kind = _FAILURE_KINDS.get(HTTPStatus(status), ErrorKind.STORE_UNAVAILABLE)
+    detail = content[:200].decode(errors='replace')
+    return Failure(kind, f'{path}: status {status}: {detail}')
--- /dev/null
+++ b/cicadadoor/object_store/memory.py
@@ -0,0 +1,132 @@
+"""Keep objects in memory, for tests and trials."""
+
+from collections.abc import AsyncIterator
+
+import anyio
+import msgspec
+
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.object_store.base import (
+    MAX_OBJECT_BYTES,
+    ChangeEvent,
+    ChangeType,
+    ObjectList,
+    ObjectStore,
+    StoredObject,
+)
+
+
+class MemoryObjectStore(ObjectStore):
+    """Behave like the platform's object API within one process."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.oldest_event_version = 0
+        self._objects: dict[tuple[str, str], StoredObject] = {}
+        self._events: list[ChangeEvent] = []
+        self._changed = anyio.Event()
+
+    async def get(self, kind: str, name: str) -> StoredObject | Failure:
+        """Read one object."""
+        found = self._objects.get((kind, name))
+        if found is None:
+            return Failure(ErrorKind.STORE_NOT_FOUND, f'{kind}/{name} does not exist')
+        return found
+
+    async def list(self, kind: str) -> ObjectList | Failure:
+        """Read all objects of a kind, ordered by name."""
+        of_kind = [
+            stored
+            for (stored_kind, _), stored in sorted(self._objects.items())
+            if stored_kind == kind
+        ]
+        return ObjectList(version=self.version, objects=of_kind)
+
+    async def create(self, wanted: StoredObject) -> StoredObject | Failure:
+        """Write an object that must not exist yet."""
+        present = self._objects.get((wanted.kind, wanted.name))
+        if present is not None:
+            return Failure(
+                ErrorKind.STORE_CONFLICT,
+                f'{wanted.kind}/{wanted.name} exists at version {present.version}',
+            )
+        return self._put(wanted)
+
+    async def update(self, wanted: StoredObject) -> StoredObject | Failure:
+        """Replace the object whose version is the given one."""
+        present = self._objects.get((wanted.kind, wanted.name))
+        if present is None:
+            return Failure(
+                ErrorKind.STORE_NOT_FOUND,
+                f'{wanted.kind}/{wanted.name} does not exist',
+            )
+        if present.version != wanted.version:
+            return _moved(wanted.kind, wanted.name, wanted.version, present.version)
+        return self._put(wanted)
+
+    async def delete(self, kind: str, name: str, version: int) -> None | Failure:
+        """Delete the object if it has the version."""
+        present = self._objects.get((kind, name))
+        if present is None:
+            return Failure(ErrorKind.STORE_NOT_FOUND, f'{kind}/{name} does not exist')
+        if present.version != version:
+            return _moved(kind, name, version, present.version)
+        self._objects.pop((kind, name))
+        self.version += 1
+        gone = msgspec.structs.replace(present, version=self.version)
+        self._publish(ChangeEvent(change=ChangeType.DELETED, changed=gone))
+        return None
+
+    async def watch(
+        self,
+        kind: str,
+        since_version: int,
+    ) -> AsyncIterator[ChangeEvent | Failure]:
+        """Yield changes after the version; a failure is the last item."""
+        seen_version = since_version
+        while True:
+            if seen_version < self.oldest_event_version:
+                yield Failure(
+                    ErrorKind.STORE_COMPACTED,
+                    f'changes after version {seen_version} are no longer kept',
+                )
+                return
+            changed = self._changed
+            for event in list(self._events):
+                if event.changed.version <= seen_version:
+                    continue
+                seen_version = event.changed.version
+                if event.changed.kind == kind:
+                    yield event
+            if changed is self._changed:
+                await changed.wait()
+
+    def compact(self) -> None:
+        """Forget the change events kept so far."""
+        self._events.clear()
+        self.oldest_event_version = self.version
+
+    def _put(self, wanted: StoredObject) -> StoredObject | Failure:
+        if len(wanted.body) > MAX_OBJECT_BYTES:
+            return Failure(
+                ErrorKind.STORE_TOO_LARGE,
+                f'{wanted.kind}/{wanted.name} has {len(wanted.body)} bytes; '
+                f'at most {MAX_OBJECT_BYTES} are allowed',
+            )
+        self.version += 1
+        stored = msgspec.structs.replace(wanted, version=self.version)
+        self._objects[stored.kind, stored.name] = stored
+        self._publish(ChangeEvent(change=ChangeType.PUT, changed=stored))
+        return stored
+
+    def _publish(self, event: ChangeEvent) -> None:
+        self._events.append(event)
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
+
+
+def _moved(kind: str, name: str, wanted: int, present: int) -> Failure:
+    return Failure(
+        ErrorKind.STORE_CONFLICT,
+        f'{kind}/{name} is at version {present}, not {wanted}',
+    )
--- /dev/null
+++ b/cicadadoor/settings.py
@@ -0,0 +1,250 @@
+"""Read a daemon's settings from JSON with comments and check them."""
+
+import ipaddress
+from pathlib import Path
+from typing import Any
+
+import json5
+
+from cicadadoor.errors import ErrorKind, Failure
+
+_MAX_PORT = 65535
+_NAME_MAX_LENGTH = 63
+_LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
+
+
+class Address:
+    """Hold an IP number and a port."""
+
+    __slots__ = ('host_ip', 'port')
+
+    def __init__(self, host_ip: str, port: int) -> None:
+        self.host_ip = host_ip
+        self.port = port
+
+    def __str__(self) -> str:
+        if ':' in self.host_ip:
+            return f'[{self.host_ip}]:{self.port}'
+        return f'{self.host_ip}:{self.port}'
+
+    def is_loopback(self) -> bool:
+        """Tell whether only this host can reach the address."""
+        return ipaddress.ip_address(self.host_ip).is_loopback
+
+
+class Settings:
+    """Hold the settings of the daemons of one entry host."""
+
+    __slots__ = (
+        'agent_link',
+        'agent_peers',
+        'answer_ttl_ms',
+        'callers',
+        'callers_url',
+        'failure_domain',
+        'gate_peers',
+        'grace_s',
+        'host',
+        'log_level',
+        'operators',
+        'peer_ca_file',
+        'peer_certificate_file',
+        'platform_url',
+        'region',
+        'seed_peers',
+        'store_calls_per_s',
+        'tls_certificate_file',
+        'tls_key_file',
+        'trace_sample_ratio',
+    )
+
+    def __init__(self, **fields: Any) -> None:
+        for name in self.__slots__:
+            setattr(self, name, fields[name])
+
+
+class FieldRule:
+    """Check one field of a settings file."""
+
+    __slots__ = ('allowed', 'default', 'parse', 'required')
+
+    def __init__(
+        self,
+        parse: Any,
+        allowed: str,
+        default: Any = None,
+        *,
+        required: bool = False,
+    ) -> None:
+        self.parse = parse
+        self.allowed = allowed
+        self.default = default
+        self.required = required
+
+
+def load(path: str) -> Settings | Failure:
+    """Read and check a settings file; the failure names file, field and value."""
+    try:
+        document = json5.loads(Path(path).read_text(encoding='utf-8'))
+    except OSError as error:
+        return _fault(path, 'file', path, f'a readable file ({error.strerror})')
+    except ValueError as error:
+        return _fault(path, 'file', path, f'JSON with comments ({error})')
+    if not isinstance(document, dict):
+        return _fault(path, 'file', type(document).__name__, 'an object')
+    return _check(path, document)
+
+
+def _check(path: str, document: dict[str, Any]) -> Settings | Failure:
+    for name in document:
+        if name not in _RULES:
+            return _fault(path, name, document[name], _hint(name))
+    fields = {}
+    for name, rule in _RULES.items():
+        given = document.get(name, rule.default)
+        if given is None and rule.required:
+            return _fault(path, name, 'nothing', f'{rule.allowed} (required)')
+        parsed = None if given is None else rule.parse(given)
+        if given is not None and parsed is None:
+            return _fault(path, name, given, rule.allowed)
+        fields[name] = parsed
+    return _check_together(path, Settings(**fields))
+
+
+def _check_together(path: str, settings: Settings) -> Settings | Failure:
+    if not settings.agent_link.is_loopback():
+        return _fault(path, 'agent_link', settings.agent_link, 'a loopback address')
+    has_certificates = settings.peer_certificate_file and settings.peer_ca_file
+    for name in ('agent_peers', 'gate_peers'):
+        address = getattr(settings, name)
+        if not address.is_loopback() and not has_certificates:
+            return _fault(
+                path,
+                name,
+                address,
+                'a loopback address, or peer_certificate_file and peer_ca_file set',
+            )
+    if not settings.operators.is_loopback() and not settings.tls_certificate_file:
+        return _fault(
+            path,
+            'operators',
+            settings.operators,
+            'a loopback address, or tls_certificate_file set',
+        )
+    return settings
+
+
+def _fault(path: str, field: str, given: Any, allowed: str) -> Failure:
+    return Failure(
+        ErrorKind.SETTINGS_INVALID,
+        f'{path}: {field}: {given!s} is not allowed; allowed: {allowed}',
+    )
+
+
+def _hint(name: str) -> str:
+    stem = name.rsplit('_', 1)[0]
+    near = [known for known in _RULES if known.rsplit('_', 1)[0] == stem]
+    if near:
+        return f'field {near[0]} (check the unit)'
+    known_fields = ', '.join(sorted(_RULES))
+    return f'one of the fields {known_fields}'
+
+
+def parse_address(given: Any) -> Address | None:
+    """Parse an IP number and a port, or return None."""
+    if not isinstance(given, str):
+        return None
+    host_ip, separator, port_text = given.rpartition(':')
+    if not separator or not port_text.isdecimal():
+        return None
+    host_ip = host_ip.removeprefix('[').removesuffix(']')
+    try:
+        ipaddress.ip_address(host_ip)
+    except ValueError:
+        return None
+    port = int(port_text)
+    return Address(host_ip, port) if 0 < port <= _MAX_PORT else None
+
+
+def _parse_addresses(given: Any) -> list[Address] | None:
+    if not isinstance(given, list):
+        return None
+    addresses = [parse_address(entry) for entry in given]
+    return None if None in addresses else addresses  # type: ignore[return-value]
+
+
+def parse_name(given: Any) -> str | None:
+    """Parse a name of lower-case letters, digits and hyphens, or return None."""
+    if not isinstance(given, str) or not 0 < len(given) <= _NAME_MAX_LENGTH:
+        return None
+    letters = given.replace('-', '')
+    is_plain = letters.isascii() and letters.isalnum() and given == given.lower()
+    return given if is_plain else None
+
+
+def _parse_url(given: Any) -> str | None:
+    if isinstance(given, str) and given.startswith(('http://', 'https://')):
+        return given.rstrip('/')
+    return None
+
+
+def _parse_path(given: Any) -> str | None:
+    return given if isinstance(given, str) and Path(given).is_file() else None
+
+
+def _parse_level(given: Any) -> str | None:
+    return given if given in _LOG_LEVELS else None
+
+
+def _number_between(low: float, high: float) -> Any:
+    def parse(given: Any) -> float | None:
+        if isinstance(given, bool) or not isinstance(given, int | float):
+            return None
+        return given if low <= given <= high else None
+
+    return parse
+
+
+_NAME = 'lower-case letters, digits and hyphens, at most 63'
+_ADDRESS = 'IP number and port, as in "127.0.0.1:8080"'
+_URL = 'a URL that starts with http:// or https://'
+_PATH = 'the path of a file that exists'
+
+_RULES = {  # noqa: WPS407
+    'host': FieldRule(parse_name, _NAME, required=True),
+    'region': FieldRule(parse_name, _NAME, required=True),
+    'failure_domain': FieldRule(parse_name, _NAME, required=True),
+    'platform_url': FieldRule(_parse_url, _URL, required=True),
+    'callers': FieldRule(parse_address, _ADDRESS, required=True),
+    'callers_url': FieldRule(_parse_url, _URL, required=True),
+    'gate_peers': FieldRule(parse_address, _ADDRESS, required=True),
+    'agent_link': FieldRule(parse_address, _ADDRESS, required=True),
+    'agent_peers': FieldRule(parse_address, _ADDRESS, required=True),
+    'operators': FieldRule(parse_address, _ADDRESS, required=True),
+    'seed_peers': FieldRule(_parse_addresses, f'a list of {_ADDRESS}', []),
+    'answer_ttl_ms': FieldRule(
+        _number_between(100, 600_000),
+        'milliseconds from 100 to 600000',
+        5000,
+    ),
+    'grace_s': FieldRule(
+        _number_between(0, 3600),
+        'seconds from 0 to 3600',
+        30,
+    ),
+    'store_calls_per_s': FieldRule(
+        _number_between(0.1, 1000),
+        'calls per second from 0.1 to 1000',
+        20,
+    ),
+    'trace_sample_ratio': FieldRule(
+        _number_between(0, 1),
+        'a number from 0 to 1',
+        0.01,
+    ),
+    'log_level': FieldRule(_parse_level, 'DEBUG, INFO, WARNING or ERROR', 'INFO'),
+    'tls_certificate_file': FieldRule(_parse_path, _PATH),
+    'tls_key_file': FieldRule(_parse_path, _PATH),
+    'peer_certificate_file': FieldRule(_parse_path, _PATH),
+    'peer_ca_file': FieldRule(_parse_path, _PATH),
+}
--- /dev/null
+++ b/cicadadoor/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Write logs, metrics and traces."""
--- /dev/null
+++ b/cicadadoor/telemetry/tracing.py
@@ -0,0 +1,73 @@
+"""Record a span for each hop and pass the trace context on."""
+
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
+
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    SimpleSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.sdk.trace.sampling import ParentBasedTraceIdRatio
+from opentelemetry.trace import Span
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+from cicadadoor.telemetry import logs
+
+log = logs.logger('trace')
+_propagator = TraceContextTextMapPropagator()
+_NS_PER_US = 1000
+
+
+class LogSpanExporter(SpanExporter):
+    """Write each finished span as a log line."""
+
+    def export(self, spans: 'tuple[ReadableSpan, ...]') -> SpanExportResult:  # type: ignore[override]
+        """Write the spans."""
+        for span in spans:
+            _log_span(span)
+        return SpanExportResult.SUCCESS
+
+
+def configure(process: str, sample_ratio: float) -> None:
+    """Record the given share of new traces; a caller's own decision is kept."""
+    provider = TracerProvider(
+        resource=Resource.create({'service.name': process}),
+        sampler=ParentBasedTraceIdRatio(sample_ratio),
+    )
+    provider.add_span_processor(SimpleSpanProcessor(LogSpanExporter()))
+    trace.set_tracer_provider(provider)
+
+
+@contextmanager
+def hop(name: str, headers: Mapping[str, str] | None = None) -> Iterator[Span]:
+    """Record one hop, as a child of the context in the headers if they have one."""
+    context = _propagator.extract(headers) if headers else None
+    tracer = trace.get_tracer('cicadadoor')
+    with tracer.start_as_current_span(name, context=context) as span:
+        yield span
+
+
+def inject(headers: dict[str, str]) -> None:
+    """Add the current trace context to outgoing headers."""
+    _propagator.inject(headers)
+
+
+def _log_span(span: ReadableSpan) -> None:
+    context = span.context
+    started_ns = span.start_time or 0
+    ended_ns = span.end_time or started_ns
+    log.info(
+        'span',
+        name=span.name,
+        trace_id=f'{context.trace_id:032x}',
+        span_id=f'{context.span_id:016x}',
+        parent_id=f'{span.parent.span_id:016x}' if span.parent else '-',
+        duration_us=(ended_ns - started_ns) // _NS_PER_US,
+        **{str(name): content for name, content in (span.attributes or {}).items()},
+    )
--- /dev/null
+++ b/cicadadoor/timer.py
@@ -0,0 +1,109 @@
+"""Give parts the time and call them back when it has come."""
+
+import abc
+import time
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.telemetry import logs
+
+log = logs.logger('timer')
+
+Callback = Callable[[], Awaitable[None]]
+
+
+class TimerService(Service):
+    """Tell the time and run callbacks at a period or after a delay."""
+
+    name = 'timer'
+
+    @abc.abstractmethod
+    def now_s(self) -> float:
+        """Return seconds on the boot-time clock, which counts suspension."""
+
+    @abc.abstractmethod
+    def wall_s(self) -> float:
+        """Return seconds since the epoch, for display and long expiries only."""
+
+    @abc.abstractmethod
+    def subscribe(self, name: str, period_s: float, callback: Callback) -> None:
+        """Call back at each period until the process stops."""
+
+    @abc.abstractmethod
+    def after(self, name: str, delay_s: float, callback: Callback) -> None:
+        """Call back once after the delay."""
+
+    @abc.abstractmethod
+    async def sleep(self, delay_s: float) -> None:
+        """Wait for the delay."""
+
+
+class BootTimer(TimerService):
+    """Read the boot-time clock and run callbacks in the process's loop."""
+
+    def __init__(self) -> None:
+        self._kernel: Kernel | None = None
+        self._waiting: list[tuple[str, float, Callback, bool]] = []
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to serve subscriptions, also those made before the start."""
+        self._kernel = kernel
+        for waiting in self._waiting:
+            kernel.spawn(self._run, *waiting)
+        self._waiting.clear()
+
+    def now_s(self) -> float:
+        """Return seconds on the boot-time clock, which counts suspension."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def wall_s(self) -> float:
+        """Return seconds since the epoch."""
+        return time.time()
+
+    def subscribe(self, name: str, period_s: float, callback: Callback) -> None:
+        """Call back at each period until the process stops."""
+        self._add(name, period_s, callback, repeats=True)
+
+    def after(self, name: str, delay_s: float, callback: Callback) -> None:
+        """Call back once after the delay."""
+        self._add(name, delay_s, callback, repeats=False)
+
+    async def sleep(self, delay_s: float) -> None:
+        """Wait for the delay."""
+        await anyio.sleep(delay_s)
+
+    def _add(
+        self,
+        name: str,
+        delay_s: float,
+        callback: Callback,
+        *,
+        repeats: bool,
+    ) -> None:
+        if self._kernel is None:
+            self._waiting.append((name, delay_s, callback, repeats))
+            return
+        self._kernel.spawn(self._run, name, delay_s, callback, repeats)
+
+    async def _run(
+        self,
+        name: str,
+        delay_s: float,
+        callback: Callback,
+        repeats: bool,
+    ) -> None:
+        await anyio.sleep(delay_s)
+        await _call(name, callback)
+        while repeats:
+            await anyio.sleep(delay_s)
+            await _call(name, callback)
+
+
+async def _call(name: str, callback: Callback) -> None:
+    # A fault in one callback must not end the process or the other callbacks.
+    try:
+        await callback()
+    except Exception:
+        log.exception('timer_callback_failed', callback=name)
