Serve a request through agent, gate and backend server

The thin path runs in separate processes: the operators' command accepts a configuration in the platform stand-in, the agent follows it, the gate checks key and rate, chooses a backend server and forwards without the key.

--- /dev/null
+++ b/cicadadoor/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Run the control path of an entry host."""
--- /dev/null
+++ b/cicadadoor/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Parse operators' commands and print their results."""
--- /dev/null
+++ b/cicadadoor/config/chunks.py
@@ -0,0 +1,90 @@
+"""Split a configuration into sections, and name sections by their digest."""
+
+import msgspec
+
+from cicadadoor.config import model
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.ids import digest_of
+
+BLOCKS_PER_SECTION = 4096
+BLOCK_SECTION_PREFIX = 'blocks/'
+
+# Sections that a program prints; keys are granted and withdrawn on their own.
+_TYPES: dict[str, type] = {
+    'topology': model.Topology,
+    'services': tuple[model.Service, ...],
+    'organisations': model.OrganisationLimits,
+    'keys': tuple[model.KeyRecord, ...],
+    'weights': model.Weights,
+}
+
+
+def split(configuration: model.Configuration) -> dict[str, bytes]:
+    """Return the content of each section in canonical form."""
+    sections = {
+        'topology': encode(configuration.topology),
+        'services': encode(configuration.services),
+        'organisations': encode(configuration.limits),
+        'keys': encode(configuration.keys),
+        'weights': encode(configuration.weights),
+    }
+    blocks = configuration.client_blocks
+    for number, start in enumerate(range(0, len(blocks), BLOCKS_PER_SECTION)):
+        part = blocks[start : start + BLOCKS_PER_SECTION]
+        sections[f'{BLOCK_SECTION_PREFIX}{number:04d}'] = encode(part)
+    return sections
+
+
+def join(sections: dict[str, bytes]) -> model.Configuration | Failure:
+    """Put sections together again; CONFIG_INVALID names a malformed one."""
+    decoded: dict[str, object] = {}
+    blocks: list[model.ClientBlock] = []
+    for name, content in sorted(sections.items()):
+        part = decode(name, content)
+        if isinstance(part, Failure):
+            return part
+        if name.startswith(BLOCK_SECTION_PREFIX):
+            blocks.extend(part)
+        else:
+            decoded[name] = part
+    missing = sorted(set(_TYPES) - set(decoded))
+    if missing:
+        return Failure(ErrorKind.CONFIG_INVALID, f'section {missing[0]!r} is missing')
+    return model.Configuration(
+        format=model.FORMAT_VERSION,
+        topology=decoded['topology'],
+        services=decoded['services'],
+        limits=decoded['organisations'],
+        keys=decoded['keys'],
+        weights=decoded['weights'],
+        client_blocks=tuple(blocks),
+    )
+
+
+def decode(name: str, content: bytes) -> object:
+    """Decode one section; CONFIG_INVALID if it is malformed or not known."""
+    wanted = _TYPES.get(name)
+    if name.startswith(BLOCK_SECTION_PREFIX):
+        wanted = tuple[model.ClientBlock, ...]
+    if wanted is None:
+        return Failure(ErrorKind.CONFIG_INVALID, f'section {name!r} is not known')
+    try:
+        return msgspec.json.decode(content, type=wanted)
+    except msgspec.MsgspecError as error:
+        return Failure(ErrorKind.CONFIG_INVALID, f'section {name!r}: {error}')
+
+
+def encode(part: object) -> bytes:
+    """Encode a part in canonical form: sorted fields, no white space."""
+    return msgspec.json.encode(part, order='sorted')
+
+
+def digest_sections(section_digests: dict[str, str]) -> str:
+    """Return the digest of a whole configuration from those of its sections."""
+    lines = [f'{name} {digest}\n' for name, digest in sorted(section_digests.items())]
+    return digest_of(''.join(lines).encode())
+
+
+def digests(sections: dict[str, bytes]) -> dict[str, str]:
+    """Return the digest of each section."""
+    return {name: digest_of(content) for name, content in sections.items()}
--- /dev/null
+++ b/cicadadoor/config/view.py
@@ -0,0 +1,270 @@
+"""Index one generation of the configuration for look-ups."""
+
+import hashlib
+import ipaddress
+from array import array
+from bisect import bisect_right
+
+from cicadadoor.config import chunks, model
+from cicadadoor.errors import ErrorKind, Failure
+
+_IPV4 = 4
+# IPv6 blocks are compared by their first 64 bits; longer prefixes are not steered
+# on their own.
+_IPV6_HOST_BITS = 64
+_HASH_BYTES = 8
+_HASH_SPACE = 1 << (_HASH_BYTES * 8)
+_SEED_BYTES = 16
+
+
+class BlockIndex:
+    """Hold the blocks of one address family as sorted typed arrays."""
+
+    __slots__ = ('ends', 'region_numbers', 'starts')
+
+    def __init__(self, type_code: str) -> None:
+        self.starts = array(type_code)
+        self.ends = array(type_code)
+        self.region_numbers = array('H')
+
+    def add(self, start: int, end: int, region_number: int) -> None:
+        """Add a block that lies above all blocks so far."""
+        self.starts.append(start)
+        self.ends.append(end)
+        self.region_numbers.append(region_number)
+
+    def find(self, address: int) -> int | None:
+        """Return the position of the block that holds the address, or None."""
+        position = bisect_right(self.starts, address) - 1
+        if position < 0 or self.ends[position] < address:
+            return None
+        return position
+
+
+class BlockSection:
+    """Hold one decoded section of client blocks."""
+
+    __slots__ = ('ipv4', 'ipv6')
+
+    def __init__(self) -> None:
+        self.ipv4 = BlockIndex('I')
+        self.ipv6 = BlockIndex('Q')
+
+
+class ClientBlocks:
+    """Find the home region and hash point of a client address."""
+
+    __slots__ = ('_ipv4', '_ipv6', '_regions')
+
+    def __init__(self, regions: list[str], sections: list[BlockSection]) -> None:
+        self._regions = regions
+        self._ipv4 = BlockIndex('I')
+        self._ipv6 = BlockIndex('Q')
+        for section in sections:
+            _extend(self._ipv4, section.ipv4)
+            _extend(self._ipv6, section.ipv6)
+
+    def __len__(self) -> int:
+        return len(self._ipv4.starts) + len(self._ipv6.starts)
+
+    def locate(self, client_ip: str) -> 'tuple[str, float] | None':
+        """Return home region and hash point in [0, 1), or None if not covered.
+
+        Raise ValueError if the text is no IP number.
+        """
+        address = ipaddress.ip_address(client_ip)
+        index = self._ipv4
+        number = int(address)
+        if address.version != _IPV4:
+            index = self._ipv6
+            number >>= _IPV6_HOST_BITS
+        position = index.find(number)
+        if position is None:
+            return None
+        region = self._regions[index.region_numbers[position]]
+        return region, hash_point(index.starts[position])
+
+
+class ConfigView:
+    """Hold one generation in the form that the data path reads."""
+
+    __slots__ = (
+        'blocks',
+        'digest',
+        'failure_domains',
+        'floor_fraction',
+        'generation',
+        'key_owners',
+        'links',
+        'organisations',
+        'regions',
+        'seat_count',
+        'services',
+        'steering',
+        'weights',
+    )
+
+    def __init__(
+        self,
+        generation: int,
+        digest: str,
+        parts: dict[str, object],
+        blocks: ClientBlocks,
+    ) -> None:
+        topology: model.Topology = parts['topology']
+        limits: model.OrganisationLimits = parts['organisations']
+        services: tuple[model.Service, ...] = parts['services']
+        keys: tuple[model.KeyRecord, ...] = parts['keys']
+        weights: model.Weights = parts['weights']
+        self.generation = generation
+        self.digest = digest
+        self.blocks = blocks
+        self.regions = [region.name for region in topology.regions]
+        self.failure_domains = {
+            domain.name: domain for domain in topology.failure_domains
+        }
+        self.seat_count = sum(domain.seats for domain in topology.failure_domains)
+        self.links = {(link.source, link.target): link for link in topology.links}
+        self.services = {service.name: service for service in services}
+        self.organisations = {
+            organisation.name: organisation for organisation in limits.organisations
+        }
+        self.floor_fraction = limits.floor_fraction
+        self.key_owners = {record.key_hash: record.organisation for record in keys}
+        self.weights = weights
+        self.steering = {
+            (rule.service, rule.home_region): rule.weights for rule in weights.rules
+        }
+
+    def steer(self, service: str, client_ip: str) -> list[str]:
+        """Return all regions for a client, the chosen one first.
+
+        Raise ValueError if the text is no IP number.
+        """
+        located = self.blocks.locate(client_ip)
+        if located is None:
+            home_region = self.regions[0]
+            point = hash_point(int(ipaddress.ip_address(client_ip)))
+        else:
+            home_region, point = located
+        chosen = self._choose(service, home_region, point)
+        others = [region for region in self.regions if region != chosen]
+        others.sort(key=lambda region: self._delay_us(chosen, region))
+        return [chosen, *others]
+
+    def _choose(self, service: str, home_region: str, point: float) -> str:
+        total = 0.0
+        weights = self.steering.get((service, home_region), ())
+        for entry in weights:
+            total += entry.weight
+            if point < total:
+                return entry.region
+        return home_region
+
+    def _delay_us(self, source: str, target: str) -> int:
+        link = self.links.get((source, target))
+        return link.delay_us if link else 0
+
+
+class SectionCache:
+    """Decode sections once, and build views from them."""
+
+    __slots__ = ('_blocks', '_block_regions', '_decoded', '_digests')
+
+    def __init__(self) -> None:
+        self._decoded: dict[str, object] = {}
+        self._blocks: dict[str, BlockSection] = {}
+        self._digests: dict[str, str] = {}
+        self._block_regions: list[str] = []
+
+    def build(
+        self,
+        generation: int,
+        section_digests: dict[str, str],
+        contents: dict[str, bytes],
+    ) -> ConfigView | Failure:
+        """Build a view; `contents` has to hold each section that changed."""
+        for name, digest in section_digests.items():
+            if name.startswith(chunks.BLOCK_SECTION_PREFIX):
+                continue
+            if self._digests.get(name) != digest:
+                part = chunks.decode(name, contents[name])
+                if isinstance(part, Failure):
+                    return part
+                self._decoded[name] = part
+                self._digests[name] = digest
+        topology: model.Topology = self._decoded['topology']
+        regions = [region.name for region in topology.regions]
+        failure = self._decode_blocks(regions, section_digests, contents)
+        if failure is not None:
+            return failure
+        names = sorted(self._blocks)
+        return ConfigView(
+            generation,
+            chunks.digest_sections(section_digests),
+            dict(self._decoded),
+            ClientBlocks(regions, [self._blocks[name] for name in names]),
+        )
+
+    def _decode_blocks(
+        self,
+        regions: list[str],
+        section_digests: dict[str, str],
+        contents: dict[str, bytes],
+    ) -> Failure | None:
+        if regions != self._block_regions:
+            self._blocks.clear()
+            self._block_regions = regions
+        for gone in set(self._blocks) - set(section_digests):
+            self._blocks.pop(gone)
+        for name, digest in section_digests.items():
+            if not name.startswith(chunks.BLOCK_SECTION_PREFIX):
+                continue
+            if name in self._blocks and self._digests.get(name) == digest:
+                continue
+            part = chunks.decode(name, contents[name])
+            if isinstance(part, Failure):
+                return part
+            section = index_blocks(part, regions)
+            if isinstance(section, Failure):
+                return section
+            self._blocks[name] = section
+            self._digests[name] = digest
+        return None
+
+
+def index_blocks(
+    blocks: tuple[model.ClientBlock, ...],
+    regions: list[str],
+) -> BlockSection | Failure:
+    """Turn decoded client blocks into typed arrays."""
+    numbers = {name: number for number, name in enumerate(regions)}
+    section = BlockSection()
+    for block in blocks:
+        number = numbers.get(block.region)
+        if number is None:
+            return Failure(
+                ErrorKind.CONFIG_INVALID,
+                f'client block {block.cidr!r}: no region {block.region!r}',
+            )
+        network = ipaddress.ip_network(block.cidr)
+        start = int(network.network_address)
+        end = int(network.broadcast_address)
+        if network.version == _IPV4:
+            section.ipv4.add(start, end, number)
+        else:
+            section.ipv6.add(start >> _IPV6_HOST_BITS, end >> _IPV6_HOST_BITS, number)
+    return section
+
+
+def hash_point(number: int) -> float:
+    """Map a block's start to a fixed point in [0, 1)."""
+    seed = number.to_bytes(_SEED_BYTES, 'big')
+    hashed = hashlib.blake2b(seed, digest_size=_HASH_BYTES).digest()
+    return int.from_bytes(hashed, 'big') / _HASH_SPACE
+
+
+def _extend(target: BlockIndex, part: BlockIndex) -> None:
+    target.starts.extend(part.starts)
+    target.ends.extend(part.ends)
+    target.region_numbers.extend(part.region_numbers)
--- /dev/null
+++ b/cicadadoor/core.py
@@ -0,0 +1,49 @@
+"""Build and run a daemon from its settings file."""
+
+import os
+import signal
+import sys
+from collections.abc import Callable
+
+import anyio
+
+from cicadadoor import settings as settings_module
+from cicadadoor.errors import ExitStatus, Failure
+from cicadadoor.kernel import Kernel
+from cicadadoor.settings import Settings
+from cicadadoor.telemetry import logs, tracing
+
+log = logs.logger('core')
+
+BuildKernel = Callable[[Settings], Kernel]
+
+
+def run_daemon(program: str, arguments: list[str], build: BuildKernel) -> ExitStatus:
+    """Run until SIGTERM or SIGINT; bad settings end before any socket opens."""
+    if len(arguments) != 1 or arguments[0].startswith('-'):
+        sys.stderr.write(f'usage: {program} SETTINGS_FILE\n')
+        asked_for_help = arguments in (['--help'], ['-h'])
+        return ExitStatus.SUCCESS if asked_for_help else ExitStatus.USAGE
+    settings = settings_module.load(arguments[0])
+    if isinstance(settings, Failure):
+        sys.stderr.write(f'{program}: {settings.reason}\n')
+        return ExitStatus.USAGE
+    logs.configure(settings.log_level)
+    tracing.configure(program, settings.trace_sample_ratio)
+    return anyio.run(_run, program, settings, build)
+
+
+async def _run(program: str, settings: Settings, build: BuildKernel) -> ExitStatus:
+    kernel = build(settings)
+    log.info('started', program=program, host=settings.host, pid=os.getpid())
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+
+        async def wait_for_stop() -> float:
+            async for _ in signals:
+                break
+            log.info('stopping', program=program, grace_s=settings.grace_s)
+            return settings.grace_s
+
+        await kernel.run(wait_for_stop)
+    log.info('stopped', program=program)
+    return ExitStatus.SUCCESS
--- /dev/null
+++ b/cicadadoor/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decide, as pure functions of what is known and the time given."""
--- a/cicadadoor/errors.py
+++ b/cicadadoor/errors.py
@@ -123,7 +123,7 @@
 
 # `Run.NO` stands only where no byte of the request left the gate, or where the
 # backend server's documented shed answer says that it did not run.
-ANSWERS = {  # noqa: WPS407
+ANSWERS = {
     ErrorKind.BAD_REQUEST: _BAD_REQUEST,
     ErrorKind.REQUEST_TOO_LARGE: _not_run(HTTPStatus.REQUEST_ENTITY_TOO_LARGE),
     ErrorKind.UNKNOWN_SERVICE: _not_run(HTTPStatus.NOT_FOUND),
--- /dev/null
+++ b/cicadadoor/gate/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers on an entry host: the data path."""
--- /dev/null
+++ b/cicadadoor/gate/app.py
@@ -0,0 +1,225 @@
+"""Speak HTTP with callers."""
+
+import time
+from http import HTTPStatus
+from urllib.parse import parse_qs
+
+import msgspec
+
+from cicadadoor.errors import ANSWERS, ErrorKind, Failure, Run
+from cicadadoor.gate.lookup import Lookup
+from cicadadoor.gate.pipeline import Pipeline, RawRequest
+from cicadadoor.gate.request import SteeredAnswer
+from cicadadoor.gate.state import GateState
+from cicadadoor.http_server import (
+    JSON_HEADER,
+    Receive,
+    Scope,
+    Send,
+    answer_lifespan,
+    send_whole,
+    serve_forever,
+)
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.telemetry import logs, metrics, tracing
+
+log = logs.logger('gate')
+
+MAX_REQUEST_BYTES = 16_777_216
+_RESERVED_PREFIX = '/cicadadoor/v1/'
+_SERVICE_PREFIX = '/s/'
+_encoder = msgspec.json.Encoder()
+
+
+class ErrorBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what a caller is told about a failure."""
+
+    error: str
+    run: str
+    detail: str
+    retry_after_ms: int
+    hosts: list[str]
+
+
+class CallerServer(Service):
+    """Serve callers with hypercorn in the process's own loop."""
+
+    name = 'callers'
+
+    def __init__(self) -> None:
+        self._state: GateState
+        self._lookup: Lookup
+        self._pipeline: Pipeline
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen at the callers' address."""
+        self._state = kernel.find('state')
+        self._lookup = kernel.find('lookup')
+        self._pipeline = kernel.find('pipeline')
+        settings = self._state.settings
+        kernel.spawn(
+            serve_forever,
+            self.handle,
+            str(settings.callers),
+            settings.tls_certificate_file,
+            settings.tls_key_file,
+        )
+
+    async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one HTTP request."""
+        if scope['type'] == 'lifespan':
+            await answer_lifespan(receive, send)
+            return
+        if scope['type'] != 'http':
+            return
+        path: str = scope['path']
+        if path.startswith(_SERVICE_PREFIX):
+            await self._steer(scope, receive, send)
+        elif path == f'{_RESERVED_PREFIX}hosts':
+            await self._answer_lookup(scope, send)
+        elif path == f'{_RESERVED_PREFIX}health':
+            await self._answer_health(send)
+        elif path == f'{_RESERVED_PREFIX}metrics':
+            await send_whole(send, HTTPStatus.OK, [], metrics.exposition())
+        else:
+            failure = Failure(ErrorKind.BAD_REQUEST, f'no such path: {path[:100]}')
+            await self._send_failure(send, failure)
+
+    async def _answer_lookup(self, scope: Scope, send: Send) -> None:
+        query = parse_qs(scope['query_string'].decode('latin-1'))
+        client_ip = query.get('client', [_client_ip(scope)])[0]
+        found = self._lookup.answer(query.get('service', [''])[0], client_ip)
+        if isinstance(found, Failure):
+            metrics.LOOKUPS.labels(found.kind.value).inc()
+            await self._send_failure(send, found)
+            return
+        metrics.LOOKUPS.labels('ok').inc()
+        await send_whole(send, HTTPStatus.OK, [JSON_HEADER], _encoder.encode(found))
+
+    async def _answer_health(self, send: Send) -> None:
+        is_ready = self._state.view is not None and not self._state.is_stopping
+        status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
+        await send_whole(
+            send, status, [JSON_HEADER], _encoder.encode({'ready': is_ready})
+        )
+
+    async def _steer(self, scope: Scope, receive: Receive, send: Send) -> None:
+        started_s = time.perf_counter()
+        headers = _headers(scope)
+        if isinstance(headers, Failure):
+            await self._send_failure(send, headers)
+            return
+        body = await _read_body(headers, receive)
+        if isinstance(body, Failure):
+            await self._send_failure(send, body)
+            return
+        service = scope['path'].removeprefix(_SERVICE_PREFIX).partition('/')[0]
+        raw = RawRequest(
+            method=scope['method'],
+            service=service,
+            path=_raw_path(scope, service),
+            query=scope['query_string'].decode('latin-1'),
+            headers=headers,
+            body=body,
+            client_ip=_client_ip(scope),
+        )
+        with tracing.hop('gate', headers) as span:
+            span.set_attribute('service', service)
+            answer = await self._pipeline.handle(raw)
+            outcome = answer.kind.value if isinstance(answer, Failure) else 'answered'
+            span.set_attribute('outcome', outcome)
+        metrics.REQUESTS.labels(
+            service if outcome == 'answered' else '-', '-', outcome
+        ).inc()
+        if isinstance(answer, Failure):
+            await self._send_failure(send, answer)
+        else:
+            await _send_answer(send, answer)
+        metrics.REQUEST_SECONDS.labels('all').observe(time.perf_counter() - started_s)
+
+    async def _send_failure(self, send: Send, failure: Failure) -> None:
+        answer = ANSWERS[failure.kind]
+        hosts: list[str] = []
+        if answer.run is Run.NO:
+            hosts = self._lookup.other_urls()
+        body = ErrorBody(
+            error=failure.kind.value,
+            run=answer.run.value,
+            detail=failure.reason,
+            retry_after_ms=failure.retry_after_ms,
+            hosts=hosts,
+        )
+        headers = [JSON_HEADER, (b'x-cicadadoor-run', answer.run.value.encode())]
+        await send_whole(send, answer.status, headers, _encoder.encode(body))
+
+
+async def _send_answer(send: Send, answer: SteeredAnswer) -> None:
+    headers = [
+        (name.encode('latin-1'), content.encode('latin-1'))
+        for name, content in answer.headers
+    ]
+    headers.append((b'x-cicadadoor-run', answer.run.value.encode()))
+    if answer.stream is None:
+        await send_whole(send, answer.status, headers, answer.body)
+        return
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': answer.status,
+            'headers': headers,
+        }
+    )
+    # An error here ends the connection without the last chunk, so that a truncated
+    # body can't be taken for a whole one.
+    try:
+        async for chunk in answer.stream:
+            await send({'type': 'http.response.body', 'body': chunk, 'more_body': True})
+        await send({'type': 'http.response.body', 'body': b''})
+    finally:
+        if answer.on_close is not None:
+            await answer.on_close()
+
+
+async def _read_body(headers: dict[str, str], receive: Receive) -> bytes | Failure:
+    parts: list[bytes] = []
+    size_bytes = 0
+    while True:
+        event = await receive()
+        if event['type'] == 'http.disconnect':
+            return Failure(ErrorKind.BAD_REQUEST, 'the caller went away')
+        parts.append(event.get('body', b''))
+        size_bytes += len(parts[-1])
+        if size_bytes > MAX_REQUEST_BYTES:
+            return Failure(
+                ErrorKind.REQUEST_TOO_LARGE,
+                f'the body is over {MAX_REQUEST_BYTES} bytes',
+            )
+        if not event.get('more_body'):
+            break
+    declared = headers.get('content-length', '')
+    if declared.isdecimal() and int(declared) != size_bytes:
+        return Failure(ErrorKind.BAD_REQUEST, 'the body is shorter than declared')
+    return b''.join(parts)
+
+
+def _headers(scope: Scope) -> dict[str, str] | Failure:
+    headers: dict[str, str] = {}
+    for raw_name, raw_content in scope['headers']:
+        name = raw_name.decode('latin-1').lower()
+        content = raw_content.decode('latin-1')
+        if name in headers:
+            separator = '; ' if name == 'cookie' else ', '
+            content = f'{headers[name]}{separator}{content}'
+        headers[name] = content
+    return headers
+
+
+def _raw_path(scope: Scope, service: str) -> str:
+    raw_path = scope.get('raw_path') or scope['path'].encode()
+    path: str = raw_path.decode('latin-1').partition('?')[0]
+    return path.removeprefix(f'{_SERVICE_PREFIX}{service}') or '/'
+
+
+def _client_ip(scope: Scope) -> str:
+    client = scope.get('client')
+    return client[0] if client else ''
--- /dev/null
+++ b/cicadadoor/gate/lookup.py
@@ -0,0 +1,110 @@
+"""Tell callers which entry hosts to use."""
+
+import msgspec
+
+from cicadadoor.config.view import ConfigView
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.at_most_once import AtMostOnce
+from cicadadoor.gate.state import GateState
+from cicadadoor.kernel import Kernel, Service
+
+
+class EntryHost(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell where a gate takes callers."""
+
+    url: str
+    failure_domain: str
+    region: str
+
+
+class LookupAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the answer to a look-up, best host first."""
+
+    hosts: list[EntryHost]
+    ttl_ms: int
+    generation: int
+    idempotency_prefix: str
+
+
+class Lookup(Service):
+    """Answer look-ups from memory."""
+
+    name = 'lookup'
+    max_hosts = 8
+
+    def __init__(self) -> None:
+        self._state: GateState
+        self._at_most_once: AtMostOnce
+        self._hosts_by_region: dict[str, list[EntryHost]] = {}
+        self._answers: dict[tuple[int, str, str], list[EntryHost]] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        """Find the state; until peers are known this host is the only answer."""
+        self._state = kernel.find('state')
+        self._at_most_once = kernel.find('at_most_once')
+        self.set_hosts([])
+
+    def set_hosts(self, others: list[EntryHost]) -> None:
+        """Replace the other hosts that take callers."""
+        settings = self._state.settings
+        own = EntryHost(
+            url=settings.callers_url,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+        )
+        by_region: dict[str, list[EntryHost]] = {}
+        if not self._state.is_stopping:
+            by_region[own.region] = [own]
+        for host in others:
+            by_region.setdefault(host.region, []).append(host)
+        self._hosts_by_region = by_region
+        self._answers.clear()
+
+    def other_urls(self) -> list[str]:
+        """Return some other hosts that a refused caller can try."""
+        own_url = self._state.settings.callers_url
+        urls = [
+            host.url
+            for hosts in self._hosts_by_region.values()
+            for host in hosts
+            if host.url != own_url
+        ]
+        return urls[: self.max_hosts]
+
+    def answer(self, service: str, client_ip: str) -> LookupAnswer | Failure:
+        """Return hosts in the region chosen for the client, then in others."""
+        view = self._state.view
+        if view is None:
+            return Failure(ErrorKind.NOT_READY, 'no configuration is in force yet')
+        if service not in view.services:
+            return Failure(
+                ErrorKind.UNKNOWN_SERVICE,
+                f'service {service!r} does not exist',
+            )
+        try:
+            regions = view.steer(service, client_ip)
+        except ValueError:
+            return Failure(ErrorKind.BAD_REQUEST, f'{client_ip!r} is no IP number')
+        return LookupAnswer(
+            hosts=self._hosts(view, service, regions),
+            ttl_ms=int(self._state.settings.answer_ttl_ms),
+            generation=view.generation,
+            idempotency_prefix=self._at_most_once.issue_prefix(service),
+        )
+
+    def _hosts(
+        self,
+        view: ConfigView,
+        service: str,
+        regions: list[str],
+    ) -> list[EntryHost]:
+        cache_key = (view.generation, service, regions[0])
+        cached = self._answers.get(cache_key)
+        if cached is not None:
+            return cached
+        hosts: list[EntryHost] = []
+        for region in regions:
+            hosts.extend(self._hosts_by_region.get(region, ()))
+        kept = hosts[: self.max_hosts]
+        self._answers[cache_key] = kept
+        return kept
--- a/cicadadoor/links/messages.py
+++ b/cicadadoor/links/messages.py
@@ -71,7 +71,6 @@
     counters: LoadCounters
 
 
-
 def encode(message: Message) -> bytes:
     """Encode a message as msgpack."""
     return msgspec.msgpack.encode(message)
@@ -83,7 +82,7 @@
     def __init__(self, *accepted: type[Message]) -> None:
         union = accepted[0]
         for message_type in accepted[1:]:
-            union = union | message_type  # type: ignore[assignment]
+            union = union | message_type
         self._decoder = msgspec.msgpack.Decoder(union)
 
     def decode(self, encoded: bytes) -> Message | Failure:
--- a/cicadadoor/links/transport.py
+++ b/cicadadoor/links/transport.py
@@ -199,7 +199,7 @@
         if isinstance(answer, Failure):
             return answer
         if isinstance(answer, Refusal):
-            return Failure(ErrorKind(answer.kind), answer.reason)
+            return _refused(answer)
         if answer.in_reply_to != message_id:
             metrics.DROPPED_MESSAGES.labels('late_answer').inc()
             return Failure(
@@ -209,6 +209,14 @@
         return answer
 
 
+def _refused(refusal: Refusal) -> Failure:
+    try:
+        kind = ErrorKind(refusal.kind)
+    except ValueError:
+        kind = ErrorKind.MESSAGE_INVALID
+    return Failure(kind, refusal.reason)
+
+
 class PairLink:
     """Exchange messages with the other daemon of this host."""
 
--- a/cicadadoor/object_store/http.py
+++ b/cicadadoor/object_store/http.py
@@ -20,8 +20,9 @@
 # A watch without a line for this long is taken as broken; the platform sends an
 # empty line every few seconds.
 _WATCH_SILENCE_S = 15.0
+_DETAIL_BYTES = 200
 
-_FAILURE_KINDS = {  # noqa: WPS407
+_FAILURE_KINDS = {
     HTTPStatus.NOT_FOUND: ErrorKind.STORE_NOT_FOUND,
     HTTPStatus.CONFLICT: ErrorKind.STORE_CONFLICT,
     HTTPStatus.GONE: ErrorKind.STORE_COMPACTED,
@@ -140,7 +141,7 @@
     return f'{kind}/{quote(name, safe="")}'
 
 
-def _decode(body: bytes, wanted: type) -> 'StoredObject | ObjectList | Failure':  # type: ignore[type-arg]
+def _decode(body: bytes, wanted: type) -> 'StoredObject | ObjectList | Failure':
     try:
         return msgspec.json.decode(body, type=wanted)
     except msgspec.MsgspecError as error:
@@ -159,5 +160,5 @@
 
 def _status_failure(status: int, path: str, content: bytes) -> Failure:
     kind = _FAILURE_KINDS.get(HTTPStatus(status), ErrorKind.STORE_UNAVAILABLE)
-    detail = content[:200].decode(errors='replace')
+    detail = content[:_DETAIL_BYTES].decode(errors='replace')
     return Failure(kind, f'{path}: status {status}: {detail}')
--- a/cicadadoor/settings.py
+++ b/cicadadoor/settings.py
@@ -170,7 +170,7 @@
     if not isinstance(given, list):
         return None
     addresses = [parse_address(entry) for entry in given]
-    return None if None in addresses else addresses  # type: ignore[return-value]
+    return None if None in addresses else addresses
 
 
 def parse_name(given: Any) -> str | None:
@@ -210,7 +210,7 @@
 _URL = 'a URL that starts with http:// or https://'
 _PATH = 'the path of a file that exists'
 
-_RULES = {  # noqa: WPS407
+_RULES = {
     'host': FieldRule(parse_name, _NAME, required=True),
     'region': FieldRule(parse_name, _NAME, required=True),
     'failure_domain': FieldRule(parse_name, _NAME, required=True),
--- a/cicadadoor/telemetry/logs.py
+++ b/cicadadoor/telemetry/logs.py
@@ -59,9 +59,7 @@
 
 def _line(event: str, fields: dict[str, Any]) -> str:
     pairs = [f'event={event}']
-    pairs.extend(
-        f'{name}={_text(name, content)}' for name, content in fields.items()
-    )
+    pairs.extend(f'{name}={_text(name, content)}' for name, content in fields.items())
     return ' '.join(pairs)
 
 
--- a/cicadadoor/telemetry/tracing.py
+++ b/cicadadoor/telemetry/tracing.py
@@ -27,7 +27,7 @@
 class LogSpanExporter(SpanExporter):
     """Write each finished span as a log line."""
 
-    def export(self, spans: 'tuple[ReadableSpan, ...]') -> SpanExportResult:  # type: ignore[override]
+    def export(self, spans: 'tuple[ReadableSpan, ...]') -> SpanExportResult:
         """Write the spans."""
         for span in spans:
             _log_span(span)
--- /dev/null
+++ b/tests/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Share stand-ins, builders and the manual timer between tests."""
--- /dev/null
+++ b/tests/utils/cluster.py
@@ -0,0 +1,206 @@
+"""Run a small deployment: stand-ins, and an agent and a gate on each entry host."""
+
+import json
+import os
+import subprocess
+from pathlib import Path
+from types import TracebackType
+
+import httpx
+
+from cicadadoor.config import Deployment, canonical, model
+from tests.utils import control
+from tests.utils.processes import Ports, TestProcess, program, python_module
+from tests.utils.waiting import wait_until
+
+
+class EntryHostProcesses:
+    """Hold the two daemons of one entry host."""
+
+    def __init__(self, name: str, settings: dict, folder: Path) -> None:
+        self.name = name
+        self.settings = settings
+        self.callers_url = settings['callers_url']
+        self.operators_url = f'http://{settings["operators"]}'
+        self._folder = folder
+        path = folder / f'{name}.json'
+        path.write_text(f'// Settings of {name}.\n{json.dumps(settings, indent=2)}')
+        self.agent = TestProcess(
+            f'{name}-agent',
+            program('cicadadoor-agent', str(path)),
+            folder,
+        )
+        self.gate = TestProcess(
+            f'{name}-gate',
+            program('cicadadoor-gate', str(path)),
+            folder,
+        )
+
+    def is_ready(self) -> bool:
+        """Tell whether the gate takes requests."""
+        try:
+            answer = httpx.get(f'{self.callers_url}/cicadadoor/v1/health')
+        except httpx.HTTPError:
+            return False
+        return answer.status_code == 200
+
+
+class BackendProcess:
+    """Hold one backend server stand-in."""
+
+    def __init__(self, name: str, slots: int, folder: Path) -> None:
+        self.name = name
+        self.slots = slots
+        self.address = Ports.address()
+        self.url = f'http://{self.address}'
+        self.records_file = folder / f'{name}.records'
+        self.process = TestProcess(
+            name,
+            python_module(
+                'tests.utils.backend_server',
+                self.address,
+                name,
+                str(self.records_file),
+                str(slots),
+            ),
+            folder,
+        )
+
+
+class Cluster:
+    """Start and end all processes of a small deployment.
+
+    `domains` gives for each failure domain its region and number of entry hosts.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        domains: dict[str, tuple[str, int]],
+        **host_settings: object,
+    ) -> None:
+        self.folder = folder
+        self.domains = domains
+        self.platform_address = Ports.address()
+        self.platform_url = f'http://{self.platform_address}'
+        self.platform = TestProcess(
+            'platform',
+            python_module('tests.utils.platform', self.platform_address),
+            folder,
+        )
+        self.backends: dict[str, BackendProcess] = {}
+        self.hosts: dict[str, EntryHostProcesses] = {}
+        self._host_settings = host_settings
+        wait_until(self._platform_answers, 'the platform stand-in answers')
+
+    def __enter__(self) -> 'Cluster':
+        return self
+
+    def __exit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def add_backend(self, name: str, slots: int) -> BackendProcess:
+        """Start a backend server."""
+        backend = BackendProcess(name, slots, self.folder)
+        self.backends[name] = backend
+        return backend
+
+    def start_hosts(self) -> None:
+        """Start agent and gate on each entry host."""
+        all_settings = self._all_settings()
+        peers = {name: each['agent_peers'] for name, each in all_settings.items()}
+        for name, settings in all_settings.items():
+            settings['seed_peers'] = [
+                peer for other, peer in peers.items() if other != name
+            ]
+            self.hosts[name] = EntryHostProcesses(name, settings, self.folder)
+
+    def wait_ready(self) -> None:
+        """Wait until each gate takes requests."""
+        for host in self.hosts.values():
+            wait_until(host.is_ready, f'{host.name} is ready')
+
+    def submit(self, deployment: Deployment) -> None:
+        """Accept a configuration the way an operator does."""
+        self.submit_configuration(deployment.build())
+
+    def submit_configuration(self, configuration: model.Configuration) -> None:
+        """Review and submit a built configuration."""
+        path = self.folder / 'configuration.json'
+        path.write_bytes(canonical.render(configuration))
+        plan = json.loads(self.operate('plan', str(path), '--json'))
+        self.operate(
+            'submit',
+            str(path),
+            f'--digest={plan["digest"]}',
+            f'--base={plan["base"]}',
+        )
+
+    def grant_key(self, organisation: str) -> str:
+        """Grant a key and return it."""
+        output = self.operate('key_grant', organisation, '--json')
+        return json.loads(output.splitlines()[-1])['key']
+
+    def operate(self, *arguments: str, expect: int = 0) -> str:
+        """Run the operators' command and return its standard output."""
+        finished = subprocess.run(
+            program('cicadadoor', *arguments),
+            env={**os.environ, 'CICADADOOR_PLATFORM': self.platform_url},
+            capture_output=True,
+            text=True,
+            timeout=120,
+            check=False,
+        )
+        assert finished.returncode == expect, (arguments, finished)
+        return finished.stdout
+
+    def set_platform(self, **faults: object) -> None:
+        """Switch faults of the platform on or off."""
+        control.set_faults(self.platform_url, **faults)
+
+    def close(self) -> None:
+        """End all processes that this cluster started."""
+        processes = [self.platform]
+        processes.extend(backend.process for backend in self.backends.values())
+        for host in self.hosts.values():
+            processes.extend((host.agent, host.gate))
+        for process in processes:
+            if process.is_running():
+                process.kill()
+
+    def _platform_answers(self) -> bool:
+        try:
+            control.get_control(self.platform_url)
+        except httpx.HTTPError:
+            return False
+        return True
+
+    def _all_settings(self) -> dict[str, dict]:
+        all_settings = {}
+        for domain, (region, count) in self.domains.items():
+            for number in range(count):
+                name = f'{domain}-{number}'
+                all_settings[name] = self._settings(name, region, domain)
+        return all_settings
+
+    def _settings(self, name: str, region: str, domain: str) -> dict:
+        callers = Ports.address()
+        return {
+            'host': name,
+            'region': region,
+            'failure_domain': domain,
+            'platform_url': self.platform_url,
+            'callers': callers,
+            'callers_url': f'http://{callers}',
+            'gate_peers': Ports.address(),
+            'agent_link': Ports.address(),
+            'agent_peers': Ports.address(),
+            'operators': Ports.address(),
+            'trace_sample_ratio': 1,
+            **self._host_settings,
+        }
--- /dev/null
+++ b/tests/utils/waiting.py
@@ -0,0 +1,21 @@
+"""Wait for a condition with a generous limit."""
+
+import time
+from collections.abc import Callable
+
+LIMIT_S = 60.0
+_POLL_S = 0.05
+
+
+def wait_until(
+    condition: Callable[[], object],
+    what: str,
+    limit_s: float = LIMIT_S,
+) -> None:
+    """Return when the condition holds; raise AssertionError after the limit."""
+    end_s = time.monotonic() + limit_s
+    while time.monotonic() < end_s:
+        if condition():
+            return
+        time.sleep(_POLL_S)
+    raise AssertionError(f'not within {limit_s} s: {what}')
