Let services share the links between daemons and between hosts

Services subscribe to message types on one link to the other daemon of the host and one hub for peers, so that each subject brings its own messages. Agents exchange heartbeats, gates know each other and can hand requests over.

--- a/cicadadoor/agent/daemon.py
+++ b/cicadadoor/agent/daemon.py
@@ -3,11 +3,15 @@
 import sys
 
 from cicadadoor import core
-from cicadadoor.agent.gate_link import GateLink
+from cicadadoor.agent.config_sender import ConfigSender
+from cicadadoor.agent.membership import Membership
 from cicadadoor.agent.operator_api import OperatorApi
 from cicadadoor.agent.state import AgentState
 from cicadadoor.agent.sync import ConfigSync
-from cicadadoor.kernel import Kernel
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.daemon_link import DaemonLink
+from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.links.transport import PeerSecurity
 from cicadadoor.object_store.http import HttpObjectStore
 from cicadadoor.settings import Settings
 from cicadadoor.timer import BootTimer
@@ -16,10 +20,22 @@
 def build(settings: Settings) -> Kernel:
     """Register the agent's services in the order in which they start."""
     kernel = Kernel()
-    kernel.register(BootTimer())
-    kernel.register(AgentState(settings, HttpObjectStore(settings.platform_url)))
-    kernel.register(ConfigSync())
-    kernel.register(GateLink())
+    state = AgentState(settings, HttpObjectStore(settings.platform_url))
+    link = DaemonLink(state.instance, settings.agent_link, listens=True)
+    security = PeerSecurity.from_settings(settings)
+    peers = PeerHub(state.instance, settings.agent_peers, security)
+    services: tuple[Service, ...] = (
+        BootTimer(),
+        state,
+        ConfigSync(),
+        ConfigSender(),
+        Membership(),
+    )
+    for service in services:
+        kernel.register(service)
+    # Links and listeners start last, when all services have subscribed.
+    kernel.register(link)
+    kernel.register(peers)
     kernel.register(OperatorApi())
     return kernel
 
--- a/cicadadoor/gate/agent_link.py
+++ b/cicadadoor/gate/config_receiver.py
@@ -1,59 +1,41 @@
-"""Take configuration and grants from the agent of this host, and report to it."""
+"""Put configuration that the agent sends in force, and report what is in use."""
 
 from cicadadoor.config.view import SectionCache
 from cicadadoor.errors import Failure
 from cicadadoor.gate.state import GateState
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.config_parts import Assembler, Generation
-from cicadadoor.links.messages import (
-    Codec,
-    ConfigUpdate,
-    GateReport,
-    Message,
-)
-from cicadadoor.links.transport import MessageStamp, PairLink
+from cicadadoor.links.daemon_link import DaemonLink
+from cicadadoor.links.messages import ConfigUpdate, GateReport
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
 
-log = logs.logger('agent_link')
+log = logs.logger('config')
 
 _REPORT_PERIOD_S = 0.5
 
 
-class AgentLink(Service):
-    """Apply what the agent sends; the gate goes on without it."""
+class ConfigReceiver(Service):
+    """Apply configuration updates; the gate goes on without the agent."""
 
-    name = 'agent_link'
+    name = 'config_receiver'
 
     def __init__(self) -> None:
         self._state: GateState
-        self._link: PairLink
+        self._link: DaemonLink
         self._generation: Generation | None = None
         self._assembler = Assembler()
         self._sections = SectionCache()
 
     async def start(self, kernel: Kernel) -> None:
-        """Connect to the agent, now or when it is there."""
+        """Subscribe to configuration updates and report periodically."""
         self._state = kernel.find('state')
+        self._link = kernel.find('daemon_link')
+        self._link.on(ConfigUpdate, self._apply)
         timer: TimerService = kernel.find('timer')
-        self._link = PairLink(MessageStamp(self._state.instance), Codec(ConfigUpdate))
-        self._link.dial(self._state.settings.agent_link)
-        kernel.spawn(self._receive)
         timer.subscribe('gate_report', _REPORT_PERIOD_S, self._report)
 
-    async def stop(self, grace_s: float) -> None:
-        """Close the link."""
-        self._link.close()
-
-    async def _receive(self) -> None:
-        while (message := await self._link.receive()) is not None:
-            self._apply(message)
-
-    def _apply(self, message: Message) -> None:
-        if isinstance(message, ConfigUpdate):
-            self._apply_config(message)
-
-    def _apply_config(self, update: ConfigUpdate) -> None:
+    async def _apply(self, update: ConfigUpdate) -> None:
         complete = self._assembler.add(update, self._generation)
         if complete is None:
             return
@@ -70,15 +52,15 @@
             return
         if self._state.adopt(view):
             self._generation = complete
+            await self._report()
 
     async def _report(self) -> None:
         view = self._state.view
         report = GateReport(
+            gate=self._state.info(),
             generation=view.generation if view else 0,
             digest=view.digest if view else '',
             in_flight=self._state.in_flight,
             counters=self._state.counters,
         )
-        failure = await self._link.send(report)
-        if failure is not None:
-            log.debug('report_not_sent', reason=failure.reason)
+        await self._link.send(report)
--- a/cicadadoor/gate/daemon.py
+++ b/cicadadoor/gate/daemon.py
@@ -4,16 +4,23 @@
 
 from cicadadoor import core
 from cicadadoor.gate.admission import FloorAdmission
-from cicadadoor.gate.agent_link import AgentLink
 from cicadadoor.gate.app import CallerServer
 from cicadadoor.gate.at_most_once import PassThrough
+from cicadadoor.gate.config_receiver import ConfigReceiver
+from cicadadoor.gate.directory import GateDirectory
 from cicadadoor.gate.forwarding import Forwarder
 from cicadadoor.gate.keys import KeyCheck
 from cicadadoor.gate.lookup import Lookup
+from cicadadoor.gate.peer_forwarding import PeerForwarder
 from cicadadoor.gate.pipeline import Pipeline
+from cicadadoor.gate.quarantine import NoQuarantine
+from cicadadoor.gate.queueing import NoQueue
 from cicadadoor.gate.routing import TwoChoicesRouter
 from cicadadoor.gate.state import GateState
-from cicadadoor.kernel import Kernel
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.daemon_link import DaemonLink
+from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.links.transport import PeerSecurity
 from cicadadoor.settings import Settings
 from cicadadoor.timer import BootTimer
 
@@ -21,16 +28,31 @@
 def build(settings: Settings) -> Kernel:
     """Register the gate's services in the order in which they start."""
     kernel = Kernel()
-    kernel.register(BootTimer())
-    kernel.register(GateState(settings))
-    kernel.register(KeyCheck())
-    kernel.register(FloorAdmission())
-    kernel.register(PassThrough())
-    kernel.register(TwoChoicesRouter())
-    kernel.register(Forwarder())
-    kernel.register(Lookup())
-    kernel.register(Pipeline())
-    kernel.register(AgentLink())
+    state = GateState(settings)
+    link = DaemonLink(state.instance, settings.agent_link, listens=False)
+    security = PeerSecurity.from_settings(settings)
+    peers = PeerHub(state.instance, settings.gate_peers, security)
+    services: tuple[Service, ...] = (
+        BootTimer(),
+        state,
+        KeyCheck(),
+        FloorAdmission(),
+        PassThrough(),
+        NoQuarantine(),
+        TwoChoicesRouter(),
+        NoQueue(),
+        Forwarder(),
+        PeerForwarder(),
+        Lookup(),
+        GateDirectory(),
+        ConfigReceiver(),
+        Pipeline(),
+    )
+    for service in services:
+        kernel.register(service)
+    # Links and listeners start last, when all services have subscribed.
+    kernel.register(link)
+    kernel.register(peers)
     kernel.register(CallerServer())
     return kernel
 
--- a/cicadadoor/gate/pipeline.py
+++ b/cicadadoor/gate/pipeline.py
@@ -6,12 +6,18 @@
 from cicadadoor.gate.admission import Admission
 from cicadadoor.gate.at_most_once import AtMostOnce
 from cicadadoor.gate.forwarding import Forwarder
+from cicadadoor.gate.peer_forwarding import PeerForwarder, pack
+from cicadadoor.gate.quarantine import Quarantine
+from cicadadoor.gate.queueing import RequestQueue
 from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
-from cicadadoor.gate.routing import Router
+from cicadadoor.gate.routing import Target
 from cicadadoor.gate.state import GateState
 from cicadadoor.ids import new_nonce
 from cicadadoor.kernel import Kernel
 from cicadadoor.kernel import Service as KernelService
+from cicadadoor.links.forward_messages import ForwardAnswer, ForwardRequest
+from cicadadoor.links.messages import Message
+from cicadadoor.links.peer_hub import PeerHub
 from cicadadoor.timer import TimerService
 
 _MS_PER_S = 1000
@@ -53,8 +59,10 @@
         self._keys: keys.KeyCheck
         self._admission: Admission
         self._at_most_once: AtMostOnce
-        self._router: Router
+        self._quarantine: Quarantine
+        self._queue: RequestQueue
         self._forwarder: Forwarder
+        self._peer_forwarder: PeerForwarder
 
     async def start(self, kernel: Kernel) -> None:
         """Find the services of the steps."""
@@ -63,8 +71,12 @@
         self._keys = kernel.find('keys')
         self._admission = kernel.find('admission')
         self._at_most_once = kernel.find('at_most_once')
-        self._router = kernel.find('router')
+        self._quarantine = kernel.find('quarantine')
+        self._queue = kernel.find('queue')
         self._forwarder = kernel.find('forwarder')
+        self._peer_forwarder = kernel.find('peer_forwarder')
+        peers: PeerHub = kernel.find('peers')
+        peers.on(ForwardRequest, self.handle_forwarded, ForwardAnswer)
 
     async def handle(self, raw: RawRequest) -> SteeredAnswer | Failure:
         """Answer one request."""
@@ -125,24 +137,119 @@
             return None
         return self._keys.authenticate(key_hash)
 
+    async def handle_forwarded(self, message: Message) -> Message:
+        """Answer a request that another gate handed over."""
+        answer = await self._run_forwarded(message)
+        return pack(answer)
+
+    async def _run_forwarded(
+        self,
+        message: ForwardRequest,
+    ) -> SteeredAnswer | Failure:
+        if self._state.is_stopping:
+            return Failure(ErrorKind.DRAINING, 'this host is stopping')
+        request = self._rebuild(message)
+        if isinstance(request, Failure):
+            return request
+        self._state.in_flight += 1
+        try:
+            if message.is_owner:
+                return await self._at_most_once.run(request, self._dispatch)
+            return await self._run_at_backend(request, is_local_only=True)
+        finally:
+            self._state.in_flight -= 1
+
+    def _rebuild(self, message: ForwardRequest) -> SteeredRequest | Failure:
+        view = self._state.view
+        service = view.services.get(message.service) if view else None
+        if service is None:
+            return Failure(
+                ErrorKind.UNKNOWN_SERVICE,
+                f'service {message.service!r} does not exist at this host',
+            )
+        route = find_route(service, message.method, message.path)
+        organisation = self._find_organisation(route, message.key_hash)
+        if isinstance(organisation, Failure):
+            return organisation
+        received_s = self._timer.now_s()
+        return SteeredRequest(
+            request_id=message.request_id,
+            method=message.method,
+            path=message.path,
+            query=message.query,
+            headers=message.headers,
+            body=message.body,
+            client_ip=message.client_ip,
+            received_s=received_s,
+            deadline_s=received_s + message.left_ms / _MS_PER_S,
+            service=service,
+            route=route,
+            organisation=organisation,
+            key_hash=message.key_hash,
+        )
+
     async def _dispatch(self, request: SteeredRequest) -> SteeredAnswer | Failure:
+        refusal = self._quarantine.check(request)
+        if refusal is not None:
+            return refusal
         if request.organisation is not None:
             refusal = self._admission.admit(request.organisation)
             if refusal is not None:
                 return refusal
-        server = await self._router.acquire(request)
-        if isinstance(server, Failure):
-            return server
+        return await self._run_at_backend(request)
+
+    async def _run_at_backend(
+        self,
+        request: SteeredRequest,
+        *,
+        is_local_only: bool = False,
+    ) -> SteeredAnswer | Failure:
+        target = await self._queue.acquire(request, is_local_only=is_local_only)
+        if isinstance(target, Failure):
+            return target
+        answer = await self._forward(request, target)
+        region = target.gate.region if target.gate else self._state.settings.region
+        self._state.count_steered(request.organisation_name, region)
+        return answer
+
+    async def _forward(
+        self,
+        request: SteeredRequest,
+        target: Target,
+    ) -> SteeredAnswer | Failure:
+        started_s = self._timer.now_s()
+        answer: SteeredAnswer | Failure = Failure(
+            ErrorKind.OUTCOME_UNKNOWN,
+            'the request was cancelled',
+        )
+        if target.server is not None:
+            self._quarantine.began(request, target.server)
         try:
-            answer = await self._forwarder.forward(request, server)
+            answer = await self._send(request, target)
         finally:
-            self._router.release(server)
-        self._state.count_steered(
-            request.organisation_name,
-            self._state.settings.region,
-        )
+            self._finish(request, target, answer, started_s)
         return answer
 
+    def _finish(
+        self,
+        request: SteeredRequest,
+        target: Target,
+        answer: SteeredAnswer | Failure,
+        started_s: float,
+    ) -> None:
+        self._queue.release(target, answer, self._timer.now_s() - started_s)
+        if target.server is not None:
+            self._quarantine.ended(request, target.server, answer)
+
+    async def _send(
+        self,
+        request: SteeredRequest,
+        target: Target,
+    ) -> SteeredAnswer | Failure:
+        if target.server is not None:
+            return await self._forwarder.forward(request, target.server)
+        return await self._peer_forwarder.forward(request, target.gate)
+
 
 def find_route(service: Service, method: str, path: str) -> Route | None:
     """Return the longest matching route of the service, or None."""
--- a/cicadadoor/gate/state.py
+++ b/cicadadoor/gate/state.py
@@ -3,7 +3,7 @@
 from cicadadoor.config.view import ConfigView
 from cicadadoor.ids import new_instance_id
 from cicadadoor.kernel import Service
-from cicadadoor.links.messages import LoadCounters
+from cicadadoor.links.messages import GateInfo, LoadCounters
 from cicadadoor.settings import Settings
 from cicadadoor.telemetry import logs, metrics
 
@@ -33,6 +33,19 @@
         log.info('config_in_force', generation=view.generation, digest=view.digest)
         return True
 
+    def info(self) -> GateInfo:
+        """Return where this gate takes callers and other gates."""
+        settings = self.settings
+        return GateInfo(
+            host=settings.host,
+            instance=self.instance,
+            callers_url=settings.callers_url,
+            peer_address=str(settings.gate_peers),
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            takes_callers=self.view is not None and not self.is_stopping,
+        )
+
     def count_steered(self, organisation: str, region: str) -> None:
         """Count one request that was sent to a backend server."""
         _increment(self.counters.by_organisation, organisation)
--- a/cicadadoor/links/messages.py
+++ b/cicadadoor/links/messages.py
@@ -47,13 +47,6 @@
     sections: dict[str, Section]
 
 
-class GateHello(Message, frozen=True, kw_only=True, tag=True):
-    """Announce a gate process to the agent of its host."""
-
-    generation: int
-    digest: str
-
-
 class LoadCounters(msgspec.Struct, frozen=True, kw_only=True):
     """Count what was steered since the process began."""
 
@@ -62,9 +55,40 @@
     by_organisation: dict[str, int] = {}
 
 
+class GateInfo(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell where a gate process takes callers and other gates."""
+
+    host: str
+    instance: str
+    callers_url: str
+    peer_address: str
+    failure_domain: str
+    region: str
+    takes_callers: bool = True
+
+
+class PeerUpdate(Message, frozen=True, kw_only=True, tag=True):
+    """Name the gates of other hosts that are heard."""
+
+    gates: list[GateInfo]
+
+
+class Heartbeat(Message, frozen=True, kw_only=True, tag=True):
+    """Tell a peer agent that this host is alive, and what it has in use."""
+
+    host: str
+    peer_address: str
+    failure_domain: str
+    region: str
+    generation: int
+    digest: str
+    gate: GateInfo | None = None
+
+
 class GateReport(Message, frozen=True, kw_only=True, tag=True):
     """Report what a gate has in use."""
 
+    gate: GateInfo
     generation: int
     digest: str
     in_flight: int
--- a/cicadadoor/links/transport.py
+++ b/cicadadoor/links/transport.py
@@ -24,6 +24,8 @@
 _MS_PER_S = 1000
 _SERVER_CONTEXTS = 8
 _PAIR_SEND_TIMEOUT_S = 1.0
+_CONNECT_TIMEOUT_S = 0.5
+_CONNECT_POLL_S = 0.01
 _DIAL_RETRY_MS = 100
 _DIAL_RETRY_MAX_MS = 1000
 
@@ -92,13 +94,12 @@
     def __init__(
         self,
         stamp: MessageStamp,
-        codec: Codec,
-        handler: Handler,
+        handlers: dict[type[Message], Handler],
         security: PeerSecurity,
     ) -> None:
         self._stamp = stamp
-        self._codec = codec
-        self._handler = handler
+        self._codec = Codec(*handlers)
+        self._handlers = handlers
         self._security = security
         self._socket: pynng.Rep0 | None = None
 
@@ -133,7 +134,7 @@
         if isinstance(request, Failure):
             return self._refuse(request, 0)
         try:
-            answer = await self._handler(request)
+            answer = await self._handlers[type(request)](request)
         except Exception:
             log.exception('peer_handler_failed', message=type(request).__name__)
             failure = Failure(ErrorKind.INTERNAL, 'the handler failed')
@@ -171,10 +172,16 @@
         self._socket = socket
 
     async def request(self, message: Message, timeout_s: float) -> Message | Failure:
-        """Send a request and return its answer; PEER_UNREACHABLE if none came.
+        """Send a request and return its answer.
 
-        The peer may have applied the request although no answer came.
+        PEER_UNREACHABLE means that nothing was sent; after OUTCOME_UNKNOWN the peer
+        may have applied the request.
         """
+        if not await self._wait_connected(timeout_s):
+            return Failure(
+                ErrorKind.PEER_UNREACHABLE,
+                f'peer {self.address} is not connected',
+            )
         stamped = self._stamp.apply(message)
         try:
             with anyio.fail_after(timeout_s), self._socket.new_context() as context:
@@ -182,11 +189,19 @@
                 encoded = await context.arecv()
         except (TimeoutError, pynng.NNGException) as error:
             return Failure(
-                ErrorKind.PEER_UNREACHABLE,
+                ErrorKind.OUTCOME_UNKNOWN,
                 f'peer {self.address}: {type(error).__name__}',
             )
         return self._check(self._codec.decode(encoded), stamped.message_id)
 
+    async def _wait_connected(self, timeout_s: float) -> bool:
+        # A request to an unconnected socket would be queued and sent after the
+        # caller has given up.
+        with anyio.move_on_after(min(timeout_s, _CONNECT_TIMEOUT_S)):
+            while not self._socket.pipes:
+                await anyio.sleep(_CONNECT_POLL_S)
+        return bool(self._socket.pipes)
+
     def close(self) -> None:
         """Close the connection."""
         self._socket.close()
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -8,12 +8,12 @@
 from tests.utils.deployments import small_deployment
 from tests.utils.waiting import wait_until
 
-DOMAINS = {'muenchen-1': ('muenchen', 1)}
+DOMAINS = {'muenchen-1': ('muenchen', 1), 'augsburg-1': ('augsburg', 1)}
 
 
 @pytest.fixture(scope='module')
 def cluster(tmp_path_factory):
-    """Run one entry host with one backend server."""
+    """Run two entry hosts, and one backend server in the first domain."""
     with Cluster(tmp_path_factory.mktemp('cluster'), DOMAINS) as running:
         backend = running.add_backend('kb-1', slots=8)
         running.start_hosts()
@@ -67,3 +67,18 @@
         assert answer.status_code == 401
         assert answer.headers['x-cicadadoor-run'] == 'no'
         assert answer.json()['error'] == 'key_unknown'
+
+    def test_lookup_names_the_hosts_that_are_heard(self, cluster):
+        """Callers have no balancer before them, so one dead host must not be all."""
+        host = cluster.hosts['augsburg-1-0']
+
+        def names_both() -> bool:
+            found = httpx.get(
+                f'{host.callers_url}/cicadadoor/v1/hosts',
+                params={'service': 'kursbuchung'},
+            ).json()
+            urls = [entry['url'] for entry in found['hosts']]
+            first_url = cluster.hosts['muenchen-1-0'].callers_url
+            return urls == [first_url, host.callers_url]
+
+        wait_until(names_both, 'the look-up names both hosts, the home region first')
