--- a/cicadadoor/gate/routing.py
+++ b/cicadadoor/gate/routing.py
@@ -10,7 +10,6 @@
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.messages import GateInfo
 
-
 AVOID_NONE: frozenset[str] = frozenset()
 
 
