--- /dev/null
+++ b/cicadadoor/agent/claims.py
@@ -0,0 +1,120 @@
+"""Claim opaque idempotency keys in the platform, and delete old claims."""
+
+import msgspec
+
+from cicadadoor.agent.membership import Membership
+from cicadadoor.agent.state import AgentState
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.claim_messages import ClaimAnswer, ClaimRequest
+from cicadadoor.links.daemon_link import DaemonLink
+from cicadadoor.object_store.base import StoredObject
+from cicadadoor.object_store.writes import ObjectWriter
+from cicadadoor.telemetry import logs
+from cicadadoor.timer import TimerService
+
+log = logs.logger('claims')
+
+CLAIM_KIND = 'idempotency_claim'
+CLAIM_LIFETIME_S = 86_400.0
+COLLECT_PERIOD_S = 600.0
+
+
+class Claim(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold who claimed a key, for which request and when."""
+
+    claim_id: str
+    holder: str
+    fingerprint: str
+    claimed_wall_s: float
+
+
+class ClaimKeeper(Service):
+    """Write claims for the gate of this host."""
+
+    name = 'claims'
+
+    def __init__(self) -> None:
+        self._state: AgentState
+        self._timer: TimerService
+        self._link: DaemonLink
+        self._membership: Membership
+        self._kernel: Kernel
+
+    async def start(self, kernel: Kernel) -> None:
+        """Subscribe to the gate's claims."""
+        self._kernel = kernel
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._membership = kernel.find('membership')
+        self._link = kernel.find('daemon_link')
+        self._link.on(ClaimRequest, self._take)
+        self._timer.subscribe('collect_claims', COLLECT_PERIOD_S, self.collect)
+
+    async def claim(self, request: ClaimRequest) -> ClaimAnswer:
+        """Create the claim, or tell who holds it."""
+        wanted = Claim(
+            claim_id=request.claim_id,
+            holder=request.holder,
+            fingerprint=request.fingerprint,
+            claimed_wall_s=self._timer.wall_s(),
+        )
+        writer = ObjectWriter(self._state.store, self._state.instance)
+        body = msgspec.json.encode(wanted)
+        stored = await writer.create(CLAIM_KIND, request.name, body)
+        if isinstance(stored, StoredObject):
+            return _held(request, wanted)
+        if stored.kind is not ErrorKind.STORE_CONFLICT:
+            return ClaimAnswer(claim_id=request.claim_id, reason=stored.reason)
+        present = await self._state.store.get(CLAIM_KIND, request.name)
+        claim = present if isinstance(present, Failure) else _parse(present)
+        if isinstance(claim, Failure):
+            return ClaimAnswer(claim_id=request.claim_id, reason=claim.reason)
+        return _held(request, claim)
+
+    async def collect(self) -> None:
+        """Delete claims older than their lifetime, from one host of each domain."""
+        settings = self._state.settings
+        names = [
+            beat.host
+            for beat in self._membership.heard()
+            if beat.failure_domain == settings.failure_domain
+        ]
+        if names and min(names) < settings.host:
+            return
+        listed = await self._state.store.list(CLAIM_KIND)
+        if isinstance(listed, Failure):
+            log.info('claims_not_collected', reason=listed.reason)
+            return
+        oldest_wall_s = self._timer.wall_s() - CLAIM_LIFETIME_S
+        for stored in listed.objects:
+            claim = _parse(stored)
+            if isinstance(claim, Failure) or claim.claimed_wall_s >= oldest_wall_s:
+                continue
+            await self._state.store.delete(CLAIM_KIND, stored.name, stored.version)
+
+    async def _take(self, request: ClaimRequest) -> None:
+        # The platform may be slow; other messages of the gate must not wait for it.
+        self._kernel.spawn(self._answer, request)
+
+    async def _answer(self, request: ClaimRequest) -> None:
+        await self._link.send(await self.claim(request))
+
+
+def _held(request: ClaimRequest, claim: Claim) -> ClaimAnswer:
+    return ClaimAnswer(
+        claim_id=request.claim_id,
+        holder=claim.holder,
+        held_id=claim.claim_id,
+        fingerprint=claim.fingerprint,
+    )
+
+
+def _parse(stored: StoredObject) -> Claim | Failure:
+    try:
+        return msgspec.json.decode(stored.body, type=Claim)
+    except msgspec.MsgspecError as error:
+        return Failure(
+            ErrorKind.MESSAGE_INVALID,
+            f'claim {stored.name} is malformed: {error}',
+        )
--- a/cicadadoor/agent/daemon.py
+++ b/cicadadoor/agent/daemon.py
@@ -3,9 +3,11 @@
 import sys
 
 from cicadadoor import core
+from cicadadoor.agent.claims import ClaimKeeper
 from cicadadoor.agent.config_sender import ConfigSender
 from cicadadoor.agent.membership import Membership
 from cicadadoor.agent.operator_api import OperatorApi
+from cicadadoor.agent.quarantine_relay import QuarantineRelay
 from cicadadoor.agent.state import AgentState
 from cicadadoor.agent.sync import ConfigSync
 from cicadadoor.kernel import Kernel, Service
@@ -30,6 +32,8 @@
         ConfigSync(),
         ConfigSender(),
         Membership(),
+        ClaimKeeper(),
+        QuarantineRelay(),
     )
     for service in services:
         kernel.register(service)
--- /dev/null
+++ b/cicadadoor/agent/quarantine_relay.py
@@ -0,0 +1,48 @@
+"""Spread convictions of crashing requests among the gates of a failure domain."""
+
+from cicadadoor.agent.membership import Membership
+from cicadadoor.agent.state import AgentState
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.daemon_link import DaemonLink
+from cicadadoor.links.messages import Ack, Message
+from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.links.quarantine_messages import CrashReport, QuarantineUpdate
+
+_ANSWER_TIMEOUT_S = 1.0
+
+
+class QuarantineRelay(Service):
+    """Pass what this host's gate refuses on to the other gates of its domain."""
+
+    name = 'quarantine_relay'
+
+    def __init__(self) -> None:
+        self._state: AgentState
+        self._membership: Membership
+        self._peers: PeerHub
+        self._link: DaemonLink
+        self._kernel: Kernel
+
+    async def start(self, kernel: Kernel) -> None:
+        """Subscribe to the gate's reports and to other agents."""
+        self._kernel = kernel
+        self._state = kernel.find('state')
+        self._membership = kernel.find('membership')
+        self._peers = kernel.find('peers')
+        self._link = kernel.find('daemon_link')
+        self._link.on(CrashReport, self._spread)
+        self._peers.on(QuarantineUpdate, self._take)
+
+    async def _spread(self, report: CrashReport) -> None:
+        update = QuarantineUpdate(convictions=report.convictions)
+        domain = self._state.settings.failure_domain
+        for beat in self._membership.heard():
+            if beat.failure_domain == domain:
+                self._kernel.spawn(self._send, beat.peer_address, update)
+
+    async def _send(self, address: str, update: QuarantineUpdate) -> None:
+        await self._peers.ask(address, update, _ANSWER_TIMEOUT_S)
+
+    async def _take(self, message: Message) -> Message:
+        await self._link.send(message)
+        return Ack()
--- /dev/null
+++ b/cicadadoor/decisions/idempotency_table.py
@@ -0,0 +1,107 @@
+"""Remember within a byte bound which keys were used, and what was answered."""
+
+import heapq
+from typing import Any
+
+# Covers the key, the fingerprint and the objects that hold an entry.
+ENTRY_BYTES = 512
+
+
+class Entry:
+    """Hold what is known about one key; `outcome` is None while it is in flight."""
+
+    __slots__ = (
+        'expires_s',
+        'fingerprint',
+        'organisation',
+        'outcome',
+        'size_bytes',
+    )
+
+    def __init__(self, fingerprint: str, organisation: str, expires_s: float) -> None:
+        self.fingerprint = fingerprint
+        self.organisation = organisation
+        self.expires_s = expires_s
+        self.outcome: Any = None
+        self.size_bytes = 0
+
+
+class IdempotencyTable:
+    """Hold an entry from before a request is dispatched until its key expires.
+
+    An answer may be dropped earlier; `not_kept` then takes its place, so that the
+    key is never taken as unused. One organisation gets at most `max_share` of the
+    bytes for entries, so that it can't make the table full for the others.
+    """
+
+    def __init__(self, max_bytes: int, max_share: float, not_kept: object) -> None:
+        self._max_bytes = max_bytes
+        self._max_entries_each = int(max_bytes * max_share / ENTRY_BYTES)
+        self._not_kept = not_kept
+        self._entries: dict[str, Entry] = {}
+        self._entry_counts: dict[str, int] = {}
+        # Keys whose answers are kept, oldest first.
+        self._answered: dict[str, None] = {}
+        self._expiries: list[tuple[float, str]] = []
+        self.used_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def find(self, key: str, now_s: float) -> Entry | None:
+        """Return the entry of a key that was used and has not expired."""
+        self._purge(now_s)
+        return self._entries.get(key)
+
+    def begin(self, key: str, entry: Entry) -> bool:
+        """Add an entry in flight; tell whether there was room."""
+        count = self._entry_counts.get(entry.organisation, 0)
+        if count >= self._max_entries_each:
+            return False
+        self._drop_answers(ENTRY_BYTES)
+        if self.used_bytes + ENTRY_BYTES > self._max_bytes:
+            return False
+        self._entries[key] = entry
+        self._entry_counts[entry.organisation] = count + 1
+        self.used_bytes += ENTRY_BYTES
+        return True
+
+    def settle(self, key: str, outcome: object, size_bytes: int) -> None:
+        """Record how the request ended, and keep it while there is room."""
+        entry = self._entries[key]
+        entry.outcome = outcome
+        heapq.heappush(self._expiries, (entry.expires_s, key))
+        if size_bytes:
+            entry.size_bytes = size_bytes
+            self.used_bytes += size_bytes
+            self._answered[key] = None
+            self._drop_answers(0)
+
+    def forget(self, key: str) -> None:
+        """Make the key usable again, because its request did not run."""
+        self._remove(key)
+
+    def _drop_answers(self, wanted_bytes: int) -> None:
+        while self._answered and self.used_bytes + wanted_bytes > self._max_bytes:
+            key = next(iter(self._answered))
+            self._entries[key].outcome = self._not_kept
+            self._release(key)
+
+    def _purge(self, now_s: float) -> None:
+        while self._expiries and self._expiries[0][0] <= now_s:
+            self._remove(heapq.heappop(self._expiries)[1])
+
+    def _remove(self, key: str) -> None:
+        self._release(key)
+        entry = self._entries.pop(key)
+        self.used_bytes -= ENTRY_BYTES
+        left = self._entry_counts[entry.organisation] - 1
+        self._entry_counts[entry.organisation] = left
+        if not left:
+            self._entry_counts.pop(entry.organisation)
+
+    def _release(self, key: str) -> None:
+        entry = self._entries[key]
+        self.used_bytes -= entry.size_bytes
+        entry.size_bytes = 0
+        self._answered.pop(key, None)
--- a/cicadadoor/errors.py
+++ b/cicadadoor/errors.py
@@ -77,20 +77,33 @@
 class Failure:
     """Return in place of a result when an operation fails as expected.
 
-    `retry_after_ms` is 0 when the time of a useful retry is not known.
+    `retry_after_ms` is 0 when the time of a useful retry is not known. `run` is given
+    where more is known about the request than the kind tells.
     """
 
-    __slots__ = ('kind', 'reason', 'retry_after_ms')
+    __slots__ = ('_run', 'kind', 'reason', 'retry_after_ms')
 
     def __init__(
         self,
         kind: ErrorKind,
         reason: str,
         retry_after_ms: int = 0,
+        run: Run | None = None,
     ) -> None:
         self.kind = kind
         self.reason = reason
         self.retry_after_ms = retry_after_ms
+        self._run = run
+
+    @property
+    def run(self) -> Run:
+        """Tell whether the request was executed by a backend server."""
+        return self._run or ANSWERS[self.kind].run
+
+    @property
+    def is_stated(self) -> bool:
+        """Tell whether `run` was stated by whoever handled the request."""
+        return self._run is not None
 
     def __repr__(self) -> str:
         return f'Failure({self.kind.value}: {self.reason})'
--- a/cicadadoor/gate/app.py
+++ b/cicadadoor/gate/app.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from urllib.parse import parse_qs
 
+import anyio
 import msgspec
 
 from cicadadoor.errors import ANSWERS, ErrorKind, Failure, Run
@@ -22,10 +23,12 @@
 )
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.telemetry import logs, metrics, tracing
+from cicadadoor.timer import TimerService
 
 log = logs.logger('gate')
 
 MAX_REQUEST_BYTES = 16_777_216
+_STREAM_CHECK_S = 0.25
 _RESERVED_PREFIX = '/cicadadoor/v1/'
 _SERVICE_PREFIX = '/s/'
 _encoder = msgspec.json.Encoder()
@@ -50,12 +53,14 @@
         self._state: GateState
         self._lookup: Lookup
         self._pipeline: Pipeline
+        self._timer: TimerService
 
     async def start(self, kernel: Kernel) -> None:
         """Listen at the callers' address."""
         self._state = kernel.find('state')
         self._lookup = kernel.find('lookup')
         self._pipeline = kernel.find('pipeline')
+        self._timer = kernel.find('timer')
         settings = self._state.settings
         kernel.spawn(
             serve_forever,
@@ -123,61 +128,116 @@
             body=body,
             client_ip=_client_ip(scope),
         )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_watch_caller, receive, tasks.cancel_scope)
+            await self._answer_steered(raw, headers, send)
+            tasks.cancel_scope.cancel()
+        metrics.REQUEST_SECONDS.labels('all').observe(time.perf_counter() - started_s)
+
+    async def _answer_steered(
+        self,
+        raw: RawRequest,
+        headers: dict[str, str],
+        send: Send,
+    ) -> None:
         with tracing.hop('gate', headers) as span:
-            span.set_attribute('service', service)
+            span.set_attribute('service', raw.service)
             answer = await self._pipeline.handle(raw)
             outcome = answer.kind.value if isinstance(answer, Failure) else 'answered'
             span.set_attribute('outcome', outcome)
         metrics.REQUESTS.labels(
-            service if outcome == 'answered' else '-', '-', outcome
+            raw.service if outcome == 'answered' else '-', '-', outcome
         ).inc()
         if isinstance(answer, Failure):
             await self._send_failure(send, answer)
         else:
-            await _send_answer(send, answer)
-        metrics.REQUEST_SECONDS.labels('all').observe(time.perf_counter() - started_s)
+            await _send_answer(send, answer, self._timer)
 
     async def _send_failure(self, send: Send, failure: Failure) -> None:
         answer = ANSWERS[failure.kind]
         hosts: list[str] = []
-        if answer.run is Run.NO:
+        if failure.run is Run.NO:
             hosts = self._lookup.other_urls()
         body = ErrorBody(
             error=failure.kind.value,
-            run=answer.run.value,
+            run=failure.run.value,
             detail=failure.reason,
             retry_after_ms=failure.retry_after_ms,
             hosts=hosts,
         )
-        headers = [JSON_HEADER, (b'x-cicadadoor-run', answer.run.value.encode())]
+        headers = [JSON_HEADER, (b'x-cicadadoor-run', failure.run.value.encode())]
         await send_whole(send, answer.status, headers, _encoder.encode(body))
 
 
-async def _send_answer(send: Send, answer: SteeredAnswer) -> None:
+async def _watch_caller(receive: Receive, scope: anyio.CancelScope) -> None:
+    while (await receive())['type'] != 'http.disconnect':
+        pass
+    scope.cancel()
+
+
+async def _send_answer(
+    send: Send,
+    answer: SteeredAnswer,
+    timer: TimerService,
+) -> None:
     headers = [
         (name.encode('latin-1'), content.encode('latin-1'))
         for name, content in answer.headers
     ]
     headers.append((b'x-cicadadoor-run', answer.run.value.encode()))
-    if answer.stream is None:
-        await send_whole(send, answer.status, headers, answer.body)
+    if answer.stream is not None:
+        await _send_stream(send, answer, headers, timer)
         return
-    await send(
-        {
-            'type': 'http.response.start',
-            'status': answer.status,
-            'headers': headers,
-        }
-    )
+    # An answer without a body keeps the length that it declares, as to HEAD.
+    is_declared = any(name == b'content-length' for name, _ in headers)
+    if not is_declared and answer.status != HTTPStatus.NO_CONTENT:
+        headers.append((b'content-length', str(len(answer.body)).encode()))
+    await send(_start_event(answer, headers))
+    await send({'type': 'http.response.body', 'body': answer.body})
+
+
+async def _send_stream(
+    send: Send,
+    answer: SteeredAnswer,
+    headers: list[tuple[bytes, bytes]],
+    timer: TimerService,
+) -> None:
     # An error here ends the connection without the last chunk, so that a truncated
     # body can't be taken for a whole one.
     try:
-        async for chunk in answer.stream:
-            await send({'type': 'http.response.body', 'body': chunk, 'more_body': True})
-        await send({'type': 'http.response.body', 'body': b''})
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_watch_stream, answer, timer, tasks.cancel_scope)
+            await send(_start_event(answer, headers))
+            async for chunk in answer.stream:
+                await send(
+                    {'type': 'http.response.body', 'body': chunk, 'more_body': True}
+                )
+            await send({'type': 'http.response.body', 'body': b''})
+            tasks.cancel_scope.cancel()
     finally:
-        if answer.on_close is not None:
-            await answer.on_close()
+        with anyio.CancelScope(shield=True):
+            await answer.close()
+
+
+async def _watch_stream(
+    answer: SteeredAnswer,
+    timer: TimerService,
+    scope: anyio.CancelScope,
+) -> None:
+    while timer.now_s() < answer.deadline_s and not answer.must_stop():
+        await timer.sleep(_STREAM_CHECK_S)
+    scope.cancel()
+
+
+def _start_event(
+    answer: SteeredAnswer,
+    headers: list[tuple[bytes, bytes]],
+) -> dict[str, object]:
+    return {
+        'type': 'http.response.start',
+        'status': answer.status,
+        'headers': headers,
+    }
 
 
 async def _read_body(headers: dict[str, str], receive: Receive) -> bytes | Failure:
--- a/cicadadoor/gate/at_most_once.py
+++ b/cicadadoor/gate/at_most_once.py
@@ -1,4 +1,4 @@
-"""Run each request with an idempotency key at most once."""
+"""Define how requests with an idempotency key run at most once."""
 
 import abc
 from collections.abc import Awaitable, Callable
@@ -20,25 +20,14 @@
         self,
         request: SteeredRequest,
         dispatch: Dispatch,
+        *,
+        is_forwarded: bool = False,
     ) -> SteeredAnswer | Failure:
-        """Dispatch the request, or answer a repeat."""
+        """Dispatch the request, or answer a repeat.
+
+        `is_forwarded` tells that another gate takes this one as owner of the key.
+        """
 
     @abc.abstractmethod
     def issue_prefix(self, service: str) -> str:
         """Return a signed prefix for idempotency keys of a caller."""
-
-
-class PassThrough(AtMostOnce):
-    """Dispatch each request once, without memory of idempotency keys."""
-
-    async def run(
-        self,
-        request: SteeredRequest,
-        dispatch: Dispatch,
-    ) -> SteeredAnswer | Failure:
-        """Dispatch the request."""
-        return await dispatch(request)
-
-    def issue_prefix(self, service: str) -> str:
-        """Return no prefix."""
-        return ''
--- /dev/null
+++ b/cicadadoor/gate/attempts.py
@@ -0,0 +1,227 @@
+"""Send a request to targets until one answers or another attempt is not allowed."""
+
+from functools import partial
+
+from cicadadoor.decisions.retries import MAX_ATTEMPTS, RetryBudget, is_repeatable
+from cicadadoor.errors import ErrorKind, Failure, Run
+from cicadadoor.gate.forwarding import Forwarder
+from cicadadoor.gate.peer_forwarding import PeerForwarder
+from cicadadoor.gate.quarantine import Quarantine
+from cicadadoor.gate.queueing import RequestQueue
+from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
+from cicadadoor.gate.routing import Target
+from cicadadoor.gate.state import GateState
+from cicadadoor.gate.streams import hold
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.timer import TimerService
+
+_POLL_S = 0.02
+_NO_TARGET = frozenset((ErrorKind.NO_BACKEND_SERVER, ErrorKind.NO_CAPACITY))
+
+
+class Attempts(Service):
+    """Run a request at a backend server of this domain or at another gate."""
+
+    name = 'attempts'
+
+    def __init__(self) -> None:
+        self._kernel: Kernel
+        self._state: GateState
+        self._timer: TimerService
+        self._quarantine: Quarantine
+        self._queue: RequestQueue
+        self._forwarder: Forwarder
+        self._peer_forwarder: PeerForwarder
+        self._budgets: dict[str, RetryBudget] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        """Find the services of the steps."""
+        self._kernel = kernel
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._quarantine = kernel.find('quarantine')
+        self._queue = kernel.find('queue')
+        self._forwarder = kernel.find('forwarder')
+        self._peer_forwarder = kernel.find('peer_forwarder')
+
+    async def run(
+        self,
+        request: SteeredRequest,
+        *,
+        is_local_only: bool = False,
+    ) -> SteeredAnswer | Failure:
+        """Return the first answer, or what is known after the last attempt."""
+        refusal = self._quarantine.check(request)
+        if refusal is not None:
+            return refusal
+        if self._quarantine.is_suspect(request):
+            return await self._run_alone(request)
+        self._budget(request).earn(self._timer.now_s())
+        failures: list[Failure] = []
+        tried: set[str] = set()
+        while True:
+            answer = await self._once(request, tried, is_local_only=is_local_only)
+            if isinstance(answer, SteeredAnswer):
+                return answer
+            failures.append(answer)
+            if not self._may_repeat(request, failures):
+                return _summary(failures)
+
+    def _may_repeat(self, request: SteeredRequest, failures: list[Failure]) -> bool:
+        failure = failures[-1]
+        now_s = self._timer.now_s()
+        if len(failures) >= MAX_ATTEMPTS or now_s >= request.deadline_s:
+            return False
+        if not is_repeatable(
+            failure.kind,
+            failure.run,
+            is_idempotent=request.is_idempotent,
+        ):
+            return False
+        # A request that may have crashed two backend servers gets no third.
+        if self._quarantine.is_suspect(request):
+            return False
+        return self._budget(request).spend(now_s)
+
+    def _budget(self, request: SteeredRequest) -> RetryBudget:
+        budget = self._budgets.get(request.service.name)
+        if budget is None:
+            budget = RetryBudget(self._timer.now_s())
+            self._budgets[request.service.name] = budget
+        return budget
+
+    async def _once(
+        self,
+        request: SteeredRequest,
+        tried: set[str],
+        *,
+        is_local_only: bool,
+    ) -> SteeredAnswer | Failure:
+        target = await self._acquire(request, tried, is_local_only=is_local_only)
+        if isinstance(target, Failure):
+            return target
+        tried.add(target.server.name if target.server else target.gate.instance)
+        answer, _ = await self._attempt(request, target)
+        return answer
+
+    async def _acquire(
+        self,
+        request: SteeredRequest,
+        tried: set[str],
+        *,
+        is_local_only: bool,
+    ) -> Target | Failure:
+        while True:
+            reserved = self._quarantine.reserved()
+            target = await self._queue.acquire(
+                request,
+                reserved.union(tried),
+                is_local_only=is_local_only,
+            )
+            if isinstance(target, Failure):
+                if not reserved or target.kind not in _NO_TARGET:
+                    return target
+                if self._timer.now_s() >= request.deadline_s:
+                    return target
+                # A backend server is kept free only for the time of one request.
+                await self._timer.sleep(_POLL_S)
+                continue
+            if target.server is None:
+                return target
+            if target.server.name not in self._quarantine.reserved():
+                return target
+            self._give_back(target)
+
+    async def _run_alone(self, request: SteeredRequest) -> SteeredAnswer | Failure:
+        async with self._quarantine.run_alone(request) as server:
+            if isinstance(server, Failure):
+                return server
+            others = frozenset(
+                other.name
+                for other in request.service.backend_servers
+                if other.name != server.name
+            )
+            target = await self._queue.acquire(request, others, is_local_only=True)
+            if isinstance(target, Failure):
+                return target
+            if target.server != server:
+                self._give_back(target)
+                return Failure(
+                    ErrorKind.NO_CAPACITY,
+                    f'backend server {server.name} takes no request now',
+                )
+            answer, has_died = await self._attempt(request, target)
+            if not isinstance(answer, Failure) or answer.run is not Run.NO:
+                self._quarantine.judge(request, has_died=has_died)
+            return answer
+
+    def _give_back(self, target: Target) -> None:
+        unused = Failure(ErrorKind.NO_CAPACITY, 'the target was not used')
+        self._queue.release(target, unused, 0)
+
+    async def _attempt(
+        self,
+        request: SteeredRequest,
+        target: Target,
+    ) -> tuple[SteeredAnswer | Failure, bool]:
+        """Return the answer, and whether the backend server died."""
+        answer: SteeredAnswer | Failure = Failure(
+            ErrorKind.OUTCOME_UNKNOWN,
+            'the request was cancelled',
+        )
+        started_s = self._timer.now_s()
+        if target.server is not None:
+            self._quarantine.began(request, target.server)
+        has_died = False
+        is_held = False
+        try:
+            answer = await self._send(request, target)
+            if isinstance(answer, Failure):
+                has_died = await self._examine(target, answer)
+            elif answer.stream is not None:
+                left_s = request.deadline_s - self._timer.now_s()
+                release = partial(self._finish, request, target, answer, started_s)
+                answer = hold(self._kernel, request, answer, release, left_s)
+                is_held = True
+        finally:
+            if not is_held:
+                self._finish(request, target, answer, started_s)
+        self._count(request, target)
+        return answer, has_died
+
+    async def _send(
+        self,
+        request: SteeredRequest,
+        target: Target,
+    ) -> SteeredAnswer | Failure:
+        if target.server is not None:
+            return await self._forwarder.forward(request, target.server)
+        return await self._peer_forwarder.forward(request, target.gate)
+
+    async def _examine(self, target: Target, failure: Failure) -> bool:
+        if target.server is None:
+            return False
+        return await self._quarantine.examine(target.server, failure)
+
+    def _finish(
+        self,
+        request: SteeredRequest,
+        target: Target,
+        answer: SteeredAnswer | Failure,
+        started_s: float,
+    ) -> None:
+        if target.server is not None:
+            self._quarantine.ended(request, target.server)
+        self._queue.release(target, answer, self._timer.now_s() - started_s)
+
+    def _count(self, request: SteeredRequest, target: Target) -> None:
+        region = target.gate.region if target.gate else self._state.settings.region
+        self._state.count_steered(request.organisation_name, region)
+
+
+def _summary(failures: list[Failure]) -> Failure:
+    # A later refusal must not hide that an earlier attempt may have run.
+    for failure in failures:
+        if failure.run is not Run.NO:
+            return failure
+    return failures[0]
--- /dev/null
+++ b/cicadadoor/gate/claims.py
@@ -0,0 +1,86 @@
+"""Ask the agent to claim opaque idempotency keys in the platform."""
+
+import anyio
+
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.state import GateState
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.claim_messages import ClaimAnswer, ClaimRequest
+from cicadadoor.links.daemon_link import DaemonLink
+
+CLAIM_TIMEOUT_S = 5.0
+_RETRY_AFTER_MS = 1000
+
+
+class Waiting:
+    """Hold one claim that the agent has not answered."""
+
+    __slots__ = ('answer', 'answered')
+
+    def __init__(self) -> None:
+        self.answer: ClaimAnswer | None = None
+        self.answered = anyio.Event()
+
+
+class Claims(Service):
+    """Claim keys for this gate process."""
+
+    name = 'claims'
+
+    def __init__(self) -> None:
+        self._state: GateState
+        self._link: DaemonLink
+        self._waiting: dict[str, Waiting] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        """Subscribe to the agent's answers."""
+        self._state = kernel.find('state')
+        self._link = kernel.find('daemon_link')
+        self._link.on(ClaimAnswer, self._take)
+
+    async def claim(
+        self,
+        claim_id: str,
+        name: str,
+        fingerprint: str,
+        left_s: float,
+    ) -> ClaimAnswer | Failure:
+        """Return who holds the claim; CLAIM_UNAVAILABLE if that can't be learned.
+
+        After CLAIM_UNAVAILABLE the claim may have been made for this process.
+        """
+        waiting = Waiting()
+        self._waiting[claim_id] = waiting
+        request = ClaimRequest(
+            claim_id=claim_id,
+            name=name,
+            holder=self._state.instance,
+            fingerprint=fingerprint,
+        )
+        try:
+            with anyio.move_on_after(min(left_s, CLAIM_TIMEOUT_S)):
+                failure = await self._link.send(request)
+                if failure is not None:
+                    return _unavailable(failure.reason)
+                await waiting.answered.wait()
+        finally:
+            self._waiting.pop(claim_id)
+        answer = waiting.answer
+        if answer is None:
+            return _unavailable('the agent did not answer in time')
+        return answer if answer.holder else _unavailable(answer.reason)
+
+    async def _take(self, answer: ClaimAnswer) -> None:
+        waiting = self._waiting.get(answer.claim_id)
+        if waiting is not None:
+            waiting.answer = answer
+            waiting.answered.set()
+
+
+def _unavailable(reason: str) -> Failure:
+    return Failure(
+        ErrorKind.CLAIM_UNAVAILABLE,
+        f'the idempotency key was not claimed: {reason}; repeat with the same key, '
+        'or use a key made from the prefix of a look-up',
+        _RETRY_AFTER_MS,
+    )
--- a/cicadadoor/gate/daemon.py
+++ b/cicadadoor/gate/daemon.py
@@ -5,16 +5,12 @@
 from cicadadoor import core
 from cicadadoor.gate.admission import FloorAdmission
 from cicadadoor.gate.app import CallerServer
-from cicadadoor.gate.at_most_once import PassThrough
 from cicadadoor.gate.config_receiver import ConfigReceiver
 from cicadadoor.gate.directory import GateDirectory
-from cicadadoor.gate.forwarding import Forwarder
 from cicadadoor.gate.keys import KeyCheck
 from cicadadoor.gate.lookup import Lookup
-from cicadadoor.gate.peer_forwarding import PeerForwarder
-from cicadadoor.gate.pipeline import Pipeline
-from cicadadoor.gate.quarantine import NoQuarantine
 from cicadadoor.gate.queueing import NoQueue
+from cicadadoor.gate.request_services import request_services
 from cicadadoor.gate.routing import TwoChoicesRouter
 from cicadadoor.gate.state import GateState
 from cicadadoor.kernel import Kernel, Service
@@ -37,16 +33,12 @@
         state,
         KeyCheck(),
         FloorAdmission(),
-        PassThrough(),
-        NoQuarantine(),
         TwoChoicesRouter(),
         NoQueue(),
-        Forwarder(),
-        PeerForwarder(),
         Lookup(),
         GateDirectory(),
         ConfigReceiver(),
-        Pipeline(),
+        *request_services(),
     )
     for service in services:
         kernel.register(service)
--- /dev/null
+++ b/cicadadoor/gate/detached.py
@@ -0,0 +1,57 @@
+"""Run a request in a task of its own, so that it outlives its caller."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.request import SteeredAnswer
+from cicadadoor.kernel import Kernel
+from cicadadoor.telemetry import logs
+
+log = logs.logger('request')
+
+Work = Callable[[], Awaitable[SteeredAnswer | Failure]]
+
+
+class Detached:
+    """Hand the answer to whoever waits for it, or release it if nobody does."""
+
+    def __init__(self, work: Work) -> None:
+        self._work = work
+        self._answer: SteeredAnswer | Failure | None = None
+        self._answered = anyio.Event()
+        self._is_abandoned = False
+
+    async def run(self, kernel: Kernel) -> SteeredAnswer | Failure:
+        """Start the work and wait for its answer; cancelling ends only the wait."""
+        kernel.spawn(self._serve)
+        is_taken = False
+        try:
+            await self._answered.wait()
+            is_taken = True
+        finally:
+            if not is_taken:
+                self._is_abandoned = True
+                if self._answer is not None:
+                    kernel.spawn(self._release)
+        return self._answer
+
+    async def _serve(self) -> None:
+        self._answer = await run_safely(self._work)
+        self._answered.set()
+        if self._is_abandoned:
+            await self._release()
+
+    async def _release(self) -> None:
+        if isinstance(self._answer, SteeredAnswer):
+            await self._answer.close()
+
+
+async def run_safely(work: Work) -> SteeredAnswer | Failure:
+    """Return INTERNAL, which leaves the outcome open, in place of an exception."""
+    try:
+        return await work()
+    except Exception:
+        log.exception('request_failed')
+        return Failure(ErrorKind.INTERNAL, 'an internal error; see the log')
--- /dev/null
+++ b/cicadadoor/gate/forward_server.py
@@ -0,0 +1,150 @@
+"""Run the requests that other gates hand over."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.peer_forwarding import pack
+from cicadadoor.gate.request import SteeredAnswer
+from cicadadoor.gate.streams import StoredStream, read_part
+from cicadadoor.ids import new_nonce
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.forward_messages import (
+    ForwardAnswer,
+    ForwardCancel,
+    ForwardNext,
+    ForwardPart,
+    ForwardRequest,
+)
+from cicadadoor.links.messages import Ack, Message
+from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.telemetry import logs, metrics
+from cicadadoor.timer import TimerService
+
+log = logs.logger('forward')
+
+PART_BYTES = 262_144
+# A stream that the other gate does not pull for this long is closed.
+IDLE_STREAM_S = 10.0
+_CHECK_PERIOD_S = 1.0
+_MAX_REMEMBERED = 10_000
+
+RunForwarded = Callable[[ForwardRequest], Awaitable[SteeredAnswer | Failure]]
+
+
+class ForwardServer(Service):
+    """Answer other gates: requests, parts of long answers, cancellation."""
+
+    name = 'forward_server'
+
+    def __init__(self) -> None:
+        self._timer: TimerService
+        self._run: RunForwarded
+        self._streams: dict[str, StoredStream] = {}
+        self._running: dict[tuple[str, str], anyio.CancelScope] = {}
+        # Messages that were taken, so that a duplicate does not run again.
+        self._taken: dict[tuple[str, int], None] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        """Answer other gates."""
+        self._timer = kernel.find('timer')
+        self._run = kernel.find('pipeline').run_forwarded
+        peers: PeerHub = kernel.find('peers')
+        peers.on(ForwardRequest, self.handle, ForwardAnswer)
+        peers.on(ForwardNext, self.handle_next, ForwardPart)
+        peers.on(ForwardCancel, self.handle_cancel)
+        self._timer.subscribe('idle_streams', _CHECK_PERIOD_S, self.close_idle)
+
+    async def handle(self, message: ForwardRequest) -> Message:
+        """Answer a request that another gate handed over."""
+        if not self._take(message):
+            metrics.DROPPED_MESSAGES.labels('duplicate_request').inc()
+            return pack(
+                Failure(ErrorKind.OUTCOME_UNKNOWN, 'the message came a second time')
+            )
+        running = (message.sender_instance, message.request_id)
+        answer: SteeredAnswer | Failure = Failure(
+            ErrorKind.OUTCOME_UNKNOWN,
+            'the request was cancelled',
+        )
+        with anyio.CancelScope() as scope:
+            self._running[running] = scope
+            try:
+                answer = await self._run(message)
+            finally:
+                self._running.pop(running, None)
+        if isinstance(answer, SteeredAnswer) and answer.stream is not None:
+            return await self._store(answer)
+        return pack(answer)
+
+    async def handle_next(self, message: ForwardNext) -> Message:
+        """Answer the next part of a long answer; a part is given out once."""
+        stored = self._streams.get(message.stream_id)
+        if stored is None or stored.is_busy:
+            return ForwardPart(is_broken=True)
+        if message.part_number != stored.next_part:
+            await self._close(message.stream_id)
+            return ForwardPart(is_broken=True)
+        stored.next_part += 1
+        stored.is_busy = True
+        try:
+            body = await read_part(stored.answer.stream, PART_BYTES)
+        except Exception as error:
+            log.info('stream_broken', error=type(error).__name__)
+            await self._close(message.stream_id)
+            return ForwardPart(is_broken=True)
+        stored.is_busy = False
+        stored.used_s = self._timer.now_s()
+        is_last = len(body) < PART_BYTES
+        if is_last:
+            await self._close(message.stream_id)
+        return ForwardPart(body=body, is_last=is_last)
+
+    async def handle_cancel(self, message: ForwardCancel) -> Message:
+        """Stop an idempotent request, or drop the rest of a long answer."""
+        # A non-idempotent request runs in a task of its own, which goes on.
+        scope = self._running.get((message.sender_instance, message.request_id))
+        if scope is not None:
+            scope.cancel()
+        await self._close(message.stream_id)
+        return Ack()
+
+    async def close_idle(self) -> None:
+        """Close streams that are not pulled any more, or past their deadline."""
+        now_s = self._timer.now_s()
+        for stream_id, stored in list(self._streams.items()):
+            is_idle = not stored.is_busy and stored.used_s + IDLE_STREAM_S <= now_s
+            if is_idle or stored.answer.deadline_s <= now_s:
+                await self._close(stream_id)
+
+    def _take(self, message: ForwardRequest) -> bool:
+        taken = (message.sender_instance, message.message_id)
+        if taken in self._taken:
+            return False
+        self._taken[taken] = None
+        if len(self._taken) > _MAX_REMEMBERED:
+            self._taken.pop(next(iter(self._taken)))
+        return True
+
+    async def _store(self, answer: SteeredAnswer) -> Message:
+        try:
+            body = await read_part(answer.stream, PART_BYTES)
+        except Exception as error:
+            await answer.close()
+            failure = Failure(ErrorKind.ANSWER_TRUNCATED, type(error).__name__)
+            return pack(failure)
+        stream_id = new_nonce()
+        self._streams[stream_id] = StoredStream(answer, self._timer.now_s())
+        return ForwardAnswer(
+            status=answer.status,
+            headers=answer.headers,
+            body=body,
+            run=answer.run.value,
+            stream_id=stream_id,
+        )
+
+    async def _close(self, stream_id: str) -> None:
+        stored = self._streams.pop(stream_id, None)
+        if stored is not None:
+            await stored.answer.close()
--- a/cicadadoor/gate/forwarding.py
+++ b/cicadadoor/gate/forwarding.py
@@ -2,7 +2,9 @@
 
 from collections.abc import AsyncIterator
 from http import HTTPStatus
+from typing import Any
 
+import anyio
 import httpx
 
 from cicadadoor.config.model import BackendServer
@@ -16,7 +18,11 @@
 _MS_PER_S = 1000
 _CONNECT_TIMEOUT_S = 1.0
 _MAX_CONNECTIONS = 1000
-_KEEP_ALIVE_S = 60.0
+# Shorter than the 5 s after which many servers close an idle connection. A request
+# that is sent while the server closes ends with an unknown outcome.
+_KEEP_ALIVE_S = 4.0
+_FIRST_BYTES_EVENT = 'http11.send_request_headers.started'
+_CLOSED_EVENT = 'http11.response_closed.started'
 
 # Headers that concern one connection only, or that the client library sets.
 HOP_HEADERS = frozenset(
@@ -33,7 +39,29 @@
         'upgrade',
     )
 )
-_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+# Headers that this system speaks with callers or sets itself.
+_OWN_HEADERS = frozenset(('x-organisation', 'x-request-id', 'x-deadline-ms'))
+_NO_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+
+
+class Sending:
+    """Note whether a byte of one request may have left, and guard its connection."""
+
+    __slots__ = ('may_have_left', 'response')
+
+    def __init__(self) -> None:
+        self.may_have_left = False
+        self.response: httpx.Response | None = None
+
+    async def trace(self, event_name: str, info: dict[str, Any]) -> None:
+        """Take an event of the client library."""
+        if event_name == _FIRST_BYTES_EVENT:
+            self.may_have_left = True
+        elif event_name == _CLOSED_EVENT and self.response is not None:
+            # Bytes after the answer would be taken as the answer to the next request
+            # on this connection.
+            if has_surplus(self.response):
+                await self.response.extensions['network_stream'].aclose()
 
 
 class Forwarder(Service):
@@ -67,42 +95,38 @@
         request: SteeredRequest,
         server: BackendServer,
     ) -> SteeredAnswer | Failure:
-        """Send the request; a failure tells whether a byte may have left."""
+        """Send the request; a failure tells whether a byte may have left.
+
+        The answer is whole, or a stream if it is longer than MAX_BUFFERED_BYTES. All
+        of it has to come within the request's deadline.
+        """
         left_s = request.deadline_s - self._timer.now_s()
         if left_s <= 0:
             return Failure(ErrorKind.DEADLINE_PASSED, 'the deadline has passed')
+        sending = Sending()
         with tracing.hop('backend_server') as span:
             span.set_attribute('backend_server', server.name)
-            outgoing = self._build(request, server, left_s)
             try:
-                response = await self._client.send(outgoing, stream=True)
-            except _NOT_SENT as error:
-                return Failure(
-                    ErrorKind.CONNECT_FAILED,
-                    f'backend server {server.name}: {type(error).__name__}',
-                )
-            except httpx.TimeoutException:
-                return Failure(
-                    ErrorKind.ANSWER_TIMED_OUT,
-                    f'backend server {server.name} did not answer in time',
-                )
-            except httpx.HTTPError as error:
-                return Failure(
-                    ErrorKind.OUTCOME_UNKNOWN,
-                    f'backend server {server.name}: {type(error).__name__}',
-                )
-            return await self._take_answer(response, server)
+                outgoing = self._build(request, server, left_s, sending)
+            except (httpx.InvalidURL, ValueError) as error:
+                return Failure(ErrorKind.BAD_REQUEST, f'the request: {error}')
+            try:
+                with anyio.fail_after(left_s):
+                    return await self._exchange(request, outgoing, server, sending)
+            except (TimeoutError, httpx.HTTPError) as error:
+                return _failed(server, sending, error)
 
     def _build(
         self,
         request: SteeredRequest,
         server: BackendServer,
         left_s: float,
+        sending: Sending,
     ) -> httpx.Request:
         headers = {
             name: content
             for name, content in request.headers.items()
-            if name not in HOP_HEADERS
+            if name not in HOP_HEADERS and name not in _OWN_HEADERS
         }
         headers['accept-encoding'] = headers.get('accept-encoding', 'identity')
         headers['x-organisation'] = request.organisation_name
@@ -112,51 +136,100 @@
         return self._client.build_request(
             request.method,
             f'{server.url}{request.target}',
-            headers=headers,
+            headers=[
+                (name.encode('latin-1'), content.encode('latin-1'))
+                for name, content in headers.items()
+            ],
             content=request.body or None,
             timeout=httpx.Timeout(left_s, connect=min(left_s, _CONNECT_TIMEOUT_S)),
+            extensions={'trace': sending.trace},
         )
 
-    async def _take_answer(
+    async def _exchange(
         self,
-        response: httpx.Response,
+        request: SteeredRequest,
+        outgoing: httpx.Request,
         server: BackendServer,
+        sending: Sending,
     ) -> SteeredAnswer | Failure:
-        if _is_shed(response):
-            await response.aclose()
-            return Failure(
-                ErrorKind.BACKEND_SHED,
-                f'backend server {server.name} shed the request',
-            )
-        buffered: list[bytes] = []
-        size_bytes = 0
-        chunks = response.aiter_raw()
+        response = await self._client.send(outgoing, stream=True)
+        sending.response = response
+        is_kept_open = False
         try:
-            async for chunk in chunks:
-                buffered.append(chunk)
-                size_bytes += len(chunk)
-                if size_bytes > MAX_BUFFERED_BYTES:
-                    return _streamed(response, buffered, chunks)
-        except httpx.HTTPError as error:
-            await response.aclose()
-            return Failure(
-                ErrorKind.ANSWER_TRUNCATED,
-                f'backend server {server.name}: {type(error).__name__} after '
-                f'{size_bytes} bytes of the answer',
-            )
-        await response.aclose()
-        return SteeredAnswer(
-            status=response.status_code,
-            headers=_kept_headers(response),
-            body=b''.join(buffered),
+            answer = await _take_answer(request, response, server)
+            is_kept_open = not isinstance(answer, Failure) and bool(answer.stream)
+        finally:
+            if not is_kept_open:
+                await response.aclose()
+        return answer
+
+
+async def _take_answer(
+    request: SteeredRequest,
+    response: httpx.Response,
+    server: BackendServer,
+) -> SteeredAnswer | Failure:
+    if _is_shed(response):
+        return Failure(
+            ErrorKind.BACKEND_SHED,
+            f'backend server {server.name} shed the request',
+        )
+    has_body = request.method != 'HEAD' and response.status_code not in _NO_BODY
+    if has_body and not _declares_end(response):
+        return Failure(
+            ErrorKind.ANSWER_TRUNCATED,
+            f'backend server {server.name} sent neither a length nor chunks, so that '
+            'a truncated answer could not be told from a whole one',
         )
+    buffered: list[bytes] = []
+    size_bytes = 0
+    chunks = response.aiter_raw()
+    try:
+        async for chunk in chunks:
+            buffered.append(chunk)
+            size_bytes += len(chunk)
+            if size_bytes > MAX_BUFFERED_BYTES:
+                return _streamed(request, response, buffered, chunks)
+    except httpx.HTTPError as error:
+        return Failure(
+            ErrorKind.ANSWER_TRUNCATED,
+            f'backend server {server.name}: {type(error).__name__} after '
+            f'{size_bytes} bytes of the answer',
+        )
+    return SteeredAnswer(
+        status=response.status_code,
+        headers=_kept_headers(response, keeps_length=not has_body),
+        body=b''.join(buffered),
+    )
+
+
+def has_surplus(response: httpx.Response) -> bool:
+    """Tell whether the connection holds bytes beyond the answer.
+
+    The client library has no public access to its parser.
+    """
+    pool_stream = response.stream._stream._httpcore_stream  # noqa: SLF001
+    parser = pool_stream._stream._connection._h11_state  # noqa: SLF001
+    surplus, _ = parser.trailing_data
+    return bool(surplus)
+
+
+def _failed(server: BackendServer, sending: Sending, error: Exception) -> Failure:
+    reason = f'backend server {server.name}: {type(error).__name__}'
+    if not sending.may_have_left:
+        return Failure(ErrorKind.CONNECT_FAILED, reason)
+    if isinstance(error, TimeoutError | httpx.TimeoutException):
+        return Failure(ErrorKind.ANSWER_TIMED_OUT, reason)
+    return Failure(ErrorKind.OUTCOME_UNKNOWN, reason)
 
 
 def _streamed(
+    request: SteeredRequest,
     response: httpx.Response,
     buffered: list[bytes],
     rest: AsyncIterator[bytes],
 ) -> SteeredAnswer:
+    # The client library raises an error when the body is shorter than declared.
     async def stream() -> AsyncIterator[bytes]:
         for chunk in buffered:
             yield chunk
@@ -165,18 +238,31 @@
 
     return SteeredAnswer(
         status=response.status_code,
-        headers=_kept_headers(response),
+        headers=_kept_headers(response, keeps_length=True),
         stream=stream(),
         on_close=response.aclose,
+        deadline_s=request.deadline_s,
     )
 
 
-def _kept_headers(response: httpx.Response) -> list[tuple[str, str]]:
-    return [
-        (name, content)
-        for name, content in response.headers.multi_items()
-        if name not in HOP_HEADERS
+def _kept_headers(
+    response: httpx.Response,
+    *,
+    keeps_length: bool,
+) -> list[tuple[str, str]]:
+    headers = [
+        (name.decode('latin-1').lower(), content.decode('latin-1'))
+        for name, content in response.headers.raw
     ]
+    dropped = HOP_HEADERS
+    if keeps_length and response.status_code != HTTPStatus.NO_CONTENT:
+        dropped -= {'content-length'}
+    return [(name, content) for name, content in headers if name not in dropped]
+
+
+def _declares_end(response: httpx.Response) -> bool:
+    names = response.headers
+    return 'content-length' in names or 'transfer-encoding' in names
 
 
 def _is_shed(response: httpx.Response) -> bool:
--- /dev/null
+++ b/cicadadoor/gate/keyed_once.py
@@ -0,0 +1,307 @@
+"""Run each request with an idempotency key at most once."""
+
+import anyio
+
+from cicadadoor.decisions import prefixes
+from cicadadoor.decisions.idempotency_table import Entry, IdempotencyTable
+from cicadadoor.errors import ErrorKind, Failure, Run
+from cicadadoor.gate.at_most_once import AtMostOnce, Dispatch
+from cicadadoor.gate.claims import Claims
+from cicadadoor.gate.directory import GateDirectory
+from cicadadoor.gate.peer_forwarding import PeerForwarder
+from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
+from cicadadoor.gate.state import GateState
+from cicadadoor.ids import digest_of, new_nonce
+from cicadadoor.kernel import Kernel
+from cicadadoor.links.claim_messages import ClaimAnswer
+from cicadadoor.timer import TimerService
+
+TABLE_BYTES = 67_108_864
+# One organisation's keys fill at most this part of the table.
+_MAX_SHARE = 0.5
+_MAX_UNUSED_CLAIMS = 20_000
+_FULL_RETRY_AFTER_MS = 1000
+
+
+class KeyedRun:
+    """Hold one request with the digest and the expiry of its key.
+
+    `is_dispatched` is set before the first byte may leave.
+    """
+
+    __slots__ = ('digest', 'dispatch', 'expires_s', 'fingerprint', 'is_dispatched')
+
+    def __init__(
+        self,
+        digest: str,
+        fingerprint: str,
+        expires_s: float,
+        dispatch: Dispatch,
+    ) -> None:
+        self.digest = digest
+        self.fingerprint = fingerprint
+        self.expires_s = expires_s
+        self.dispatch = dispatch
+        self.is_dispatched = False
+
+
+class KeyedOnce(AtMostOnce):
+    """Remember the keys of non-idempotent requests and what was answered."""
+
+    def __init__(self, table_bytes: int = TABLE_BYTES) -> None:
+        self._state: GateState
+        self._timer: TimerService
+        self._directory: GateDirectory
+        self._peer_forwarder: PeerForwarder
+        self._claims: Claims
+        self._signer: prefixes.PrefixSigner
+        not_kept = Failure(
+            ErrorKind.ANSWER_NOT_KEPT,
+            'the request ran; its answer is no longer kept',
+        )
+        self._not_kept = not_kept
+        self._table = IdempotencyTable(table_bytes, _MAX_SHARE, not_kept)
+        self._settled: dict[str, anyio.Event] = {}
+        # For each opaque key, the claims asked for since it was last dispatched here.
+        self._unused_claims: dict[str, frozenset[str]] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        """Make the secret that signs prefixes."""
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._directory = kernel.find('directory')
+        self._peer_forwarder = kernel.find('peer_forwarder')
+        self._claims = kernel.find('claims')
+        self._signer = prefixes.PrefixSigner(self._state.instance)
+
+    def issue_prefix(self, service: str) -> str:
+        """Return a signed prefix for idempotency keys of a caller."""
+        return self._signer.issue(service, self._timer.now_s())
+
+    async def run(
+        self,
+        request: SteeredRequest,
+        dispatch: Dispatch,
+        *,
+        is_forwarded: bool = False,
+    ) -> SteeredAnswer | Failure:
+        """Dispatch the request, or answer a repeat."""
+        text = request.idempotency_key
+        if request.is_idempotent or not text:
+            return await dispatch(request)
+        if len(text) > prefixes.MAX_KEY_LENGTH:
+            return _invalid(f'it is longer than {prefixes.MAX_KEY_LENGTH} characters')
+        if prefixes.is_prefix_key(text):
+            return await self._run_prefixed(request, dispatch, is_forwarded)
+        return await self._run_opaque(request, dispatch, is_forwarded)
+
+    async def _run_prefixed(
+        self,
+        request: SteeredRequest,
+        dispatch: Dispatch,
+        is_forwarded: bool,
+    ) -> SteeredAnswer | Failure:
+        key = prefixes.parse(request.idempotency_key)
+        if key is None:
+            return _invalid('use the prefix of a look-up followed by a nonce')
+        if key.instance != self._state.instance:
+            if is_forwarded:
+                return _unknown('the host that issued the prefix was replaced')
+            return await self._ask_owner(request, key.instance)
+        if not self._signer.is_genuine(key, request.service.name):
+            return _invalid(
+                f'its prefix was not issued for service {request.service.name}'
+            )
+
+        async def check_and_dispatch(
+            sent: SteeredRequest,
+        ) -> SteeredAnswer | Failure:
+            refusal = self._refuse_expired(key)
+            if refusal is not None:
+                return refusal
+            run.is_dispatched = True
+            return await dispatch(sent)
+
+        run = self._keyed_run(request, key.remembered_until_s, check_and_dispatch)
+        return await self._run_once(request, run)
+
+    async def _run_opaque(
+        self,
+        request: SteeredRequest,
+        dispatch: Dispatch,
+        is_forwarded: bool,
+    ) -> SteeredAnswer | Failure:
+        async def claim_and_dispatch(
+            sent: SteeredRequest,
+        ) -> SteeredAnswer | Failure:
+            claim_id = sent.claim_id
+            if not is_forwarded:
+                claim = await self._claim(sent, run)
+                if not isinstance(claim, ClaimAnswer):
+                    return claim
+                claim_id = claim.held_id
+            # Only a claim that was asked for since this process last dispatched the
+            # request shows that it has not run.
+            if claim_id not in self._unused_claims.get(run.digest, ()):
+                return _unknown('its holder no longer knows what became of it')
+            unused = self._unused_claims.pop(run.digest)
+            run.is_dispatched = True
+            answer = await dispatch(sent)
+            if _did_not_run(answer):
+                self._note_unused(run.digest, unused)
+            return answer
+
+        expires_s = self._timer.now_s() + prefixes.REMEMBERED_S
+        run = self._keyed_run(request, expires_s, claim_and_dispatch)
+        return await self._run_once(request, run)
+
+    async def _claim(
+        self,
+        request: SteeredRequest,
+        run: KeyedRun,
+    ) -> ClaimAnswer | SteeredAnswer | Failure:
+        """Return the claim if this process holds it, or else the answer."""
+        left_s = request.deadline_s - self._timer.now_s()
+        if left_s <= 0:
+            return Failure(ErrorKind.DEADLINE_PASSED, 'the deadline has passed')
+        claim_id = new_nonce()
+        asked = self._unused_claims.get(run.digest, frozenset())
+        self._note_unused(run.digest, asked | {claim_id})
+        claim = await self._claims.claim(
+            claim_id,
+            run.digest,
+            run.fingerprint,
+            left_s,
+        )
+        if isinstance(claim, Failure):
+            return claim
+        if claim.fingerprint != run.fingerprint:
+            return _reused()
+        if claim.holder == self._state.instance:
+            return claim
+        self._unused_claims.pop(run.digest, None)
+        return await self._ask_owner(request, claim.holder, claim.held_id)
+
+    def _note_unused(self, digest: str, claim_ids: frozenset[str]) -> None:
+        self._unused_claims.pop(digest, None)
+        self._unused_claims[digest] = claim_ids
+        if len(self._unused_claims) > _MAX_UNUSED_CLAIMS:
+            self._unused_claims.pop(next(iter(self._unused_claims)))
+
+    async def _ask_owner(
+        self,
+        request: SteeredRequest,
+        instance: str,
+        claim_id: str = '',
+    ) -> SteeredAnswer | Failure:
+        gate = self._directory.find(instance)
+        if gate is None:
+            return _unknown('the host that knows it is gone')
+        return await self._peer_forwarder.ask_owner(request, gate, claim_id)
+
+    def _keyed_run(
+        self,
+        request: SteeredRequest,
+        expires_s: float,
+        dispatch: Dispatch,
+    ) -> KeyedRun:
+        scope = f'{request.organisation_name} {request.service.name}'
+        scoped = f'{scope} {request.idempotency_key}'
+        return KeyedRun(
+            digest_of(scoped.encode()),
+            request.fingerprint,
+            expires_s,
+            dispatch,
+        )
+
+    def _refuse_expired(self, key: prefixes.PrefixKey) -> Failure | None:
+        now_s = self._timer.now_s()
+        if now_s >= key.remembered_until_s:
+            return _unknown('its prefix expired too long ago')
+        if now_s >= key.usable_until_s:
+            return _invalid('its prefix has expired; look up again')
+        return None
+
+    async def _run_once(
+        self,
+        request: SteeredRequest,
+        run: KeyedRun,
+    ) -> SteeredAnswer | Failure:
+        while True:
+            entry = self._table.find(run.digest, self._timer.now_s())
+            if entry is None:
+                return await self._run_first(request, run)
+            if entry.fingerprint != run.fingerprint:
+                return _reused()
+            if entry.outcome is not None:
+                return entry.outcome
+            settled = self._settled[run.digest]
+            with anyio.move_on_after(request.deadline_s - self._timer.now_s()):
+                await settled.wait()
+            if not settled.is_set():
+                return Failure(
+                    ErrorKind.IDEMPOTENCY_IN_PROGRESS,
+                    'the first request with this idempotency key is in flight',
+                )
+
+    async def _run_first(
+        self,
+        request: SteeredRequest,
+        run: KeyedRun,
+    ) -> SteeredAnswer | Failure:
+        entry = Entry(run.fingerprint, request.organisation_name, run.expires_s)
+        if not self._table.begin(run.digest, entry):
+            return Failure(
+                ErrorKind.IDEMPOTENCY_TABLE_FULL,
+                'this host can remember no more idempotency keys now',
+                _FULL_RETRY_AFTER_MS,
+            )
+        self._settled[run.digest] = anyio.Event()
+        answer: SteeredAnswer | Failure = _unknown('its request was interrupted')
+        try:
+            answer = await run.dispatch(request)
+        finally:
+            self._settle(run, answer)
+        return answer
+
+    def _settle(self, run: KeyedRun, answer: SteeredAnswer | Failure) -> None:
+        if run.is_dispatched and not _did_not_run(answer):
+            self._record(run, answer)
+        else:
+            self._table.forget(run.digest)
+        self._settled.pop(run.digest).set()
+
+    def _record(self, run: KeyedRun, answer: SteeredAnswer | Failure) -> None:
+        if isinstance(answer, Failure):
+            self._table.settle(run.digest, answer, 0)
+        elif answer.stream is None:
+            self._table.settle(run.digest, answer, _size_bytes(answer))
+        else:
+            self._table.settle(run.digest, self._not_kept, 0)
+
+
+def _did_not_run(answer: SteeredAnswer | Failure) -> bool:
+    return isinstance(answer, Failure) and answer.run is Run.NO
+
+
+def _size_bytes(answer: SteeredAnswer) -> int:
+    headers_bytes = sum(len(name) + len(text) for name, text in answer.headers)
+    return len(answer.body) + headers_bytes + 1
+
+
+def _invalid(reason: str) -> Failure:
+    return Failure(ErrorKind.IDEMPOTENCY_KEY_INVALID, f'idempotency key: {reason}')
+
+
+def _unknown(reason: str) -> Failure:
+    return Failure(
+        ErrorKind.IDEMPOTENCY_OUTCOME_UNKNOWN,
+        f'whether the request with this idempotency key ran is not known: {reason}',
+    )
+
+
+def _reused() -> Failure:
+    return Failure(
+        ErrorKind.IDEMPOTENCY_KEY_REUSED,
+        'the idempotency key was used for another request',
+    )
--- a/cicadadoor/gate/peer_forwarding.py
+++ b/cicadadoor/gate/peer_forwarding.py
@@ -1,10 +1,19 @@
-"""Hand a request to the gate of another host, and run those that others hand over."""
+"""Hand a request to the gate of another host."""
+
+from collections.abc import AsyncIterator
 
 from cicadadoor.errors import ErrorKind, Failure, Run
 from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
 from cicadadoor.gate.state import GateState
+from cicadadoor.gate.streams import StreamBrokenError
 from cicadadoor.kernel import Kernel, Service
-from cicadadoor.links.forward_messages import ForwardAnswer, ForwardRequest
+from cicadadoor.links.forward_messages import (
+    ForwardAnswer,
+    ForwardCancel,
+    ForwardNext,
+    ForwardPart,
+    ForwardRequest,
+)
 from cicadadoor.links.messages import GateInfo
 from cicadadoor.links.peer_hub import PeerHub
 from cicadadoor.telemetry import tracing
@@ -12,10 +21,11 @@
 
 MAX_FORWARDED_BYTES = 1_048_576
 _MS_PER_S = 1000
+_CANCEL_TIMEOUT_S = 1.0
 
 
 class PeerForwarder(Service):
-    """Forward requests from gate to gate."""
+    """Forward requests from gate to gate; nothing is ever sent twice here."""
 
     name = 'peer_forwarder'
 
@@ -23,9 +33,11 @@
         self._state: GateState
         self._timer: TimerService
         self._peers: PeerHub
+        self._kernel: Kernel
 
     async def start(self, kernel: Kernel) -> None:
         """Find the peers."""
+        self._kernel = kernel
         self._state = kernel.find('state')
         self._timer = kernel.find('timer')
         self._peers = kernel.find('peers')
@@ -37,6 +49,7 @@
         *,
         is_owner: bool = False,
         credit_id: str = '',
+        claim_id: str = '',
     ) -> SteeredAnswer | Failure:
         """Send the request; a failure tells whether it may have run."""
         left_s = request.deadline_s - self._timer.now_s()
@@ -65,24 +78,154 @@
                 left_ms=int(left_s * _MS_PER_S),
                 is_owner=is_owner,
                 credit_id=credit_id,
+                claim_id=claim_id,
             )
+            return await self._ask(request, gate, message, left_s)
+
+    async def ask_owner(
+        self,
+        request: SteeredRequest,
+        gate: GateInfo,
+        claim_id: str = '',
+    ) -> SteeredAnswer | Failure:
+        """Send the request to the gate that knows its idempotency key.
+
+        Only that gate can tell that the request did not run: an earlier attempt may
+        have reached it before this one failed on the way.
+        """
+        answer = await self.forward(request, gate, is_owner=True, claim_id=claim_id)
+        if isinstance(answer, Failure) and not answer.is_stated:
+            return Failure(
+                ErrorKind.IDEMPOTENCY_OUTCOME_UNKNOWN,
+                f'the host that knows the idempotency key: {answer.reason}',
+            )
+        return answer
+
+    async def _ask(
+        self,
+        request: SteeredRequest,
+        gate: GateInfo,
+        message: ForwardRequest,
+        left_s: float,
+    ) -> SteeredAnswer | Failure:
+        is_answered = False
+        try:
             answer = await self._peers.ask(gate.peer_address, message, left_s)
+            is_answered = True
+        finally:
+            if not is_answered:
+                self._cancel(gate, ForwardCancel(request_id=request.request_id))
         if isinstance(answer, ForwardAnswer):
-            return _unpack(answer)
-        if isinstance(answer, Failure):
+            return self._unpack(request, gate, answer)
+        if not isinstance(answer, Failure):
+            return _unknown(f'host {gate.host} sent an answer of another kind')
+        if answer.kind is ErrorKind.PEER_UNREACHABLE:
             return answer
-        return Failure(
-            ErrorKind.OUTCOME_UNKNOWN,
-            f'host {gate.host} sent an answer of another kind',
+        # Whatever else went wrong, the other gate may have run the request.
+        return _unknown(f'host {gate.host}: {answer.reason}')
+
+    def _unpack(
+        self,
+        request: SteeredRequest,
+        gate: GateInfo,
+        answer: ForwardAnswer,
+    ) -> SteeredAnswer | Failure:
+        try:
+            run = Run(answer.run)
+            if answer.failure_kind:
+                return Failure(
+                    ErrorKind(answer.failure_kind),
+                    answer.failure_reason,
+                    answer.retry_after_ms,
+                    run,
+                )
+        except ValueError as error:
+            return _unknown(f'malformed answer: {error}')
+        unpacked = SteeredAnswer(
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            run=run,
         )
+        if answer.stream_id:
+            pulled = _PulledStream(self, request, gate, answer)
+            unpacked.body = b''
+            unpacked.stream = pulled.stream()
+            unpacked.on_close = pulled.close
+            unpacked.deadline_s = request.deadline_s
+        return unpacked
+
+    async def pull(
+        self,
+        request: SteeredRequest,
+        gate: GateInfo,
+        message: ForwardNext,
+    ) -> ForwardPart:
+        """Return the next part of a long answer; raise if it can't be had."""
+        left_s = request.deadline_s - self._timer.now_s()
+        if left_s <= 0:
+            raise StreamBrokenError('the deadline has passed')
+        part = await self._peers.ask(gate.peer_address, message, left_s)
+        if not isinstance(part, ForwardPart) or part.is_broken:
+            raise StreamBrokenError(f'host {gate.host} lost the rest of the answer')
+        return part
+
+    def drop(self, request: SteeredRequest, gate: GateInfo, stream_id: str) -> None:
+        """Tell the other gate that the rest of a long answer is not wanted."""
+        self._cancel(
+            gate,
+            ForwardCancel(request_id=request.request_id, stream_id=stream_id),
+        )
+
+    def _cancel(self, gate: GateInfo, message: ForwardCancel) -> None:
+        self._kernel.spawn(self._send_cancel, gate, message)
+
+    async def _send_cancel(self, gate: GateInfo, message: ForwardCancel) -> None:
+        await self._peers.ask(gate.peer_address, message, _CANCEL_TIMEOUT_S)
+
+
+class _PulledStream:
+    """Pull the rest of a long answer from another gate."""
+
+    def __init__(
+        self,
+        forwarder: PeerForwarder,
+        request: SteeredRequest,
+        gate: GateInfo,
+        first: ForwardAnswer,
+    ) -> None:
+        self._forwarder = forwarder
+        self._request = request
+        self._gate = gate
+        self._first_body = first.body
+        self._stream_id = first.stream_id
+        self._is_done = False
+
+    async def stream(self) -> AsyncIterator[bytes]:
+        """Yield all parts in order."""
+        yield self._first_body
+        part_number = 0
+        while not self._is_done:
+            part_number += 1
+            message = ForwardNext(stream_id=self._stream_id, part_number=part_number)
+            part = await self._forwarder.pull(self._request, self._gate, message)
+            self._is_done = part.is_last
+            yield part.body
+
+    async def close(self) -> None:
+        """Release the stream at the other gate."""
+        if not self._is_done:
+            self._forwarder.drop(self._request, self._gate, self._stream_id)
 
 
 def pack(answer: SteeredAnswer | Failure) -> ForwardAnswer:
-    """Turn an answer or a failure into a message."""
+    """Turn a whole answer or a failure into a message."""
     if isinstance(answer, Failure):
         return ForwardAnswer(
             failure_kind=answer.kind.value,
             failure_reason=answer.reason,
+            retry_after_ms=answer.retry_after_ms,
+            run=answer.run.value,
         )
     return ForwardAnswer(
         status=answer.status,
@@ -92,16 +235,5 @@
     )
 
 
-def _unpack(answer: ForwardAnswer) -> SteeredAnswer | Failure:
-    try:
-        if answer.failure_kind:
-            return Failure(ErrorKind(answer.failure_kind), answer.failure_reason)
-        run = Run(answer.run)
-    except ValueError as error:
-        return Failure(ErrorKind.OUTCOME_UNKNOWN, f'malformed answer: {error}')
-    return SteeredAnswer(
-        status=answer.status,
-        headers=answer.headers,
-        body=answer.body,
-        run=run,
-    )
+def _unknown(reason: str) -> Failure:
+    return Failure(ErrorKind.OUTCOME_UNKNOWN, reason)
--- a/cicadadoor/gate/pipeline.py
+++ b/cicadadoor/gate/pipeline.py
@@ -1,23 +1,21 @@
 """Take one request through the steps from key check to answer."""
 
+from functools import partial
+
 from cicadadoor.config.model import Organisation, Route, Service
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.gate import keys
 from cicadadoor.gate.admission import Admission
 from cicadadoor.gate.at_most_once import AtMostOnce
-from cicadadoor.gate.forwarding import Forwarder
-from cicadadoor.gate.peer_forwarding import PeerForwarder, pack
+from cicadadoor.gate.attempts import Attempts
+from cicadadoor.gate.detached import Detached, Work, run_safely
 from cicadadoor.gate.quarantine import Quarantine
-from cicadadoor.gate.queueing import RequestQueue
 from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
-from cicadadoor.gate.routing import Target
 from cicadadoor.gate.state import GateState
 from cicadadoor.ids import new_nonce
 from cicadadoor.kernel import Kernel
 from cicadadoor.kernel import Service as KernelService
-from cicadadoor.links.forward_messages import ForwardAnswer, ForwardRequest
-from cicadadoor.links.messages import Message
-from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.links.forward_messages import ForwardRequest
 from cicadadoor.timer import TimerService
 
 _MS_PER_S = 1000
@@ -60,9 +58,8 @@
         self._admission: Admission
         self._at_most_once: AtMostOnce
         self._quarantine: Quarantine
-        self._queue: RequestQueue
-        self._forwarder: Forwarder
-        self._peer_forwarder: PeerForwarder
+        self._attempts: Attempts
+        self._kernel: Kernel
 
     async def start(self, kernel: Kernel) -> None:
         """Find the services of the steps."""
@@ -72,24 +69,35 @@
         self._admission = kernel.find('admission')
         self._at_most_once = kernel.find('at_most_once')
         self._quarantine = kernel.find('quarantine')
-        self._queue = kernel.find('queue')
-        self._forwarder = kernel.find('forwarder')
-        self._peer_forwarder = kernel.find('peer_forwarder')
-        peers: PeerHub = kernel.find('peers')
-        peers.on(ForwardRequest, self.handle_forwarded, ForwardAnswer)
+        self._attempts = kernel.find('attempts')
+        self._kernel = kernel
 
     async def handle(self, raw: RawRequest) -> SteeredAnswer | Failure:
-        """Answer one request."""
-        if self._state.is_stopping:
-            return Failure(ErrorKind.DRAINING, 'this host is stopping; use another')
+        """Answer one request; cancelling stops it only if it is idempotent."""
         request = self._prepare(raw)
         if isinstance(request, Failure):
             return request
-        self._state.in_flight += 1
-        try:
-            return await self._at_most_once.run(request, self._dispatch)
-        finally:
-            self._state.in_flight -= 1
+        return await self._run(
+            request,
+            partial(self._at_most_once.run, request, self._dispatch),
+        )
+
+    async def _run(
+        self, request: SteeredRequest, work: Work
+    ) -> SteeredAnswer | Failure:
+        async def counted() -> SteeredAnswer | Failure:
+            self._state.in_flight += 1
+            try:
+                return await work()
+            finally:
+                self._state.in_flight -= 1
+
+        if not request.is_idempotent:
+            return await Detached(counted).run(self._kernel)
+        answer = await run_safely(counted)
+        if isinstance(answer, SteeredAnswer) and answer.stream is not None:
+            answer.must_stop = partial(self._must_stop, request)
+        return answer
 
     def _prepare(self, raw: RawRequest) -> SteeredRequest | Failure:
         view = self._state.view
@@ -137,27 +145,30 @@
             return None
         return self._keys.authenticate(key_hash)
 
-    async def handle_forwarded(self, message: Message) -> Message:
-        """Answer a request that another gate handed over."""
-        answer = await self._run_forwarded(message)
-        return pack(answer)
-
-    async def _run_forwarded(
+    async def run_forwarded(
         self,
         message: ForwardRequest,
     ) -> SteeredAnswer | Failure:
-        if self._state.is_stopping:
-            return Failure(ErrorKind.DRAINING, 'this host is stopping')
+        """Answer a request that another gate handed over."""
         request = self._rebuild(message)
         if isinstance(request, Failure):
             return request
-        self._state.in_flight += 1
-        try:
-            if message.is_owner:
-                return await self._at_most_once.run(request, self._dispatch)
-            return await self._run_at_backend(request, is_local_only=True)
-        finally:
-            self._state.in_flight -= 1
+        if message.is_owner:
+            return await self._run(
+                request,
+                partial(
+                    self._at_most_once.run,
+                    request,
+                    self._dispatch,
+                    is_forwarded=True,
+                ),
+            )
+        if self._state.is_stopping:
+            return Failure(ErrorKind.DRAINING, 'this host is stopping')
+        return await self._run(
+            request,
+            partial(self._attempts.run, request, is_local_only=True),
+        )
 
     def _rebuild(self, message: ForwardRequest) -> SteeredRequest | Failure:
         view = self._state.view
@@ -186,9 +197,14 @@
             route=route,
             organisation=organisation,
             key_hash=message.key_hash,
+            claim_id=message.claim_id,
         )
 
     async def _dispatch(self, request: SteeredRequest) -> SteeredAnswer | Failure:
+        # After the look at the key: a repeat gets its answer also while this host
+        # stops, and when its organisation is over its rate.
+        if self._state.is_stopping:
+            return Failure(ErrorKind.DRAINING, 'this host is stopping; use another')
         refusal = self._quarantine.check(request)
         if refusal is not None:
             return refusal
@@ -196,59 +212,10 @@
             refusal = self._admission.admit(request.organisation)
             if refusal is not None:
                 return refusal
-        return await self._run_at_backend(request)
-
-    async def _run_at_backend(
-        self,
-        request: SteeredRequest,
-        *,
-        is_local_only: bool = False,
-    ) -> SteeredAnswer | Failure:
-        target = await self._queue.acquire(request, is_local_only=is_local_only)
-        if isinstance(target, Failure):
-            return target
-        answer = await self._forward(request, target)
-        region = target.gate.region if target.gate else self._state.settings.region
-        self._state.count_steered(request.organisation_name, region)
-        return answer
-
-    async def _forward(
-        self,
-        request: SteeredRequest,
-        target: Target,
-    ) -> SteeredAnswer | Failure:
-        started_s = self._timer.now_s()
-        answer: SteeredAnswer | Failure = Failure(
-            ErrorKind.OUTCOME_UNKNOWN,
-            'the request was cancelled',
-        )
-        if target.server is not None:
-            self._quarantine.began(request, target.server)
-        try:
-            answer = await self._send(request, target)
-        finally:
-            self._finish(request, target, answer, started_s)
-        return answer
-
-    def _finish(
-        self,
-        request: SteeredRequest,
-        target: Target,
-        answer: SteeredAnswer | Failure,
-        started_s: float,
-    ) -> None:
-        self._queue.release(target, answer, self._timer.now_s() - started_s)
-        if target.server is not None:
-            self._quarantine.ended(request, target.server, answer)
+        return await self._attempts.run(request)
 
-    async def _send(
-        self,
-        request: SteeredRequest,
-        target: Target,
-    ) -> SteeredAnswer | Failure:
-        if target.server is not None:
-            return await self._forwarder.forward(request, target.server)
-        return await self._peer_forwarder.forward(request, target.gate)
+    def _must_stop(self, request: SteeredRequest) -> bool:
+        return request.key_hash in self._state.withdrawn_keys
 
 
 def find_route(service: Service, method: str, path: str) -> Route | None:
--- a/cicadadoor/gate/quarantine.py
+++ b/cicadadoor/gate/quarantine.py
@@ -1,11 +1,47 @@
 """Refuse requests that crash backend servers."""
 
-import abc
+import math
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from urllib.parse import urlsplit
+
+import anyio
 
 from cicadadoor.config.model import BackendServer
-from cicadadoor.errors import Failure
-from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
-from cicadadoor.kernel import Service
+from cicadadoor.decisions.crashes import CONVICTION_S, CrashLedger
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.directory import GateDirectory
+from cicadadoor.gate.request import SteeredRequest
+from cicadadoor.gate.state import GateState
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.daemon_link import DaemonLink
+from cicadadoor.links.messages import Ack, Message, Refusal
+from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.links.quarantine_messages import (
+    CrashReport,
+    QuarantineUpdate,
+    ReserveServer,
+)
+from cicadadoor.telemetry import logs
+from cicadadoor.timer import TimerService
+
+log = logs.logger('quarantine')
+
+_MS_PER_S = 1000
+_REPORT_PERIOD_S = 5.0
+# Shorter ones are about to expire where they come from; taking them would let hosts
+# hand an expired conviction back and forth.
+_LEAST_TAKEN_S = 15.0
+# A broken connection and a refused new one within this time are one death.
+_DEATH_S = 2.0
+_CONNECT_TIMEOUT_S = 0.5
+_OPEN_S = 0.1
+_PROBES = 3
+_RESERVE_TIMEOUT_S = 1.0
+_POLL_S = 0.02
+_HTTP_PORT = 80
+_HTTPS_PORT = 443
+_BROKEN = frozenset((ErrorKind.OUTCOME_UNKNOWN, ErrorKind.ANSWER_TRUNCATED))
 
 
 class Quarantine(Service):
@@ -13,37 +49,278 @@
 
     name = 'quarantine'
 
-    @abc.abstractmethod
+    def __init__(self) -> None:
+        self._state: GateState
+        self._timer: TimerService
+        self._directory: GateDirectory
+        self._link: DaemonLink
+        self._peers: PeerHub
+        self._kernel: Kernel
+        self._ledger = CrashLedger()
+        self._in_flight: dict[str, dict[str, SteeredRequest]] = {}
+        self._died_s: dict[str, float] = {}
+        # Backend servers kept free for a run alone, and until when.
+        self._reserved_s: dict[str, float] = {}
+        self._alone = anyio.Lock()
+        self._own_reserved = ''
+
+    async def start(self, kernel: Kernel) -> None:
+        """Subscribe to what other gates refuse or reserve."""
+        self._kernel = kernel
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._directory = kernel.find('directory')
+        self._link = kernel.find('daemon_link')
+        self._link.on(QuarantineUpdate, self._take_update)
+        self._peers = kernel.find('peers')
+        self._peers.on(ReserveServer, self._take_reservation)
+        self._timer.subscribe('crash_report', _REPORT_PERIOD_S, self._report)
+
     def check(self, request: SteeredRequest) -> Failure | None:
         """Return QUARANTINED if the request must not run."""
+        if not self._ledger.has_any():
+            return None
+        now_s = self._timer.now_s()
+        until_s = self._ledger.convicted_until_s(request.fingerprint, now_s)
+        if not until_s:
+            return None
+        return Failure(
+            ErrorKind.QUARANTINED,
+            'requests like this one crash backend servers',
+            int((until_s - now_s) * _MS_PER_S),
+        )
+
+    def is_suspect(self, request: SteeredRequest) -> bool:
+        """Tell whether the request has to run alone on a backend server."""
+        if not self._ledger.has_any():
+            return False
+        return self._ledger.is_suspect(request.fingerprint, self._timer.now_s())
+
+    def reserved(self) -> frozenset[str]:
+        """Return the backend servers that are kept free for a run alone."""
+        now_s = self._timer.now_s()
+        return frozenset(
+            name for name, until_s in self._reserved_s.items() if until_s > now_s
+        )
 
-    @abc.abstractmethod
     def began(self, request: SteeredRequest, server: BackendServer) -> None:
         """Note that the request is in flight at the backend server."""
+        at_server = self._in_flight.setdefault(server.name, {})
+        at_server[request.request_id] = request
+
+    def ended(self, request: SteeredRequest, server: BackendServer) -> None:
+        """Note that the request is no longer in flight."""
+        at_server = self._in_flight.get(server.name, {})
+        at_server.pop(request.request_id, None)
+        if not at_server:
+            self._in_flight.pop(server.name, None)
 
-    @abc.abstractmethod
-    def ended(
+    async def examine(self, server: BackendServer, failure: Failure) -> bool:
+        """Learn from a failed request that is still noted; tell of a death.
+
+        One broken connection is no death: the backend server also has to refuse a new
+        connection.
+        """
+        if failure.kind not in _BROKEN:
+            return False
+        broken_s = self._timer.now_s()
+        if self._died_s.get(server.name, -math.inf) + _DEATH_S > broken_s:
+            return True
+        at_break = list(self._in_flight.get(server.name, {}).values())
+        if not await _has_died(server):
+            return False
+        now_s = self._timer.now_s()
+        if self._died_s.get(server.name, -math.inf) + _DEATH_S > broken_s:
+            # Another request that broke at the same death was faster.
+            return True
+        self._died_s[server.name] = now_s
+        fingerprints = {request.fingerprint for request in at_break}
+        self._ledger.note_death(fingerprints, now_s)
+        log.warning(
+            'backend_server_died',
+            backend_server=server.name,
+            in_flight=len(fingerprints),
+        )
+        return True
+
+    @asynccontextmanager
+    async def run_alone(
         self,
         request: SteeredRequest,
-        server: BackendServer,
-        answer: SteeredAnswer | Failure,
-    ) -> None:
-        """Note how the request ended."""
+    ) -> AsyncIterator[BackendServer | Failure]:
+        """Keep a backend server free of other requests meanwhile.
 
+        All gates of the domain have to agree; otherwise the request is refused, and
+        its caller may try again later.
+        """
+        with anyio.move_on_after(self._left_s(request)):
+            await self._alone.acquire()
+        if not self._is_lock_owner():
+            yield _not_alone('another such request runs alone')
+            return
+        server = self._least_loaded(request)
+        try:
+            yield await self._reserve(request, server)
+        finally:
+            self._release(server)
 
-class NoQuarantine(Quarantine):
-    """Let every request run."""
+    async def _reserve(
+        self,
+        request: SteeredRequest,
+        server: BackendServer | None,
+    ) -> BackendServer | Failure:
+        if server is None:
+            return _not_alone('no backend server can be kept free')
+        hold_s = self._left_s(request)
+        self._own_reserved = server.name
+        self._reserved_s[server.name] = self._timer.now_s() + hold_s
+        end_s = self._timer.now_s() + hold_s
+        while self._load(server):
+            if self._timer.now_s() >= end_s:
+                return _not_alone('other requests did not end in time')
+            await self._timer.sleep(_POLL_S)
+        if not await self._ask_gates(server, end_s - self._timer.now_s()):
+            return _not_alone('another host of the domain did not agree')
+        return server
 
-    def check(self, request: SteeredRequest) -> Failure | None:
-        """Return None."""
+    def _release(self, server: BackendServer | None) -> None:
+        self._alone.release()
+        self._own_reserved = ''
+        if server is not None:
+            self._reserved_s.pop(server.name, None)
+            self._kernel.spawn(self._ask_gates, server, 0)
 
-    def began(self, request: SteeredRequest, server: BackendServer) -> None:
-        """Do nothing."""
+    def _is_lock_owner(self) -> bool:
+        owner = self._alone.statistics().owner
+        return owner is not None and owner.id == anyio.get_current_task().id
+
+    def _left_s(self, request: SteeredRequest) -> float:
+        return max(0, request.deadline_s - self._timer.now_s())
 
-    def ended(
+    def judge(self, request: SteeredRequest, *, has_died: bool) -> None:
+        """Convict or clear a suspect that ran alone."""
+        fingerprint = request.fingerprint
+        if not has_died:
+            self._ledger.clear(fingerprint)
+            return
+        until_s = self._timer.now_s() + CONVICTION_S
+        if self._ledger.convict(fingerprint, until_s):
+            log.warning(
+                'request_quarantined',
+                fingerprint=fingerprint,
+                organisation=request.organisation_name,
+                method=request.method,
+                path=request.path,
+            )
+
+    def _least_loaded(
         self,
         request: SteeredRequest,
-        server: BackendServer,
-        answer: SteeredAnswer | Failure,
-    ) -> None:
-        """Do nothing."""
+    ) -> BackendServer | None:
+        domain = self._state.settings.failure_domain
+        reserved = self.reserved()
+        now_s = self._timer.now_s()
+        dead = {
+            name for name, died_s in self._died_s.items() if died_s + _DEATH_S > now_s
+        }
+        local = [
+            server
+            for server in request.service.backend_servers
+            if server.failure_domain == domain and server.name not in reserved | dead
+        ]
+        return min(local, key=self._load, default=None)
+
+    def _load(self, server: BackendServer) -> int:
+        return len(self._in_flight.get(server.name, ()))
+
+    async def _ask_gates(self, server: BackendServer, hold_s: float) -> bool:
+        settings = self._state.settings
+        gates = [
+            gate
+            for gate in self._directory.in_domain(settings.failure_domain)
+            if gate.instance != self._state.instance
+        ]
+        agreed: list[bool] = []
+
+        async def ask(address: str) -> None:
+            message = ReserveServer(backend_server=server.name, hold_s=hold_s)
+            answer = await self._peers.ask(address, message, _RESERVE_TIMEOUT_S)
+            agreed.append(isinstance(answer, Ack))
+
+        async with anyio.create_task_group() as tasks:
+            for gate in gates:
+                tasks.start_soon(ask, gate.peer_address)
+        return all(agreed)
+
+    async def _take_reservation(self, message: Message) -> Message:
+        name = message.backend_server
+        if not message.hold_s:
+            if name != self._own_reserved:
+                self._reserved_s.pop(name, None)
+            return Ack()
+        if name in self.reserved() or self._in_flight.get(name):
+            return Refusal(kind=ErrorKind.NO_CAPACITY.value, reason='it is in use')
+        self._reserved_s[name] = self._timer.now_s() + message.hold_s
+        return Ack()
+
+    async def _take_update(self, update: QuarantineUpdate) -> None:
+        now_s = self._timer.now_s()
+        for fingerprint, left_s in update.convictions.items():
+            if left_s >= _LEAST_TAKEN_S:
+                bounded_s = min(left_s, CONVICTION_S)
+                self._ledger.convict(fingerprint, now_s + bounded_s)
+
+    async def _report(self) -> None:
+        now_s = self._timer.now_s()
+        convictions = {
+            fingerprint: until_s - now_s
+            for fingerprint, until_s in self._ledger.convictions(now_s).items()
+        }
+        if convictions:
+            await self._link.send(CrashReport(convictions=convictions))
+
+
+def _not_alone(reason: str) -> Failure:
+    return Failure(
+        ErrorKind.QUARANTINED,
+        f'requests like this one may crash backend servers: {reason}',
+        _MS_PER_S,
+    )
+
+
+async def _has_died(server: BackendServer) -> bool:
+    """Tell whether the backend server refuses connections.
+
+    A process that is just ending may still accept one, which then breaks; so one more
+    attempt follows in that case.
+    """
+    for _ in range(_PROBES):
+        with anyio.move_on_after(_CONNECT_TIMEOUT_S):
+            is_refused, is_open = await _probe(server)
+            if is_refused:
+                return True
+            if is_open:
+                return False
+    # No answer at all is no sign of a crash; the path to it may be cut.
+    return False
+
+
+async def _probe(server: BackendServer) -> tuple[bool, bool]:
+    """Tell whether a connection is refused, and whether it stays open."""
+    parts = urlsplit(server.url)
+    default_port = _HTTPS_PORT if parts.scheme == 'https' else _HTTP_PORT
+    try:
+        stream = await anyio.connect_tcp(
+            parts.hostname or '',
+            parts.port or default_port,
+        )
+    except OSError as error:
+        return isinstance(error.__cause__ or error, ConnectionRefusedError), False
+    is_open = False
+    with suppress(OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+        with anyio.move_on_after(_OPEN_S) as waited:
+            await stream.receive(1)
+        is_open = waited.cancelled_caught
+    with suppress(OSError):
+        await stream.aclose()
+    return False, is_open
--- a/cicadadoor/gate/request.py
+++ b/cicadadoor/gate/request.py
@@ -1,5 +1,7 @@
 """Define what travels through the steps of the pipeline."""
 
+import hashlib
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 from cicadadoor.config.model import Organisation, Route, Service
@@ -16,6 +18,7 @@
 
     __slots__ = (
         'body',
+        'claim_id',
         'client_ip',
         'deadline_s',
         'headers',
@@ -48,6 +51,7 @@
         route: Route | None,
         organisation: Organisation | None,
         key_hash: str,
+        claim_id: str = '',
     ) -> None:
         self.request_id = request_id
         self.method = method
@@ -62,6 +66,7 @@
         self.route = route
         self.organisation = organisation
         self.key_hash = key_hash
+        self.claim_id = claim_id
         self.idempotency_key = headers.get('idempotency-key', '')
         marked_idempotent = route is not None and route.idempotent
         self.is_idempotent = method in IDEMPOTENT_METHODS or marked_idempotent
@@ -71,6 +76,21 @@
         """Return the organisation's name, or `-` on a route open to all."""
         return self.organisation.name if self.organisation else '-'
 
+    @property
+    def fingerprint(self) -> str:
+        """Return a digest of what a repeat has in common with its first attempt."""
+        hashed = hashlib.sha256()
+        parts = (
+            self.service.name,
+            self.organisation_name,
+            self.method,
+            self.target,
+        )
+        for part in parts:
+            hashed.update(f'{len(part)}:{part}'.encode())
+        hashed.update(self.body)
+        return hashed.hexdigest()
+
     @property
     def target(self) -> str:
         """Return path and query as they are sent to a backend server."""
@@ -80,10 +100,20 @@
 class SteeredAnswer:
     """Hold the answer to a request: a whole body, or a stream for a long one.
 
-    `on_close` releases what a stream holds and is called exactly once.
+    `on_close` releases what a stream holds and is called exactly once. A stream has
+    to end by `deadline_s` on the boot-time clock, and is cut once `must_stop` holds.
     """
 
-    __slots__ = ('body', 'headers', 'on_close', 'run', 'status', 'stream')
+    __slots__ = (
+        'body',
+        'deadline_s',
+        'headers',
+        'must_stop',
+        'on_close',
+        'run',
+        'status',
+        'stream',
+    )
 
     def __init__(
         self,
@@ -94,6 +124,7 @@
         stream: AsyncIterator[bytes] | None = None,
         on_close: Callable[[], Awaitable[None]] | None = None,
         run: Run = Run.YES,
+        deadline_s: float = math.inf,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -101,3 +132,15 @@
         self.stream = stream
         self.on_close = on_close
         self.run = run
+        self.deadline_s = deadline_s
+        self.must_stop: Callable[[], bool] = _never
+
+    async def close(self) -> None:
+        """Release what the stream holds, if it was not released yet."""
+        on_close, self.on_close = self.on_close, None
+        if on_close is not None:
+            await on_close()
+
+
+def _never() -> bool:
+    return False
--- /dev/null
+++ b/cicadadoor/gate/request_services.py
@@ -0,0 +1,25 @@
+"""Group the services that take a request from its key to its answer."""
+
+from cicadadoor.gate.attempts import Attempts
+from cicadadoor.gate.claims import Claims
+from cicadadoor.gate.forward_server import ForwardServer
+from cicadadoor.gate.forwarding import Forwarder
+from cicadadoor.gate.keyed_once import KeyedOnce
+from cicadadoor.gate.peer_forwarding import PeerForwarder
+from cicadadoor.gate.pipeline import Pipeline
+from cicadadoor.gate.quarantine import Quarantine
+from cicadadoor.kernel import Service
+
+
+def request_services() -> list[Service]:
+    """Return the services in the order in which they start."""
+    return [
+        KeyedOnce(),
+        Claims(),
+        Quarantine(),
+        Forwarder(),
+        PeerForwarder(),
+        Attempts(),
+        Pipeline(),
+        ForwardServer(),
+    ]
--- /dev/null
+++ b/cicadadoor/gate/streams.py
@@ -0,0 +1,123 @@
+"""Hold long answers while a caller or another gate takes them."""
+
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import anyio
+
+from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
+from cicadadoor.kernel import Kernel
+from cicadadoor.telemetry import logs
+
+log = logs.logger('stream')
+
+
+class StreamBrokenError(Exception):
+    """Tell that the rest of a long answer can't be had."""
+
+
+def hold(
+    kernel: Kernel,
+    request: SteeredRequest,
+    answer: SteeredAnswer,
+    release: Callable[[], None],
+    left_s: float,
+) -> SteeredAnswer:
+    """Return the answer so that `release` is called once its stream has ended.
+
+    The stream of an idempotent request is cut when its taker goes away. The stream of
+    another one is read to its end, because cutting it could stop the backend server
+    in the middle of its work.
+    """
+    held = _HeldStream(answer, release)
+    if request.is_idempotent:
+        answer.on_close = held.close
+        return answer
+    send_chunk, receive_chunk = anyio.create_memory_object_stream[bytes](0)
+    pumped = SteeredAnswer(
+        status=answer.status,
+        headers=answer.headers,
+        stream=held.relay(receive_chunk),
+        on_close=receive_chunk.aclose,
+        run=answer.run,
+        deadline_s=answer.deadline_s,
+    )
+    kernel.spawn(held.pump, send_chunk, left_s)
+    return pumped
+
+
+class _HeldStream:
+    """Read a stream to its end for a taker that may go away."""
+
+    def __init__(self, answer: SteeredAnswer, release: Callable[[], None]) -> None:
+        self._stream = answer.stream
+        self._close_inner = answer.on_close
+        self._release = release
+        self._is_whole = False
+
+    async def close(self) -> None:
+        """Release what the stream holds."""
+        try:
+            if self._close_inner is not None:
+                with anyio.CancelScope(shield=True):
+                    await self._close_inner()
+        finally:
+            self._release()
+
+    async def pump(self, send_chunk: Any, left_s: float) -> None:
+        """Read to the end; chunks are dropped once nobody takes them."""
+        try:
+            with anyio.move_on_after(left_s):
+                await self._pump(send_chunk)
+        except Exception as error:
+            log.info('stream_broken', error=type(error).__name__)
+        finally:
+            send_chunk.close()
+            await self.close()
+
+    async def _pump(self, send_chunk: Any) -> None:
+        is_taken = True
+        async for chunk in self._stream:
+            if is_taken:
+                is_taken = await _offer(send_chunk, chunk)
+        self._is_whole = True
+
+    async def relay(self, receive_chunk: Any) -> AsyncIterator[bytes]:
+        """Yield what the pump reads; raise if the stream broke."""
+        async for chunk in receive_chunk:
+            yield chunk
+        if not self._is_whole:
+            raise StreamBrokenError
+
+
+async def _offer(send_chunk: Any, chunk: bytes) -> bool:
+    try:
+        await send_chunk.send(chunk)
+    except anyio.BrokenResourceError:
+        return False
+    return True
+
+
+class StoredStream:
+    """Hold a long answer that another gate pulls in parts."""
+
+    __slots__ = ('answer', 'is_busy', 'next_part', 'used_s')
+
+    def __init__(self, answer: SteeredAnswer, now_s: float) -> None:
+        self.answer = answer
+        self.next_part = 1
+        self.used_s = now_s
+        self.is_busy = False
+
+
+async def read_part(stream: AsyncIterator[bytes], wanted_bytes: int) -> bytes:
+    """Return the next bytes of the stream; none are left when it has ended."""
+    parts: list[bytes] = []
+    size_bytes = 0
+    while size_bytes < wanted_bytes:
+        chunk = await anext(stream, None)
+        if chunk is None:
+            break
+        parts.append(chunk)
+        size_bytes += len(chunk)
+    return b''.join(parts)
--- a/cicadadoor/links/forward_messages.py
+++ b/cicadadoor/links/forward_messages.py
@@ -6,8 +6,9 @@
 class ForwardRequest(Message, frozen=True, kw_only=True, tag=True):
     """Ask another gate to run a request; no key is in it, only its hash.
 
-    `is_owner` asks the gate that issued the idempotency prefix; otherwise the
-    request is to run at a backend server of the receiver's domain.
+    `is_owner` asks the gate that issued the idempotency prefix or holds the claim;
+    otherwise the request is to run at a backend server of the receiver's domain.
+    `claim_id` names the claim that the sender read in the platform.
     """
 
     request_id: str
@@ -23,10 +24,14 @@
     left_ms: int
     is_owner: bool
     credit_id: str = ''
+    claim_id: str = ''
 
 
 class ForwardAnswer(Message, frozen=True, kw_only=True, tag=True):
-    """Carry the whole answer, or the failure, of a forwarded request."""
+    """Carry the answer, or the failure, of a forwarded request.
+
+    With a `stream_id` the body is the first part, and ForwardNext asks for the rest.
+    """
 
     status: int = 0
     headers: list[tuple[str, str]] = []
@@ -34,3 +39,27 @@
     run: str = ''
     failure_kind: str = ''
     failure_reason: str = ''
+    retry_after_ms: int = 0
+    stream_id: str = ''
+
+
+class ForwardNext(Message, frozen=True, kw_only=True, tag=True):
+    """Ask for the part of a long answer with the number; 1 follows ForwardAnswer."""
+
+    stream_id: str
+    part_number: int
+
+
+class ForwardPart(Message, frozen=True, kw_only=True, tag=True):
+    """Carry one part of a long answer, or tell that the answer broke off."""
+
+    body: bytes = b''
+    is_last: bool = False
+    is_broken: bool = False
+
+
+class ForwardCancel(Message, frozen=True, kw_only=True, tag=True):
+    """Tell that nobody waits any more for a request or for the rest of its answer."""
+
+    request_id: str
+    stream_id: str = ''
--- a/cicadadoor/links/transport.py
+++ b/cicadadoor/links/transport.py
@@ -1,11 +1,13 @@
 """Send messages over pynng."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import anyio
 import msgspec
 import pynng
+from anyio import lowlevel
 
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.kernel import Kernel
@@ -22,7 +24,9 @@
 log = logs.logger('link')
 
 _MS_PER_S = 1000
-_SERVER_CONTEXTS = 8
+# Requests of peers that are answered at the same time. Forwarded requests wait here
+# for backend servers, and for other gates that may in turn wait for this one.
+_SERVER_CONTEXTS = 256
 _PAIR_SEND_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT_S = 0.5
 _CONNECT_POLL_S = 0.01
@@ -102,6 +106,7 @@
         self._handlers = handlers
         self._security = security
         self._socket: pynng.Rep0 | None = None
+        self._contexts: list[pynng.Context] = []
 
     def start(self, kernel: Kernel, address: Address) -> None:
         """Listen and answer until closed; raise pynng.NNGException if in use."""
@@ -111,10 +116,15 @@
         socket.listen(self._security.url(address))
         self._socket = socket
         for _ in range(_SERVER_CONTEXTS):
-            kernel.spawn(self._serve, socket.new_context())
+            self._contexts.append(socket.new_context())
+            kernel.spawn(self._serve, self._contexts[-1])
 
     def close(self) -> None:
         """Stop listening."""
+        # A context that outlives its socket logs an error when it is collected.
+        for context in self._contexts:
+            context.close()
+        self._contexts.clear()
         if self._socket is not None:
             self._socket.close()
             self._socket = None
@@ -185,8 +195,7 @@
         stamped = self._stamp.apply(message)
         try:
             with anyio.fail_after(timeout_s), self._socket.new_context() as context:
-                await context.asend(encode(stamped))
-                encoded = await context.arecv()
+                encoded = await _exchange(context, encode(stamped))
         except (TimeoutError, pynng.NNGException) as error:
             return Failure(
                 ErrorKind.OUTCOME_UNKNOWN,
@@ -224,6 +233,17 @@
         return answer
 
 
+async def _exchange(context: pynng.Context, encoded: bytes) -> bytes:
+    try:
+        await context.asend(encoded)
+        return await context.arecv()
+    except asyncio.CancelledError:
+        # pynng raises a new error in place of the one that carries anyio's mark; it
+        # would pass through the cancel scope and end the task group.
+        await lowlevel.checkpoint_if_cancelled()
+        raise
+
+
 def _refused(refusal: Refusal) -> Failure:
     try:
         kind = ErrorKind(refusal.kind)
--- /dev/null
+++ b/tests/test_request_processes.py
@@ -0,0 +1,304 @@
+"""Count executions over real processes while parts of the path fail."""
+
+import itertools
+import threading
+from functools import partial
+
+import httpx
+import pytest
+
+from tests.utils import control
+from tests.utils.backend_server import read_executions
+from tests.utils.cluster import Cluster
+from tests.utils.deployments import small_deployment
+from tests.utils.waiting import wait_until
+
+DOMAINS = {'muenchen-1': ('muenchen', 2), 'augsburg-1': ('augsburg', 1)}
+BACKENDS = ('kb-1', 'kb-2', 'kb-3', 'kb-4')
+FIRST = 'muenchen-1-0'
+SECOND = 'muenchen-1-1'
+_numbers = itertools.count()
+
+
+@pytest.fixture(scope='module')
+def cluster(tmp_path_factory):
+    """Run two entry hosts and four backend servers in one domain."""
+    with Cluster(tmp_path_factory.mktemp('requests'), DOMAINS) as running:
+        deployment = small_deployment(DOMAINS)
+        for name in BACKENDS:
+            backend = running.add_backend(name, slots=8)
+            deployment.backend_server(
+                'kursbuchung',
+                name,
+                url=backend.url,
+                failure_domain='muenchen-1',
+                slots=8,
+                connections=330,
+            )
+        running.start_hosts()
+        running.submit(deployment)
+        running.wait_ready()
+        running.key = running.grant_key('guild-a')
+        wait_until(lambda: all_serve(running), 'the gates serve')
+        yield running
+
+
+@pytest.fixture(autouse=True)
+def repaired(cluster):
+    """Let no fault of one test reach the next one."""
+    yield
+    for backend in cluster.backends.values():
+        if not backend.process.is_running():
+            backend.process.start()
+        wait_until(partial(answers, backend.url), 'the backend server is back')
+        control.set_faults(backend.url, truncate=False, work_ms=0)
+    for host in cluster.hosts.values():
+        if not host.gate.is_running():
+            host.gate.start()
+        wait_until(host.is_ready, 'the gate is back')
+    wait_until(lambda: all_serve(cluster), 'the gates serve')
+
+
+def all_serve(cluster):
+    """Tell whether the gates of the first domain serve and know each other."""
+    return all(
+        serves(cluster, name) and hears(cluster, name) for name in (FIRST, SECOND)
+    )
+
+
+def answers(url):
+    """Tell whether the stand-in answers."""
+    try:
+        return httpx.get(f'{url}/health').status_code == 200
+    except httpx.HTTPError:
+        return False
+
+
+def hears(cluster, name):
+    """Tell whether the look-up of the gate names all hosts that run now."""
+    urls = {entry['url'] for entry in look_up(cluster, name)['hosts']}
+    return urls == {host.callers_url for host in cluster.hosts.values()}
+
+
+def serves(cluster, name):
+    """Tell whether the gate knows the key and has tokens."""
+    url = f'{cluster.hosts[name].callers_url}/s/kursbuchung/timetable'
+    return httpx.get(url, headers={'x-api-key': cluster.key}).status_code == 200
+
+
+def look_up(cluster, name):
+    """Return what the gate answers to a look-up."""
+    url = f'{cluster.hosts[name].callers_url}/cicadadoor/v1/hosts'
+    return httpx.get(url, params={'service': 'kursbuchung'}).json()
+
+
+def new_key(cluster, name=FIRST):
+    """Return an idempotency key that the gate issued."""
+    return f'{look_up(cluster, name)["idempotency_prefix"]}n{next(_numbers)}'
+
+
+def enrol(cluster, name, key='', body=b'{}', timeout_s=30, **headers):
+    """Send a non-idempotent request."""
+    marked = {each.replace('_', '-'): text for each, text in headers.items()}
+    if key:
+        marked['idempotency-key'] = key
+    return httpx.post(
+        f'{cluster.hosts[name].callers_url}/s/kursbuchung/enrol',
+        headers={'x-api-key': cluster.key, **marked},
+        content=body,
+        timeout=timeout_s,
+    )
+
+
+def run_of(answer):
+    """Return what the answer says about the run."""
+    return answer.headers['x-cicadadoor-run']
+
+
+def count(cluster, key='', mark=''):
+    """Return how often backend servers ran the request."""
+    executions = [
+        execution
+        for backend in cluster.backends.values()
+        for execution in read_executions(backend.records_file)
+    ]
+    return sum(
+        execution.idempotency_key == key
+        if key
+        else execution.headers.get('x-mark') == mark
+        for execution in executions
+    )
+
+
+def in_background(work):
+    """Run the call in a thread and return the thread with its result."""
+    results = []
+
+    def run():
+        try:
+            results.append(work())
+        except httpx.HTTPError as error:
+            results.append(error)
+
+    thread = threading.Thread(target=run)
+    thread.start()
+    return thread, results
+
+
+class TestRepeats:
+    """Guard against an enrolment that runs twice because its caller repeats it."""
+
+    def test_repeat_through_another_gate_gets_the_first_answer(self, cluster):
+        """A caller that changes hosts must not book twice."""
+        key = new_key(cluster)
+        first = enrol(cluster, FIRST, key)
+        second = enrol(cluster, SECOND, key)
+        assert (first.status_code, second.status_code) == (200, 200)
+        assert first.content == second.content
+        assert count(cluster, key) == 1
+        assert enrol(cluster, SECOND, key, b'other').json()['error'] == (
+            'idempotency_key_reused'
+        )
+
+    def test_caller_that_goes_away_finds_its_answer(self, cluster):
+        """A lost connection must neither cancel nor double an enrolment."""
+        key = new_key(cluster)
+        with pytest.raises(httpx.ReadTimeout):
+            enrol(cluster, FIRST, key, timeout_s=0.3, x_work_ms='1000')
+        answer = enrol(cluster, SECOND, key, x_work_ms='1000')
+        assert answer.status_code == 200
+        assert count(cluster, key) == 1
+
+    def test_long_answer_through_another_gate_is_whole(self, cluster):
+        """Parts pulled from another gate must add up to the answer."""
+        key = new_key(cluster)
+        answer = enrol(cluster, SECOND, key, x_answer_bytes='3000000')
+        assert len(answer.json()['padding']) == 3_000_000
+        again = enrol(cluster, SECOND, key, x_answer_bytes='3000000')
+        assert again.json()['error'] == 'answer_not_kept'
+        assert run_of(again) == 'yes'
+        assert count(cluster, key) == 1
+
+
+class TestLostGates:
+    """Guard against a gate whose end or pause lets a request run twice."""
+
+    def test_key_of_a_killed_gate_is_unknown(self, cluster):
+        """Nobody can tell whether the killed gate had dispatched the request."""
+        key = new_key(cluster)
+        thread, _ = in_background(
+            lambda: enrol(cluster, FIRST, key, x_work_ms='2000'),
+        )
+        wait_until(lambda: count(cluster, key) == 1, 'the request runs')
+        cluster.hosts[FIRST].gate.kill()
+        thread.join()
+        answer = enrol(cluster, SECOND, key, x_work_ms='2000')
+        assert run_of(answer) == 'unknown'
+        cluster.hosts[FIRST].gate.start()
+        wait_until(cluster.hosts[FIRST].is_ready, 'the gate is back')
+        assert run_of(enrol(cluster, FIRST, key, x_work_ms='2000')) == 'unknown'
+        assert count(cluster, key) == 1
+
+    def test_key_of_a_paused_gate_runs_once(self, cluster):
+        """The message waits in the paused gate after its sender has given up."""
+        key = new_key(cluster)
+        gate = cluster.hosts[FIRST].gate
+        gate.pause()
+        try:
+            answer = enrol(cluster, SECOND, key, x_deadline_ms='700')
+            assert run_of(answer) == 'unknown'
+        finally:
+            gate.resume()
+        later = enrol(cluster, SECOND, key)
+        assert later.status_code == 200
+        assert count(cluster, key) == 1
+
+
+class TestBackendFaults:
+    """Guard against a failed backend server that turns into a second run."""
+
+    def test_killed_backend_server(self, cluster):
+        """An enrolment stays unknown; a listing moves to another server."""
+        key = new_key(cluster)
+        enrolment, results = in_background(
+            lambda: enrol(cluster, FIRST, key, x_work_ms='3000'),
+        )
+        wait_until(lambda: count(cluster, key) == 1, 'the request runs')
+        victim = next(
+            backend
+            for backend in cluster.backends.values()
+            if control.get_control(backend.url)['in_flight']
+        )
+        victim.process.kill()
+        enrolment.join()
+        assert run_of(results[0]) == 'unknown'
+        assert run_of(enrol(cluster, SECOND, key, x_work_ms='3000')) == 'unknown'
+        assert count(cluster, key) == 1
+        assert all(serves(cluster, FIRST) for _ in range(20))
+
+    @pytest.mark.parametrize('size', ['10', '3000000'])
+    def test_truncated_answer_is_never_whole(self, cluster, size):
+        """A caller must not take a part of an answer for all of it."""
+        for backend in cluster.backends.values():
+            control.set_faults(backend.url, truncate=True)
+        key = new_key(cluster)
+        if size == '10':
+            answer = enrol(cluster, FIRST, key, x_answer_bytes=size)
+            assert answer.json()['error'] == 'answer_truncated'
+        else:
+            with pytest.raises(httpx.RemoteProtocolError):
+                enrol(cluster, FIRST, key, x_answer_bytes=size)
+        assert run_of(enrol(cluster, SECOND, key, x_answer_bytes=size)) != 'no'
+        assert count(cluster, key) == 1
+
+    def test_crashing_request_is_quarantined(self, cluster):
+        """One request that its caller repeats must not end all servers."""
+
+        def crash(name):
+            return enrol(cluster, name, body=b'crash', x_crash='1', x_mark='crash')
+
+        assert {run_of(crash(FIRST)) for _ in range(3)} == {'unknown'}
+        refused = crash(FIRST)
+        assert refused.json()['error'] == 'quarantined'
+        assert run_of(refused) == 'no'
+        assert count(cluster, mark='crash') == 3
+
+        def is_refused_elsewhere():
+            headers = {'x-api-key': cluster.key}
+            url = f'{cluster.hosts[SECOND].callers_url}/s/kursbuchung/enrol'
+            answer = httpx.post(url, headers=headers, content=b'crash')
+            return answer.status_code == 422
+
+        wait_until(is_refused_elsewhere, 'the conviction spreads')
+        wait_until(
+            lambda: enrol(cluster, FIRST, body=b'harmless').status_code == 200,
+            'other requests run at the backend server that is left',
+        )
+
+
+class TestOpaqueKeys:
+    """Guard against two gates that both dispatch under a caller's own key."""
+
+    def test_claimed_key_runs_once(self, cluster):
+        """The claim in the platform leads a repeat to the gate that holds it."""
+        key = f'booking-{next(_numbers)}'
+        cluster.set_platform(down=True)
+        try:
+            refused = enrol(cluster, FIRST, key)
+        finally:
+            cluster.set_platform(down=False)
+        assert refused.json()['error'] == 'claim_unavailable'
+        assert run_of(refused) == 'no'
+        assert count(cluster, key) == 0
+        cluster.set_platform(lose_answers=1)
+        assert enrol(cluster, FIRST, key).status_code == 200
+        assert enrol(cluster, SECOND, key).status_code == 200
+        assert count(cluster, key) == 1
+
+    def test_claim_of_a_killed_gate_is_unknown(self, cluster):
+        """The claim outlives the gate that knew the outcome."""
+        key = f'booking-{next(_numbers)}'
+        assert enrol(cluster, FIRST, key).status_code == 200
+        cluster.hosts[FIRST].gate.kill()
+        assert run_of(enrol(cluster, SECOND, key)) == 'unknown'
+        assert count(cluster, key) == 1
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,76 @@
+"""Send requests to peers that do not answer."""
+
+import anyio
+import pytest
+
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.kernel import Kernel
+from cicadadoor.links.messages import Ack, Codec
+from cicadadoor.links.transport import (
+    MessageStamp,
+    PeerClient,
+    PeerSecurity,
+    PeerServer,
+)
+from cicadadoor.settings import Address
+from tests.utils.processes import Ports
+
+
+async def with_silent_peer(use):
+    """Call `use` with a client of a peer that takes requests and never answers."""
+    address = Address('127.0.0.1', Ports.free())
+    kernel = Kernel()
+
+    async def never(message):
+        await anyio.sleep_forever()
+
+    async def wait_for_stop():
+        server = PeerServer(MessageStamp('server'), {Ack: never}, PeerSecurity())
+        server.start(kernel, address)
+        client = PeerClient(
+            MessageStamp('client'),
+            Codec(Ack),
+            str(address),
+            PeerSecurity(),
+        )
+        await use(kernel, client)
+        client.close()
+        server.close()
+        return 0
+
+    await kernel.run(wait_for_stop)
+
+
+class TestSilentPeer:
+    """Guard against a paused peer that ends the process that asks it."""
+
+    @pytest.mark.parametrize('is_spawned', [False, True])
+    def test_timeout_is_a_failure(self, is_spawned):
+        """An error that escapes from a spawned task ends the whole daemon."""
+        answers = []
+
+        async def use(kernel, client):
+            async def ask():
+                answers.append(await client.request(Ack(), 0.2))
+
+            if is_spawned:
+                kernel.spawn(ask)
+                await anyio.sleep(0.5)
+            else:
+                await ask()
+
+        anyio.run(with_silent_peer, use)
+        assert isinstance(answers[0], Failure)
+        assert answers[0].kind is ErrorKind.OUTCOME_UNKNOWN
+
+    def test_cancelled_request_ends_its_scope_only(self):
+        """A caller that goes away must not end the task that serves others."""
+        reached = []
+
+        async def use(kernel, client):
+            with anyio.move_on_after(0.2):
+                await client.request(Ack(), 30)
+            reached.append(True)
+
+        anyio.run(with_silent_peer, use)
+        assert reached
