Give each connection to a backend server a transport of its own

Cause: a profile of the forwarder showed 4.4 of 6.4 s in the client library's connection pool, which looks at every connection and polls its socket for each of them on each request, so a request's cost grows with the square of the connections. Ruled out: header handling and JSON, each below 5%. Change: a free list of single-connection transports for each backend server, with one shared TLS context (making one for each connection took 50 ms). The list also bounds connections by server.

--- a/cicadadoor/gate/forwarding.py
+++ b/cicadadoor/gate/forwarding.py
@@ -7,6 +7,7 @@
 
 from cicadadoor.config.model import BackendServer
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.connection_pool import BackendTransport
 from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.telemetry import tracing
@@ -16,7 +17,6 @@
 _MS_PER_S = 1000
 _CONNECT_TIMEOUT_S = 1.0
 _MAX_CONNECTIONS = 1000
-_KEEP_ALIVE_S = 60.0
 
 # Headers that concern one connection only, or that the client library sets.
 HOP_HEADERS = frozenset(
@@ -49,11 +49,7 @@
         """Open the pool."""
         self._timer = kernel.find('timer')
         self._client = httpx.AsyncClient(
-            limits=httpx.Limits(
-                max_connections=_MAX_CONNECTIONS,
-                max_keepalive_connections=_MAX_CONNECTIONS,
-                keepalive_expiry=_KEEP_ALIVE_S,
-            ),
+            transport=BackendTransport(_MAX_CONNECTIONS),
             follow_redirects=False,
             trust_env=False,
         )
--- /dev/null
+++ b/measure/bare_servers.py
@@ -0,0 +1,66 @@
+"""Serve as baselines: `python -m measure.bare_servers fixed|forward IP:PORT [URL]`.
+
+`fixed` answers 300 bytes; `forward` passes each request on with one httpx client.
+"""
+
+import sys
+
+import anyio
+import httpx
+
+from cicadadoor.http_server import (
+    JSON_HEADER,
+    Receive,
+    Scope,
+    Send,
+    answer_lifespan,
+    send_whole,
+    serve_forever,
+)
+
+ANSWER = b'{"hosts":[]}'.ljust(300)
+_POOL = 100
+
+
+async def answer_fixed(scope: Scope, receive: Receive, send: Send) -> None:
+    """Answer with the same bytes."""
+    if scope['type'] == 'lifespan':
+        await answer_lifespan(receive, send)
+        return
+    await send_whole(send, 200, [JSON_HEADER], ANSWER)
+
+
+class BareForwarder:
+    """Pass each request on and answer with what comes back."""
+
+    def __init__(self, target_url: str) -> None:
+        self._target_url = target_url
+        self._client = httpx.AsyncClient(
+            trust_env=False,
+            limits=httpx.Limits(
+                max_connections=_POOL,
+                max_keepalive_connections=_POOL,
+            ),
+        )
+
+    async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        if scope['type'] == 'lifespan':
+            await answer_lifespan(receive, send)
+            return
+        url = f'{self._target_url}{scope["path"]}'
+        answer = await self._client.get(url)
+        await send_whole(send, answer.status_code, [JSON_HEADER], answer.content)
+
+
+def main() -> None:
+    """Serve until ended."""
+    mode, address = sys.argv[1:3]
+    app = answer_fixed
+    if mode == 'forward':
+        app = BareForwarder(sys.argv[3]).handle
+    anyio.run(serve_forever, app, address, None, None)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/measure/results.py
@@ -0,0 +1,37 @@
+"""Print one JSON line a result, and a table at the end."""
+
+import sys
+from typing import Any
+
+import msgspec
+
+
+class Results:
+    """Collect results of one run of `make measure`."""
+
+    def __init__(self) -> None:
+        self._rows: list[dict[str, Any]] = []
+
+    def add(self, experiment: str, case: str, **figures: Any) -> None:
+        """Print one result as a JSON line and keep it for the table."""
+        row = {'experiment': experiment, 'case': case, **figures}
+        self._rows.append(row)
+        sys.stdout.write(f'{msgspec.json.encode(row).decode()}\n')
+        sys.stdout.flush()
+
+    def print_table(self) -> None:
+        """Print all results, one line each, figures side by side."""
+        for row in self._rows:
+            figures = [
+                f'{name}={_rounded(figure)}'
+                for name, figure in row.items()
+                if name not in {'experiment', 'case'}
+            ]
+            label = f'{row["experiment"]}: {row["case"]}'
+            sys.stdout.write(f'{label:<48} {"  ".join(figures)}\n')
+
+
+def _rounded(figure: Any) -> Any:
+    if isinstance(figure, float):
+        return f'{figure:.4g}'
+    return figure
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -89,6 +89,7 @@
             folder,
         )
         self.backends: dict[str, BackendProcess] = {}
+        self.extra_processes: list[TestProcess] = []
         self.hosts: dict[str, EntryHostProcesses] = {}
         self._host_settings = host_settings
         wait_until(self._platform_answers, 'the platform stand-in answers')
@@ -165,7 +166,7 @@
 
     def close(self) -> None:
         """End all processes that this cluster started."""
-        processes = [self.platform]
+        processes = [self.platform, *self.extra_processes]
         processes.extend(backend.process for backend in self.backends.values())
         for host in self.hosts.values():
             processes.extend((host.agent, host.gate))
