Parse addresses with inet_pton and index client blocks section by section

Ruled out: JSON decoding (5 ms a section). Change: addresses are parsed by inet_pton; the index keeps its sections apart, so that a change does not copy the arrays of all of them.

--- a/cicadadoor/config/view.py
+++ b/cicadadoor/config/view.py
@@ -1,14 +1,13 @@
 """Index one generation of the configuration for look-ups."""
 
 import hashlib
-import ipaddress
 from array import array
 from bisect import bisect_right
 
 from cicadadoor.config import chunks, model
+from cicadadoor.config.addresses import IPV4_BITS, parse_address, parse_block
 from cicadadoor.errors import ErrorKind, Failure
 
-_IPV4 = 4
 # IPv6 blocks are compared by their first 64 bits; longer prefixes are not steered
 # on their own.
 _IPV6_HOST_BITS = 64
@@ -51,6 +50,30 @@
         self.ipv6 = BlockIndex('Q')
 
 
+class BlockIndexes:
+    """Find a block among the sections of one address family, in order of address."""
+
+    __slots__ = ('_firsts', '_indexes')
+
+    def __init__(self, indexes: list[BlockIndex]) -> None:
+        self._indexes = [index for index in indexes if index.starts]
+        self._firsts = [index.starts[0] for index in self._indexes]
+
+    def __len__(self) -> int:
+        return sum(len(index.starts) for index in self._indexes)
+
+    def find(self, address: int) -> 'tuple[int, int] | None':
+        """Return the block's start and region number, or None if not covered."""
+        number = bisect_right(self._firsts, address) - 1
+        if number < 0:
+            return None
+        index = self._indexes[number]
+        position = index.find(address)
+        if position is None:
+            return None
+        return index.starts[position], index.region_numbers[position]
+
+
 class ClientBlocks:
     """Find the home region and hash point of a client address."""
 
@@ -58,31 +81,26 @@
 
     def __init__(self, regions: list[str], sections: list[BlockSection]) -> None:
         self._regions = regions
-        self._ipv4 = BlockIndex('I')
-        self._ipv6 = BlockIndex('Q')
-        for section in sections:
-            _extend(self._ipv4, section.ipv4)
-            _extend(self._ipv6, section.ipv6)
+        self._ipv4 = BlockIndexes([section.ipv4 for section in sections])
+        self._ipv6 = BlockIndexes([section.ipv6 for section in sections])
 
     def __len__(self) -> int:
-        return len(self._ipv4.starts) + len(self._ipv6.starts)
+        return len(self._ipv4) + len(self._ipv6)
 
     def locate(self, client_ip: str) -> 'tuple[str, float] | None':
         """Return home region and hash point in [0, 1), or None if not covered.
 
         Raise ValueError if the text is no IP number.
         """
-        address = ipaddress.ip_address(client_ip)
-        index = self._ipv4
-        number = int(address)
-        if address.version != _IPV4:
-            index = self._ipv6
-            number >>= _IPV6_HOST_BITS
-        position = index.find(number)
-        if position is None:
+        address = parse_address(client_ip)
+        if address.bits == IPV4_BITS:
+            found = self._ipv4.find(address.first)
+        else:
+            found = self._ipv6.find(address.first >> _IPV6_HOST_BITS)
+        if found is None:
             return None
-        region = self._regions[index.region_numbers[position]]
-        return region, hash_point(index.starts[position])
+        start, region_number = found
+        return self._regions[region_number], hash_point(start)
 
 
 class ConfigView:
@@ -144,7 +162,7 @@
         located = self.blocks.locate(client_ip)
         if located is None:
             home_region = self.regions[0]
-            point = hash_point(int(ipaddress.ip_address(client_ip)))
+            point = hash_point(parse_address(client_ip).first)
         else:
             home_region, point = located
         chosen = self._choose(service, home_region, point)
@@ -247,13 +265,15 @@
                 ErrorKind.CONFIG_INVALID,
                 f'client block {block.cidr!r}: no region {block.region!r}',
             )
-        network = ipaddress.ip_network(block.cidr)
-        start = int(network.network_address)
-        end = int(network.broadcast_address)
-        if network.version == _IPV4:
-            section.ipv4.add(start, end, number)
+        try:
+            addresses = parse_block(block.cidr)
+        except ValueError as error:
+            return Failure(ErrorKind.CONFIG_INVALID, f'client block: {error}')
+        if addresses.bits == IPV4_BITS:
+            section.ipv4.add(addresses.first, addresses.last, number)
         else:
-            section.ipv6.add(start >> _IPV6_HOST_BITS, end >> _IPV6_HOST_BITS, number)
+            first = addresses.first >> _IPV6_HOST_BITS
+            section.ipv6.add(first, addresses.last >> _IPV6_HOST_BITS, number)
     return section
 
 
@@ -262,9 +282,3 @@
     seed = number.to_bytes(_SEED_BYTES, 'big')
     hashed = hashlib.blake2b(seed, digest_size=_HASH_BYTES).digest()
     return int.from_bytes(hashed, 'big') / _HASH_SPACE
-
-
-def _extend(target: BlockIndex, part: BlockIndex) -> None:
-    target.starts.extend(part.starts)
-    target.ends.extend(part.ends)
-    target.region_numbers.extend(part.region_numbers)
