--- a/cicadadoor/agent/config_sender.py
+++ b/cicadadoor/agent/config_sender.py
@@ -1,13 +1,21 @@
 """Keep the gate of this host at the newest generation."""
 
+import anyio
+
 from cicadadoor.agent.state import AgentState
 from cicadadoor.agent.sync import ConfigSync
+from cicadadoor.agent.withdrawals import Withdrawals
 from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.config_messages import ConfigDelta
 from cicadadoor.links.config_parts import Generation, parts_of
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.messages import GateReport
 from cicadadoor.timer import TimerService
 
+# A report that left the gate before an update arrived there must not cause another.
+_RESEND_AFTER_S = 1.0
+_KNOWN_GENERATIONS = 16
+
 
 class ConfigSender(Service):
     """Send each new generation, and again when the gate reports an older one."""
@@ -18,38 +26,63 @@
         self._state: AgentState
         self._timer: TimerService
         self._sync: ConfigSync
+        self._withdrawals: Withdrawals
         self._link: DaemonLink
-        self._gate_instance = ''
-        self._gate_digests: dict[str, str] = {}
-        self._sent_generation = 0
+        # Section digests of recent generations by their digest, so that what a gate
+        # reports tells what it has.
+        self._known: dict[str, dict[str, str]] = {}
+        self._sent_digest = ''
+        self._sent_s = float('-inf')
+        self._wake = anyio.Event()
 
     async def start(self, kernel: Kernel) -> None:
         """Subscribe to new generations and to the gate's reports."""
         self._state = kernel.find('state')
         self._timer = kernel.find('timer')
         self._sync = kernel.find('sync')
+        self._withdrawals = kernel.find('withdrawals')
         self._link = kernel.find('daemon_link')
         self._link.on(GateReport, self._take_report)
-        self._sync.subscribe(self._send)
+        self._sync.subscribe(self._take_generation)
+        kernel.spawn(self._run)
 
     async def _take_report(self, report: GateReport) -> None:
         self._state.gate_report = report
         self._state.gate_report_s = self._timer.now_s()
-        generation = self._sync.generation
-        if generation is None or report.generation >= generation.number:
+        if report.generation >= self._sync.number:
+            return
+        if self._timer.now_s() - self._sent_s < _RESEND_AFTER_S:
             return
-        is_new_gate = report.sender_instance != self._gate_instance
-        self._gate_instance = report.sender_instance
-        if is_new_gate or report.generation == 0:
-            self._gate_digests = {}
-        await self._send(generation)
+        self._sent_digest = report.digest
+        self._wake.set()
+
+    async def _take_generation(
+        self,
+        generation: Generation,
+        delta: ConfigDelta | None,
+    ) -> None:
+        self._wake.set()
+
+    async def _run(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            generation = self._sync.generation
+            if generation is not None:
+                await self._send(generation)
 
     async def _send(self, generation: Generation) -> None:
-        base = self._sent_generation
-        for part in parts_of(generation, self._gate_digests, base):
-            failure = await self._link.send(part)
-            if failure is not None:
-                self._gate_digests = {}
+        if not self._sent_digest:
+            # A gate that starts must know the withdrawn keys first.
+            await self._withdrawals.send_all_to_gate()
+        have = self._known.get(self._sent_digest, {})
+        for part in parts_of(generation, have, 0):
+            if await self._link.send(part) is not None:
+                # The next report tells what the gate has.
+                self._sent_digest = ''
                 return
-        self._gate_digests = generation.section_digests
-        self._sent_generation = generation.number
+        self._sent_s = self._timer.now_s()
+        self._sent_digest = generation.digest
+        self._known[generation.digest] = generation.section_digests
+        while len(self._known) > _KNOWN_GENERATIONS:
+            self._known.pop(next(iter(self._known)))
--- a/cicadadoor/agent/daemon.py
+++ b/cicadadoor/agent/daemon.py
@@ -4,10 +4,16 @@
 
 from cicadadoor import core
 from cicadadoor.agent.config_sender import ConfigSender
+from cicadadoor.agent.isolation import Isolation
 from cicadadoor.agent.membership import Membership
 from cicadadoor.agent.operator_api import OperatorApi
+from cicadadoor.agent.peer_updates import PeerUpdates
+from cicadadoor.agent.relay import Relay
 from cicadadoor.agent.state import AgentState
+from cicadadoor.agent.status import StatusBoard
 from cicadadoor.agent.sync import ConfigSync
+from cicadadoor.agent.withdrawal_records import WithdrawalRecords
+from cicadadoor.agent.withdrawals import Withdrawals
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.peer_hub import PeerHub
@@ -27,9 +33,15 @@
     services: tuple[Service, ...] = (
         BootTimer(),
         state,
+        Withdrawals(),
         ConfigSync(),
         ConfigSender(),
+        StatusBoard(),
         Membership(),
+        PeerUpdates(),
+        WithdrawalRecords(),
+        Relay(),
+        Isolation(),
     )
     for service in services:
         kernel.register(service)
--- a/cicadadoor/agent/membership.py
+++ b/cicadadoor/agent/membership.py
@@ -1,30 +1,63 @@
 """Know which other hosts are alive."""
 
+import random
+
+from cicadadoor.agent.contact_points import ContactPoints
+from cicadadoor.agent.own_record import OwnRecord
 from cicadadoor.agent.state import AgentState
+from cicadadoor.agent.status import StatusBoard
 from cicadadoor.agent.sync import ConfigSync
+from cicadadoor.agent.withdrawals import Withdrawals
+from cicadadoor.decisions.isolation import IsolationEvidence
+from cicadadoor.decisions.membership import DomainTable, MemberTable
+from cicadadoor.errors import Failure
 from cicadadoor.kernel import Kernel, Service
-from cicadadoor.links.daemon_link import DaemonLink
-from cicadadoor.links.messages import GateInfo, Heartbeat, Message, PeerUpdate
+from cicadadoor.links.membership_messages import (
+    Heartbeat,
+    MemberRecord,
+    MemberRecords,
+    PullMembers,
+)
+from cicadadoor.links.messages import Message
 from cicadadoor.links.peer_hub import PeerHub
 from cicadadoor.timer import TimerService
 
 HEARTBEAT_PERIOD_S = 1.0
-DEAD_AFTER_S = 10.0
+RELAYS_PER_DOMAIN = 2
 _ANSWER_TIMEOUT_S = 0.8
+_PARTNERS = 2
+_SUMMARIES = 4
+_SEED_EVERY = 10
+_MAX_SEEDS = 8
+_HOST_LIST_PERIOD_S = 60.0
+_NEVER_S = float('-inf')
 
 
-class Member:
-    """Hold the last heartbeat of a host and when it was heard."""
+class HeardHost:
+    """Tell when a host was last heard, by this host or one that it hears."""
 
-    __slots__ = ('heard_s', 'heartbeat')
+    __slots__ = ('age_s', 'failure_domain', 'host', 'instance', 'is_alive')
 
-    def __init__(self, heartbeat: Heartbeat, heard_s: float) -> None:
-        self.heartbeat = heartbeat
-        self.heard_s = heard_s
+    def __init__(
+        self,
+        record: MemberRecord,
+        age_s: float,
+        *,
+        is_alive: bool,
+    ) -> None:
+        self.host = record.host
+        self.instance = record.instance
+        self.failure_domain = record.failure_domain
+        self.age_s = age_s
+        self.is_alive = is_alive
 
 
 class Membership(Service):
-    """Exchange heartbeats with peers and tell the gate which gates are heard."""
+    """Exchange heartbeats with a few peers, and know the others through them.
+
+    Only answers to own questions are evidence of life, dated at the question: a
+    process that was paused finds old questions in its buffers.
+    """
 
     name = 'membership'
 
@@ -32,10 +65,18 @@
         self._state: AgentState
         self._timer: TimerService
         self._sync: ConfigSync
+        self._status: StatusBoard
+        self._withdrawals: Withdrawals
         self._peers: PeerHub
-        self._link: DaemonLink
         self._kernel: Kernel
-        self._members: dict[str, Member] = {}
+        self.own: OwnRecord
+        self._contact_points: ContactPoints
+        self.members: MemberTable
+        self.domains: DomainTable
+        self.evidence = IsolationEvidence()
+        self._contact_s = _NEVER_S
+        self._beats = 0
+        self._chooser = random.Random()
 
     async def start(self, kernel: Kernel) -> None:
         """Subscribe to heartbeats and send them periodically."""
@@ -43,57 +84,185 @@
         self._state = kernel.find('state')
         self._timer = kernel.find('timer')
         self._sync = kernel.find('sync')
+        self._status = kernel.find('status')
+        self._withdrawals = kernel.find('withdrawals')
         self._peers = kernel.find('peers')
-        self._link = kernel.find('daemon_link')
+        settings = self._state.settings
+        self.members = MemberTable(settings.host, settings.failure_domain)
+        self.domains = DomainTable(settings.failure_domain)
+        self.own = OwnRecord(self._state, self._timer)
+        self._contact_points = ContactPoints(self._state)
         self._peers.on(Heartbeat, self._answer, Heartbeat)
-        self._timer.subscribe('heartbeat', HEARTBEAT_PERIOD_S, self._beat)
+        self._peers.on(PullMembers, self._answer_members, MemberRecords)
+        self._timer.subscribe('heartbeat', HEARTBEAT_PERIOD_S, self.beat)
+        self._timer.subscribe('host_list', _HOST_LIST_PERIOD_S, self._read_host_list)
+        kernel.spawn(self.beat)
 
-    def heard(self) -> list[Heartbeat]:
-        """Return the last heartbeat of each host that is alive."""
-        oldest_s = self._timer.now_s() - DEAD_AFTER_S
+    def heard(self) -> list[MemberRecord]:
+        """Return the record of each live host of this domain, and of other relays."""
+        now_s = self._timer.now_s()
+        records = [member.record for member in self.members.alive(now_s)]
+        for summary in self.domains.valid(now_s):
+            records.extend(summary.relays)
+        return records
+
+    def heard_hosts(self) -> list[HeardHost]:
+        """Return all known other hosts of this domain, also those that are dead."""
+        now_s = self._timer.now_s()
         return [
-            member.heartbeat
-            for member in self._members.values()
-            if member.heard_s >= oldest_s
+            HeardHost(
+                member.record,
+                now_s - member.heard_s,
+                is_alive=member.is_alive(now_s),
+            )
+            for member in self.members.known()
         ]
 
-    async def _answer(self, request: Message) -> Message:
-        self._note(request)
-        return self._heartbeat()
-
-    async def _beat(self) -> None:
-        addresses = {str(address) for address in self._state.settings.seed_peers}
-        addresses.update(heartbeat.peer_address for heartbeat in self.heard())
-        addresses.discard(str(self._state.settings.agent_peers))
-        for address in addresses:
-            self._kernel.spawn(self._ask, address)
-        gates = [beat.gate for beat in self.heard() if beat.gate is not None]
-        await self._link.send(PeerUpdate(gates=gates))
-
-    async def _ask(self, address: str) -> None:
-        answer = await self._peers.ask(address, self._heartbeat(), _ANSWER_TIMEOUT_S)
+    def heard_domains(self) -> dict[str, float]:
+        """Return the age of the last word of each other failure domain, in s."""
+        now_s = self._timer.now_s()
+        return {name: now_s - at_s for name, at_s in self.domains.heard().items()}
+
+    def platform_contact_age_s(self) -> float:
+        """Return the age of the last contact with the platform, infinity for none.
+
+        It is the contact of this host or of any host that it hears of.
+        """
+        return self._timer.now_s() - self._contact_s
+
+    def note_contact(self) -> None:
+        """Note that the platform has answered this host."""
+        self._contact_s = self._timer.now_s()
+
+    def is_relay(self) -> bool:
+        """Tell whether this host is one of the lowest-ranked live ones."""
+        return self.own.record.host in self.relay_hosts()
+
+    def relay_hosts(self) -> list[str]:
+        """Return the names of this domain's relays."""
+        return self.members.relays(self._timer.now_s(), RELAYS_PER_DOMAIN)
+
+    def domain_addresses(self) -> list[str]:
+        """Return the agents of the live other hosts of this domain."""
+        alive = self.members.alive(self._timer.now_s())
+        return [member.record.peer_address for member in alive]
+
+    def other_relay_addresses(self) -> list[str]:
+        """Return the agents of the relays that other domains last named."""
+        return [
+            record.peer_address
+            for records in self.domains.all_relays().values()
+            for record in records
+        ]
+
+    async def beat(self) -> None:
+        """Ask some peers, and tell the gate whom it can reach."""
+        now_s = self._timer.now_s()
+        self._beats += 1
+        self.own.refresh()
+        for gone in self.members.forget_old(now_s):
+            self._peers.forget(gone.peer_address)
+        targets = {
+            record.peer_address: record.host
+            for record in self.members.partners(now_s, _PARTNERS, self._chooser)
+        }
+        for address in self._outside_targets(now_s):
+            targets.setdefault(address, '')
+        targets.pop(self.own.record.peer_address, None)
+        for address, host in targets.items():
+            self._kernel.spawn(self.ask, address, host)
+
+    def _outside_targets(self, now_s: float) -> list[str]:
+        chosen: list[str] = []
+        is_alone = not self.members.alive(now_s)
+        if is_alone or self._beats % _SEED_EVERY == 1:
+            chosen = self._contact_points.sample(_MAX_SEEDS)
+        relays = self.domains.all_relays()
+        domains = [name for name, records in relays.items() if records]
+        if self.is_relay() and domains:
+            # One other domain in each beat, whatever their number.
+            record = self._chooser.choice(relays[self._chooser.choice(domains)])
+            chosen.append(record.peer_address)
+        return chosen
+
+    async def ask(self, address: str, host: str) -> None:
+        """Send a heartbeat to a peer and take what it knows."""
+        asked_s = self._timer.now_s()
+        answer = await self._peers.ask(
+            address,
+            self._heartbeat(is_whole=False),
+            _ANSWER_TIMEOUT_S,
+        )
         if isinstance(answer, Heartbeat):
-            self._note(answer)
+            await self._take_answer(answer, address, asked_s)
+        elif isinstance(answer, Failure) and host:
+            self.members.probe_failed(host, asked_s)
 
-    def _note(self, heartbeat: Heartbeat) -> None:
-        if heartbeat.host != self._state.settings.host:
-            now_s = self._timer.now_s()
-            self._members[heartbeat.host] = Member(heartbeat, now_s)
+    async def _take_answer(
+        self,
+        answer: Heartbeat,
+        address: str,
+        asked_s: float,
+    ) -> None:
+        if answer.record.host == self.own.record.host:
+            self.own.refute(answer.record.incarnation, answer.record.instance)
+            return
+        self.members.note_record(answer.record, asked_s)
+        missing: list[str] = []
+        is_own_domain = answer.record.failure_domain == self.own.record.failure_domain
+        if is_own_domain:
+            self.evidence.note_peer(asked_s, answer.evidence_age_s)
+            for sighting in (answer.sighting, *answer.sightings):
+                if sighting.host == self.own.record.host:
+                    self.own.refute(sighting.incarnation, '')
+                elif not self.members.note_sighting(sighting, asked_s):
+                    missing.append(sighting.host)
+        for summary in answer.summaries:
+            self.domains.note(summary, asked_s)
+        self._contact_s = max(self._contact_s, asked_s - max(answer.contact_age_s, 0))
+        self._sync.hear(address, answer.generation)
+        self._withdrawals.hear(address, answer.withdrawals_digest)
+        if missing:
+            await self._pull_members(address, missing)
 
-    def _heartbeat(self) -> Heartbeat:
-        settings = self._state.settings
-        generation = self._sync.generation
+    async def _pull_members(self, address: str, hosts: list[str]) -> None:
+        request = PullMembers(hosts=hosts)
+        answer = await self._peers.ask(address, request, _ANSWER_TIMEOUT_S)
+        if isinstance(answer, MemberRecords):
+            for record in answer.records:
+                self.members.note_record(record, self._timer.now_s())
+
+    async def _answer(self, request: Message) -> Message:
+        if request.record.host != self.own.record.host:
+            self.members.note_record(request.record, self._timer.now_s())
+            address = request.record.peer_address
+            self._sync.hear(address, request.generation)
+            self._withdrawals.hear(address, request.withdrawals_digest)
+        return self._heartbeat(is_whole=True)
+
+    async def _answer_members(self, request: Message) -> Message:
+        found = [self.members.find(host) for host in request.hosts]
+        records = [member.record for member in found if member is not None]
+        return MemberRecords(records=records)
+
+    def _heartbeat(self, *, is_whole: bool) -> Heartbeat:
+        now_s = self._timer.now_s()
+        sighting = self.own.sighting()
+        summaries = []
+        if is_whole:
+            summaries = self.domains.sample(now_s, _SUMMARIES, self._chooser)
+            summaries.append(self._status.summary())
         return Heartbeat(
-            host=settings.host,
-            peer_address=str(settings.agent_peers),
-            failure_domain=settings.failure_domain,
-            region=settings.region,
-            generation=generation.number if generation else 0,
-            digest=generation.digest if generation else '',
-            gate=self._live_gate(),
+            record=self.own.record,
+            sighting=sighting,
+            generation=self._sync.number,
+            contact_age_s=self.platform_contact_age_s(),
+            evidence_age_s=self.evidence.age_s(now_s),
+            withdrawals_digest=self._withdrawals.keys.digest(),
+            sightings=self.members.sightings(now_s) if is_whole else [],
+            summaries=summaries,
         )
 
-    def _live_gate(self) -> GateInfo | None:
-        report = self._state.gate_report
-        age_s = self._timer.now_s() - self._state.gate_report_s
-        return report.gate if report and age_s < DEAD_AFTER_S else None
+    async def _read_host_list(self) -> None:
+        if self.is_relay() and await self._contact_points.read_host_list():
+            self.note_contact()
--- a/cicadadoor/agent/operator_api.py
+++ b/cicadadoor/agent/operator_api.py
@@ -4,8 +4,14 @@
 
 import msgspec
 
+from cicadadoor.agent.membership import Membership
 from cicadadoor.agent.state import AgentState
+from cicadadoor.agent.status import StatusBoard
 from cicadadoor.agent.sync import ConfigSync
+from cicadadoor.agent.withdrawal_records import WithdrawalRecords
+from cicadadoor.agent.withdrawals import Withdrawals
+from cicadadoor.config import chunks, model
+from cicadadoor.decisions.withdrawn_keys import is_key_hash
 from cicadadoor.http_server import (
     JSON_HEADER,
     Receive,
@@ -16,25 +22,60 @@
     serve_forever,
 )
 from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.membership_messages import DomainSummary
 from cicadadoor.telemetry import metrics
 from cicadadoor.timer import TimerService
 
+_MAX_BODY_BYTES = 4096
+
+
+class HostInUse(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell what the gate of a host has in use; generation 0 if it is not heard."""
+
+    host: str
+    generation: int
+    digest: str
+
 
 class HostStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """Tell what one entry host has in use."""
+    """Tell what one entry host has in use, and what it knows of the others."""
 
     host: str
     failure_domain: str
     region: str
     agent_generation: int
+    agent_digest: str
     gate_generation: int
     gate_digest: str
     gate_age_s: float
     in_flight: int
+    # All failure domains that the configuration names.
+    failure_domains: list[str]
+    hosts: list[HostInUse]
+    domain: DomainSummary
+    other_domains: list[DomainSummary]
+    withdrawn_keys: int
+    unrecorded_withdrawals: int
+    # None if the platform was never reached.
+    platform_contact_age_s: float | None
+
+
+class WithdrawalRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Name a key to withdraw by its SHA-256."""
+
+    key_hash: str
+
+
+class WithdrawalAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell that the host refuses the key, and whether the platform has it."""
+
+    host: str
+    recorded: bool
+    told_hosts: int
 
 
 class OperatorApi(Service):
-    """Serve status and metrics."""
+    """Serve status, metrics and withdrawals."""
 
     name = 'operator_api'
 
@@ -42,12 +83,20 @@
         self._state: AgentState
         self._sync: ConfigSync
         self._timer: TimerService
+        self._board: StatusBoard
+        self._membership: Membership
+        self._withdrawals: Withdrawals
+        self._records: WithdrawalRecords
 
     async def start(self, kernel: Kernel) -> None:
         """Listen at the operators' address."""
         self._state = kernel.find('state')
         self._sync = kernel.find('sync')
         self._timer = kernel.find('timer')
+        self._board = kernel.find('status')
+        self._membership = kernel.find('membership')
+        self._withdrawals = kernel.find('withdrawals')
+        self._records = kernel.find('withdrawal_records')
         settings = self._state.settings
         kernel.spawn(
             serve_forever,
@@ -64,26 +113,86 @@
             return
         path = scope['path']
         if path == '/v1/status':
-            await send_whole(
-                send, HTTPStatus.OK, [JSON_HEADER], msgspec.json.encode(self.status())
-            )
+            await _send_json(send, HTTPStatus.OK, self.status())
         elif path == '/v1/metrics':
             await send_whole(send, HTTPStatus.OK, [], metrics.exposition())
+        elif path == '/v1/health':
+            await _send_json(send, HTTPStatus.OK, {'ready': self._sync.number > 0})
+        elif path == '/v1/withdrawals' and scope['method'] == 'POST':
+            await self._withdraw(receive, send)
         else:
             await send_whole(send, HTTPStatus.NOT_FOUND, [], b'')
 
+    async def _withdraw(self, receive: Receive, send: Send) -> None:
+        body = await _read_body(receive)
+        try:
+            request = msgspec.json.decode(body, type=WithdrawalRequest)
+        except msgspec.MsgspecError as error:
+            await _send_json(send, HTTPStatus.BAD_REQUEST, {'detail': str(error)})
+            return
+        if not is_key_hash(request.key_hash):
+            detail = 'key_hash: a SHA-256 in lower-case hexadecimal is wanted'
+            await _send_json(send, HTTPStatus.BAD_REQUEST, {'detail': detail})
+            return
+        await self._withdrawals.withdraw(request.key_hash)
+        recorded = self._withdrawals.keys.is_recorded(request.key_hash)
+        answer = WithdrawalAnswer(
+            host=self._state.settings.host,
+            recorded=recorded or await self._records.record_one(request.key_hash),
+            told_hosts=len(self._withdrawals.reach()),
+        )
+        await _send_json(send, HTTPStatus.OK, answer)
+
     def status(self) -> HostStatus:
         """Return what this host has in use; an unheard gate has generation 0."""
         settings = self._state.settings
         report = self._state.gate_report
         generation = self._sync.generation
+        now_s = self._timer.now_s()
+        contact_age_s = self._membership.platform_contact_age_s()
         return HostStatus(
             host=settings.host,
             failure_domain=settings.failure_domain,
             region=settings.region,
-            agent_generation=generation.number if generation else 0,
+            agent_generation=self._sync.number,
+            agent_digest=generation.digest if generation else '',
             gate_generation=report.generation if report else 0,
             gate_digest=report.digest if report else '',
-            gate_age_s=self._timer.now_s() - self._state.gate_report_s,
+            gate_age_s=now_s - self._state.gate_report_s,
             in_flight=report.in_flight if report else 0,
+            failure_domains=self._configured_domains(),
+            hosts=[
+                HostInUse(host=host, generation=number, digest=digest)
+                for host, (number, digest) in sorted(self._board.in_use().items())
+            ],
+            domain=self._board.summary(),
+            other_domains=self._membership.domains.valid(now_s),
+            withdrawn_keys=len(self._withdrawals.keys),
+            unrecorded_withdrawals=len(self._withdrawals.keys.unrecorded()),
+            platform_contact_age_s=contact_age_s if contact_age_s < now_s else None,
         )
+
+    def _configured_domains(self) -> list[str]:
+        generation = self._sync.generation
+        if generation is None:
+            return []
+        topology = chunks.decode('topology', generation.contents['topology'])
+        if not isinstance(topology, model.Topology):
+            return []
+        return sorted(domain.name for domain in topology.failure_domains)
+
+
+async def _send_json(send: Send, status: HTTPStatus, content: object) -> None:
+    await send_whole(send, status, [JSON_HEADER], msgspec.json.encode(content))
+
+
+async def _read_body(receive: Receive) -> bytes:
+    parts: list[bytes] = []
+    size_bytes = 0
+    while True:
+        event = await receive()
+        parts.append(event.get('body', b''))
+        size_bytes += len(parts[-1])
+        is_last = event['type'] == 'http.disconnect' or not event.get('more_body')
+        if is_last or size_bytes > _MAX_BODY_BYTES:
+            return b''.join(parts)[:_MAX_BODY_BYTES]
--- /dev/null
+++ b/cicadadoor/agent/status.py
@@ -0,0 +1,225 @@
+"""Know what the hosts of this domain have in use, and what other domains tell."""
+
+import math
+import random
+
+import msgspec
+
+from cicadadoor.agent.state import AgentState
+from cicadadoor.agent.sync import ConfigSync
+from cicadadoor.decisions.membership import name_behind
+from cicadadoor.ids import digest_of
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.daemon_link import DaemonLink
+from cicadadoor.links.membership_messages import (
+    DomainSummary,
+    HostLoad,
+    Load,
+    PullStatus,
+)
+from cicadadoor.links.messages import GateInfo, GateReport, LoadCounters, Message
+from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.timer import TimerService
+
+_PULL_PERIOD_S = 1.0
+_PULLS_PER_PERIOD = 3
+_PULL_TIMEOUT_S = 0.8
+_LOAD_VALID_S = 30.0
+_MIN_RATE_SPAN_S = 1.0
+_MAX_NAMED = 8
+_MAX_GATES = 4
+_MAX_ORGANISATIONS = 16
+_FIELDS = ('by_region', 'by_link', 'by_organisation')
+
+
+class RateMeter:
+    """Turn a gate's counters into rates."""
+
+    def __init__(self) -> None:
+        self.load = Load()
+        self.measured_s = float('-inf')
+        self._counters: LoadCounters | None = None
+        self._instance = ''
+        self._began_s = 0.0
+
+    def note(self, instance: str, counters: LoadCounters, now_s: float) -> None:
+        """Take counters; those of a new gate process start again."""
+        if self._counters is None or instance != self._instance:
+            self._instance = instance
+            self._begin(counters, now_s)
+            return
+        span_s = now_s - self._began_s
+        if span_s < _MIN_RATE_SPAN_S:
+            return
+        rates = {
+            field: _rates(
+                getattr(self._counters, field),
+                getattr(counters, field),
+                span_s,
+            )
+            for field in _FIELDS
+        }
+        self.load = Load(**rates)
+        self.measured_s = now_s
+        self._begin(counters, now_s)
+
+    def _begin(self, counters: LoadCounters, now_s: float) -> None:
+        self._counters = counters
+        self._began_s = now_s
+
+
+class StatusBoard(Service):
+    """Collect load and generations in use."""
+
+    name = 'status'
+
+    def __init__(self) -> None:
+        self._state: AgentState
+        self._timer: TimerService
+        self._sync: ConfigSync
+        self._peers: PeerHub
+        self._kernel: Kernel
+        self._meter = RateMeter()
+        self._loads: dict[str, tuple[float, Load]] = {}
+        self._chooser = random.Random()
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen to the gate, and ask members while this host is a relay."""
+        self._kernel = kernel
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._sync = kernel.find('sync')
+        self._peers = kernel.find('peers')
+        link: DaemonLink = kernel.find('daemon_link')
+        link.on(GateReport, self._take_report)
+        self._peers.on(PullStatus, self._answer, HostLoad)
+        self._timer.subscribe('load_pull', _PULL_PERIOD_S, self.pull_loads)
+
+    async def pull_loads(self) -> None:
+        """Ask some members for their load."""
+        membership = self._kernel.find('membership')
+        if not membership.is_relay():
+            return
+        alive = membership.members.alive(self._timer.now_s())
+        for member in self._chooser.sample(alive, min(_PULLS_PER_PERIOD, len(alive))):
+            self._kernel.spawn(
+                self._ask,
+                member.record.host,
+                member.record.peer_address,
+            )
+
+    async def _ask(self, host: str, address: str) -> None:
+        asked_s = self._timer.now_s()
+        answer = await self._peers.ask(address, PullStatus(), _PULL_TIMEOUT_S)
+        if isinstance(answer, HostLoad):
+            self._loads[host] = (asked_s - answer.age_s, answer.load)
+
+    async def _answer(self, request: Message) -> Message:
+        age_s = self._timer.now_s() - self._meter.measured_s
+        return HostLoad(load=self._meter.load, age_s=age_s)
+
+    async def _take_report(self, report: GateReport) -> None:
+        now_s = self._timer.now_s()
+        self._meter.note(report.gate.instance, report.counters, now_s)
+
+    def in_use(self) -> dict[str, tuple[int, str]]:
+        """Return generation and digest in use at each live gate of the domain.
+
+        An unheard gate counts as generation 0.
+        """
+        membership = self._kernel.find('membership')
+        now_s = self._timer.now_s()
+        found = {
+            member.record.host: (member.generation, member.digest)
+            for member in membership.members.alive(now_s)
+        }
+        record = membership.own.record
+        report = self._state.gate_report
+        is_heard = report is not None and record.gate is not None
+        found[record.host] = (report.generation, report.digest) if is_heard else (0, '')
+        return found
+
+    def summary(self) -> DomainSummary:
+        """Return what this host knows of its own domain."""
+        membership = self._kernel.find('membership')
+        now_s = self._timer.now_s()
+        in_use = self.in_use()
+        numbers = {host: number for host, (number, _) in in_use.items()}
+        own = membership.own.record
+        records = {own.host: own}
+        for member in membership.members.alive(now_s):
+            records[member.record.host] = member.record
+        gates = [record.gate for record in records.values() if record.gate is not None]
+        load, load_age_s = self.domain_load()
+        if not membership.is_relay():
+            load_age_s = math.inf
+        return DomainSummary(
+            failure_domain=own.failure_domain,
+            region=own.region,
+            age_s=0,
+            relays=[records[host] for host in membership.relay_hosts()],
+            gates=_some_gates(gates, own.host),
+            host_count=len(records),
+            generation=min(numbers.values()),
+            digest=_common_digest(in_use),
+            behind=name_behind(self._sync.number, numbers),
+            unreachable=membership.members.unreachable(now_s)[:_MAX_NAMED],
+            load=load,
+            load_age_s=load_age_s,
+        )
+
+    def domain_load(self) -> tuple[Load, float]:
+        """Return the load of the domain, and the age of the oldest figure in it."""
+        now_s = self._timer.now_s()
+        measured = {
+            host: found
+            for host, found in self._loads.items()
+            if now_s - found[0] <= _LOAD_VALID_S
+        }
+        self._loads = dict(measured)
+        own = (self._meter.measured_s, self._meter.load)
+        if now_s - own[0] <= _LOAD_VALID_S:
+            measured[self._state.settings.host] = own
+        total = Load(by_region={}, by_link={}, by_organisation={})
+        for _, load in measured.values():
+            for field in _FIELDS:
+                _add(getattr(total, field), getattr(load, field))
+        busiest = sorted(
+            total.by_organisation.items(),
+            key=lambda item: -item[1],
+        )
+        total = msgspec.structs.replace(
+            total,
+            by_organisation=dict(busiest[:_MAX_ORGANISATIONS]),
+        )
+        oldest_s = min((found[0] for found in measured.values()), default=now_s)
+        return total, now_s - oldest_s
+
+
+def _some_gates(gates: list[GateInfo], own_host: str) -> list[GateInfo]:
+    # The choice stays the same, so that other domains see few changes, and differs
+    # between relays, so that it does not fall on the same gates.
+    ordered = sorted(
+        gates, key=lambda gate: digest_of(f'{own_host} {gate.host}'.encode())
+    )
+    return ordered[:_MAX_GATES]
+
+
+def _common_digest(in_use: dict[str, tuple[int, str]]) -> str:
+    digests = {digest for _, digest in in_use.values()}
+    return digests.pop() if len(digests) == 1 else ''
+
+
+def _rates(
+    before: dict[str, int],
+    after: dict[str, int],
+    span_s: float,
+) -> dict[str, float]:
+    return {
+        name: (count - before.get(name, 0)) / span_s for name, count in after.items()
+    }
+
+
+def _add(total: dict[str, float], part: dict[str, float]) -> None:
+    for name, rate in part.items():
+        total[name] = total.get(name, 0) + rate
--- a/cicadadoor/agent/sync.py
+++ b/cicadadoor/agent/sync.py
@@ -1,26 +1,41 @@
-"""Follow the accepted configuration."""
+"""Hold the newest generation, and get it from other hosts."""
 
 from collections.abc import Awaitable, Callable
 
-from cicadadoor.agent.state import AgentState
-from cicadadoor.config.acceptance import (
-    ROOT_KIND,
-    AcceptedRoot,
-    parse_root,
-    read_root,
-    read_sections,
-)
+from cicadadoor.agent.delta_log import DeltaLog
+from cicadadoor.agent.withdrawals import Withdrawals
+from cicadadoor.config.chunks import digest_sections
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.kernel import Kernel, Service
-from cicadadoor.links.config_parts import Generation
+from cicadadoor.links.config_messages import (
+    ConfigDelta,
+    ConfigNews,
+    PullConfig,
+    PullSections,
+    SectionsPart,
+)
+from cicadadoor.links.config_parts import (
+    Generation,
+    apply_delta,
+    check_section,
+    sections_part,
+)
+from cicadadoor.links.messages import Message
+from cicadadoor.links.packing import PackedContents
+from cicadadoor.links.peer_hub import PeerHub
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
 
 log = logs.logger('sync')
 
-_RETRY_S = 0.5
+CATCH_UP_PERIOD_S = 0.5
+# A host that starts waits this long for peers, so that it takes the highest
+# generation that is held and not the first that it hears of.
+START_SETTLE_S = 2.0
+_PULL_TIMEOUT_S = 5.0
+_MAX_PARTS = 1000
 
-Listener = Callable[[Generation], Awaitable[None]]
+Listener = Callable[[Generation, ConfigDelta | None], Awaitable[None]]
 
 
 class ConfigSync(Service):
@@ -29,74 +44,214 @@
     name = 'sync'
 
     def __init__(self) -> None:
-        self._state: AgentState
         self._timer: TimerService
+        self._peers: PeerHub
+        self._withdrawals: Withdrawals
         self._listeners: list[Listener] = []
+        self._heard: dict[str, int] = {}
+        self._started_s = 0.0
+        self._is_pulling = False
+        self.deltas = DeltaLog()
         self.generation: Generation | None = None
 
     async def start(self, kernel: Kernel) -> None:
-        """Begin to follow the platform."""
-        self._state = kernel.find('state')
+        """Answer pulls, and pull when a peer has a higher generation."""
         self._timer = kernel.find('timer')
-        kernel.spawn(self._follow)
+        self._peers = kernel.find('peers')
+        self._withdrawals = kernel.find('withdrawals')
+        self._started_s = self._timer.now_s()
+        self._peers.on(PullConfig, self._answer_pull, ConfigNews)
+        self._peers.on(PullSections, self._answer_sections, SectionsPart)
+        self._timer.subscribe('config_catch_up', CATCH_UP_PERIOD_S, self.catch_up)
+
+    @property
+    def number(self) -> int:
+        """Return the generation held, 0 if there is none."""
+        return self.generation.number if self.generation else 0
 
     def subscribe(self, listener: Listener) -> None:
-        """Call the listener with each newer generation."""
+        """Call the listener with each newer generation, and its delta if known."""
         self._listeners.append(listener)
 
-    async def adopt(self, generation: Generation) -> bool:
+    async def adopt(
+        self,
+        generation: Generation,
+        delta: ConfigDelta | None = None,
+    ) -> bool:
         """Take a generation if it is newer; tell whether it was."""
-        if self.generation and generation.number <= self.generation.number:
+        present = self.generation
+        if present is not None and generation.number <= present.number:
+            if generation.number == present.number:
+                self._check_same(generation, present)
             return False
         self.generation = generation
+        if delta is None:
+            self.deltas.clear()
+        else:
+            self.deltas.add(delta)
+        self._heard = {
+            address: number
+            for address, number in self._heard.items()
+            if number > generation.number
+        }
         log.info('config_received', generation=generation.number)
         for listener in self._listeners:
-            await listener(generation)
+            await listener(generation, delta)
         return True
 
-    async def _follow(self) -> None:
-        while True:
-            failure = await self._read_and_watch()
-            log.warning('platform_lost', reason=failure.reason)
-            await self._timer.sleep(_RETRY_S)
-
-    async def _read_and_watch(self) -> Failure:
-        since_version = 0
-        accepted = await read_root(self._state.store)
-        if isinstance(accepted, Failure):
-            if accepted.kind is not ErrorKind.STORE_NOT_FOUND:
-                return accepted
-        else:
-            since_version = accepted.stored.version
-            failure = await self._fetch(accepted)
-            if failure is not None:
-                return failure
-        async for event in self._state.store.watch(ROOT_KIND, since_version):
-            if isinstance(event, Failure):
-                return event
-            changed = parse_root(event.changed)
-            if isinstance(changed, Failure):
-                return changed
-            failure = await self._fetch(changed)
+    async def apply(self, delta: ConfigDelta) -> Failure | None:
+        """Take a delta; CONFIG_CONFLICT if it does not follow what is held."""
+        if delta.generation <= self.number:
+            return None
+        if self.generation is None:
+            return Failure(ErrorKind.CONFIG_CONFLICT, 'no generation is held yet')
+        following = apply_delta(self.generation, delta)
+        if isinstance(following, Failure):
+            return following
+        await self.adopt(following, delta)
+        return None
+
+    def hear(self, address: str, generation: int) -> None:
+        """Note the generation that a peer holds."""
+        if generation > self.number:
+            self._heard[address] = generation
+
+    async def catch_up(self) -> None:
+        """Pull from the peer with the highest generation, if that is higher."""
+        if self._is_pulling or not self._heard:
+            return
+        is_settling = self._timer.now_s() < self._started_s + START_SETTLE_S
+        if self.generation is None and is_settling:
+            return
+        address = max(self._heard, key=self._heard.__getitem__)
+        # Forgotten until it is heard again, so that a peer that does not answer
+        # gives way to the others.
+        self._heard.pop(address)
+        self._is_pulling = True
+        try:
+            failure = await self.pull_from(address)
+        finally:
+            self._is_pulling = False
+        if failure is not None:
+            log.info('config_pull_failed', peer=address, reason=failure.reason)
+
+    async def pull_from(self, address: str) -> Failure | None:
+        """Bring this host to the generation that a peer holds."""
+        failure = await self._withdrawals.seed_from(address)
+        if failure is not None:
+            return failure
+        if not self._withdrawals.is_seeded:
+            return Failure(ErrorKind.NOT_READY, 'the peer has no set of withdrawals')
+        news = await self._ask_news(address, self.number)
+        if isinstance(news, Failure):
+            return news
+        if news.generation <= self.number:
+            return None
+        for delta in news.deltas:
+            failure = await self.apply(delta)
             if failure is not None:
-                return failure
-        return Failure(ErrorKind.STORE_UNAVAILABLE, 'the watch ended')
+                break
+        if self.number >= news.generation:
+            return None
+        return await self._pull_whole(address)
 
-    async def _fetch(self, accepted: AcceptedRoot) -> Failure | None:
-        root = accepted.root
+    async def _pull_whole(self, address: str) -> Failure | None:
+        # Generation -1 lies before all deltas, so that all digests are sent.
+        news = await self._ask_news(address, -1)
+        if isinstance(news, Failure):
+            return news
+        if digest_sections(news.section_digests) != news.digest:
+            return Failure(
+                ErrorKind.MESSAGE_INVALID,
+                f'generation {news.generation}: the digest does not match',
+            )
+        packed: dict[str, bytes] = {}
+        missing = dict(news.section_digests)
         present = self.generation
-        if present is not None and root.generation <= present.number:
-            return None
-        kept: dict[str, bytes] = {}
-        missing: dict[str, str] = {}
-        for name, digest in root.section_digests.items():
-            if present is not None and present.section_digests.get(name) == digest:
-                kept[name] = present.contents[name]
-            else:
-                missing[name] = digest
-        fetched = await read_sections(self._state.store, missing)
-        if isinstance(fetched, Failure):
-            return fetched
-        generation = Generation(root.generation, root.section_digests, kept | fetched)
-        await self.adopt(generation)
+        if present is not None:
+            for name, digest in news.section_digests.items():
+                if present.section_digests.get(name) == digest:
+                    packed[name] = present.contents.packed(name)
+                    missing.pop(name)
+        failure = await self._pull_sections(address, missing, packed)
+        if failure is not None:
+            return failure
+        contents = PackedContents(packed)
+        await self.adopt(Generation(news.generation, news.section_digests, contents))
+        return None
+
+    async def _pull_sections(
+        self,
+        address: str,
+        missing: dict[str, str],
+        packed: dict[str, bytes],
+    ) -> Failure | None:
+        for _ in range(_MAX_PARTS):
+            if not missing:
+                return None
+            request = PullSections(section_digests=missing)
+            part = await self._peers.ask(address, request, _PULL_TIMEOUT_S)
+            if isinstance(part, Failure):
+                return part
+            if not isinstance(part, SectionsPart) or not part.sections:
+                break
+            failure = _take_part(part, missing, packed)
+            if failure is not None:
+                return failure
+        if missing:
+            return Failure(ErrorKind.CONFIG_CONFLICT, 'the peer has moved on')
         return None
+
+    async def _ask_news(self, address: str, have: int) -> ConfigNews | Failure:
+        answer = await self._peers.ask(
+            address,
+            PullConfig(generation=have),
+            _PULL_TIMEOUT_S,
+        )
+        if isinstance(answer, ConfigNews | Failure):
+            return answer
+        return Failure(ErrorKind.MESSAGE_INVALID, f'{type(answer).__name__}: no news')
+
+    async def _answer_pull(self, request: Message) -> Message:
+        held = self.generation
+        if held is None:
+            return ConfigNews(generation=0, digest='')
+        deltas = self.deltas.since(request.generation)
+        is_behind = request.generation < held.number
+        return ConfigNews(
+            generation=held.number,
+            digest=held.digest,
+            deltas=deltas,
+            section_digests=held.section_digests if is_behind and not deltas else {},
+        )
+
+    async def _answer_sections(self, request: Message) -> Message:
+        if self.generation is None:
+            return SectionsPart(sections={})
+        sections = sections_part(self.generation, request.section_digests)
+        return SectionsPart(sections=sections)
+
+    def _check_same(self, other: Generation, present: Generation) -> None:
+        if other.digest != present.digest:
+            # Only a platform that lost accepted writes gives a number twice.
+            log.error(
+                'config_generation_differs',
+                generation=present.number,
+                held=present.digest,
+                seen=other.digest,
+            )
+
+
+def _take_part(
+    part: SectionsPart,
+    missing: dict[str, str],
+    packed: dict[str, bytes],
+) -> Failure | None:
+    for name, section in part.sections.items():
+        content = check_section(name, section)
+        if isinstance(content, Failure):
+            return content
+        if missing.pop(name, '') != section.digest:
+            return Failure(ErrorKind.MESSAGE_INVALID, f'{name!r} is not wanted')
+        packed[name] = section.content
+    return None
--- /dev/null
+++ b/cicadadoor/agent/withdrawals.py
@@ -0,0 +1,193 @@
+"""Spread withdrawn keys ahead of other changes."""
+
+from typing import TYPE_CHECKING
+
+from cicadadoor.decisions.withdrawn_keys import WithdrawnKeys, fingerprint
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.config_messages import (
+    PullWithdrawals,
+    PushWithdrawals,
+    WithdrawalSet,
+    WithdrawalUpdate,
+)
+from cicadadoor.links.daemon_link import DaemonLink
+from cicadadoor.links.fan_out import FanOut
+from cicadadoor.links.messages import Ack, GateReport, Message
+from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.telemetry import logs
+from cicadadoor.timer import TimerService
+
+if TYPE_CHECKING:
+    from cicadadoor.agent.membership import Membership
+
+log = logs.logger('withdrawals')
+
+_PULL_PERIOD_S = 0.5
+_PULL_TIMEOUT_S = 3.0
+_KEYS_PER_MESSAGE = 10_000
+
+
+class Withdrawals(Service):
+    """Hold all withdrawn keys that this host knows of."""
+
+    name = 'withdrawals'
+
+    def __init__(self) -> None:
+        self._timer: TimerService
+        self._membership: 'Membership'
+        self._peers: PeerHub
+        self._link: DaemonLink
+        self._fan_out: FanOut
+        self.keys = WithdrawnKeys()
+        self._known_since_s: dict[str, float] = {}
+        # All withdrawals up to this version of the platform are held; 0 for none.
+        self.covered_version = 0
+        self._is_seeded = False
+        self._differing: set[str] = set()
+
+    async def start(self, kernel: Kernel) -> None:
+        """Answer peers, and begin to follow and to record."""
+        self._timer = kernel.find('timer')
+        self._membership = kernel.find('membership')
+        self._peers = kernel.find('peers')
+        self._link = kernel.find('daemon_link')
+        self._fan_out = FanOut(kernel, self._peers)
+        self._peers.on(PushWithdrawals, self._take_push, Ack)
+        self._peers.on(PullWithdrawals, self._answer_pull, WithdrawalSet)
+        self._link.on(GateReport, self._take_report)
+        self._link.on(WithdrawalUpdate, self._take_from_gate)
+        self._timer.subscribe('withdrawals_pull', _PULL_PERIOD_S, self.pull_differing)
+
+    @property
+    def is_seeded(self) -> bool:
+        """Tell whether the set of a peer or of the platform was taken over."""
+        return self._is_seeded
+
+    async def withdraw(self, key_hash: str) -> None:
+        """Refuse a key from now on, and tell all hosts that can be reached."""
+        await self._take([key_hash], recorded=False)
+
+    def hear(self, address: str, digest: str) -> None:
+        """Note the digest of a peer's set."""
+        if digest != self.keys.digest():
+            self._differing.add(address)
+
+    async def pull_differing(self) -> None:
+        """Pull from one peer whose set differs."""
+        if self._differing:
+            await self.pull_from(self._differing.pop())
+
+    async def seed_from(self, address: str) -> Failure | None:
+        """Take over a peer's set, unless a whole set was taken over before.
+
+        A configuration must not come into force before the withdrawals that its
+        holder knows of.
+        """
+        return None if self._is_seeded else await self.pull_from(address)
+
+    async def pull_from(self, address: str) -> Failure | None:
+        """Take over what a peer holds."""
+        while True:
+            request = PullWithdrawals(bucket_digests=self.keys.bucket_digests())
+            answer = await self._peers.ask(address, request, _PULL_TIMEOUT_S)
+            if isinstance(answer, Failure):
+                return answer
+            if not isinstance(answer, WithdrawalSet):
+                return Failure(ErrorKind.MESSAGE_INVALID, 'no set of withdrawals')
+            held = self.keys.digest()
+            await self._take(answer.recorded, recorded=True)
+            await self._take(answer.unrecorded, recorded=False)
+            if answer.is_complete:
+                self.covered_version = max(
+                    self.covered_version,
+                    answer.covered_version,
+                )
+                self._is_seeded = self._is_seeded or answer.is_seeded
+                return None
+            if self.keys.digest() == held:
+                return Failure(ErrorKind.MESSAGE_INVALID, 'a set without progress')
+
+    async def take_recorded(self, key_hashes: list[str]) -> None:
+        """Take withdrawals that are in the platform."""
+        await self._take(key_hashes, recorded=True)
+
+    def note_seeded(self, covered_version: int) -> None:
+        """Note that the platform's whole set up to a version is held."""
+        self.covered_version = max(self.covered_version, covered_version)
+        self._is_seeded = True
+
+    def unrecorded_since(self, oldest_s: float) -> list[str]:
+        """Return unrecorded keys that were known before the time."""
+        return [
+            key_hash
+            for key_hash in self.keys.unrecorded()
+            if self._known_since_s[key_hash] <= oldest_s
+        ]
+
+    async def _take(self, key_hashes: list[str], *, recorded: bool) -> None:
+        new = self.keys.add(key_hashes, recorded=recorded)
+        if not new:
+            return
+        now_s = self._timer.now_s()
+        for key_hash in new:
+            self._known_since_s[key_hash] = now_s
+        log.info('keys_withdrawn', count=len(new), known=len(self.keys))
+        # The own gate first: it may hold connections that use the keys.
+        await self._send_to_gate(new)
+        if len(new) <= _KEYS_PER_MESSAGE:
+            self._spread(new, self.reach())
+
+    def reach(self) -> list[str]:
+        """Return the agents that are told; relays tell their own domains."""
+        addresses = self._membership.domain_addresses()
+        return [*addresses, *self._membership.other_relay_addresses()]
+
+    def _spread(self, key_hashes: list[str], addresses: list[str]) -> None:
+        def build(forward_to: list[str]) -> Message:
+            return PushWithdrawals(key_hashes=key_hashes, forward_to=forward_to)
+
+        self._fan_out.send(addresses, build)
+
+    async def _take_push(self, push: Message) -> Message:
+        new = self.keys.add(push.key_hashes, recorded=False)
+        now_s = self._timer.now_s()
+        for key_hash in new:
+            self._known_since_s[key_hash] = now_s
+        if new:
+            await self._send_to_gate(new)
+            if self._membership.is_relay():
+                self._spread(new, self._membership.domain_addresses())
+        self._spread(push.key_hashes, push.forward_to)
+        return Ack()
+
+    async def _answer_pull(self, request: Message) -> Message:
+        recorded, others = self.keys.differing(request.bucket_digests)
+        return WithdrawalSet(
+            recorded=recorded[:_KEYS_PER_MESSAGE],
+            unrecorded=others[:_KEYS_PER_MESSAGE],
+            is_complete=max(len(recorded), len(others)) <= _KEYS_PER_MESSAGE,
+            is_seeded=self._is_seeded,
+            covered_version=self.covered_version,
+        )
+
+    async def _take_report(self, report: GateReport) -> None:
+        if report.withdrawals == fingerprint(self.keys.all_keys()):
+            return
+        await self.send_all_to_gate()
+
+    async def send_all_to_gate(self) -> None:
+        """Send the whole set; without it a gate that starts takes no requests."""
+        if not self._is_seeded:
+            return
+        keys = self.keys.all_keys()
+        for start in range(0, len(keys), _KEYS_PER_MESSAGE):
+            await self._send_to_gate(keys[start : start + _KEYS_PER_MESSAGE])
+        await self._link.send(WithdrawalUpdate(key_hashes=[], is_complete=True))
+
+    async def _send_to_gate(self, key_hashes: list[str]) -> None:
+        await self._link.send(WithdrawalUpdate(key_hashes=key_hashes))
+
+    async def _take_from_gate(self, update: WithdrawalUpdate) -> None:
+        # The gate may have kept what an agent that restarted has lost.
+        await self._take(update.key_hashes, recorded=False)
--- a/cicadadoor/cli/commands.py
+++ b/cicadadoor/cli/commands.py
@@ -1,39 +1,38 @@
 """Offer the operators' commands."""
 
-import getpass
-import os
-import secrets
 import sys
-import time
 from pathlib import Path
 
 import anyio
-import msgspec
 
-from cicadadoor.cli.output import Output
+from cicadadoor.cli.context import Context, whole_number
+from cicadadoor.cli.key_commands import KeyCommands
+from cicadadoor.cli.status_command import show_status
 from cicadadoor.config import acceptance, canonical, checks, chunks, diff, model
+from cicadadoor.config.submission import Change, merge_printed, read_present
 from cicadadoor.errors import ErrorKind, ExitStatus, Failure
-from cicadadoor.ids import digest_of, new_instance_id
-from cicadadoor.object_store.http import HttpObjectStore
-from cicadadoor.object_store.writes import ObjectWriter
-
-_KEY_BYTES = 24
+from cicadadoor.object_store.base import ObjectStore
 
 
 class Commands:
     """Operate a cicadadoor deployment.
 
-    `platform` is the URL of the platform's object API; the default is taken from
-    the environment variable CICADADOOR_PLATFORM.
+    These flags go with every command, before or after it:
+
+      --platform=URL  the platform's object API; default $CICADADOOR_PLATFORM
+      --agent=URL     an agent's operators' address, may be repeated;
+                      default $CICADADOOR_AGENTS, separated by commas
+      --json          print one JSON object
     """
 
-    def __init__(self, *, platform: str = '', json: bool = False) -> None:
-        self._platform = platform or os.environ.get('CICADADOOR_PLATFORM', '')
-        self._output = Output(as_json=json)
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._output = context.output
+        self.key = KeyCommands(context)
 
     def validate(self, file: str) -> ExitStatus:
         """Check a printed configuration and print its digest."""
-        configuration = self._read(file)
+        configuration = _read(file)
         if isinstance(configuration, Failure):
             return self._output.fail(configuration)
         digest = canonical.digest(configuration)
@@ -41,8 +40,8 @@
         return ExitStatus.SUCCESS
 
     def plan(self, file: str) -> ExitStatus:
-        """Print the difference between a file and what is accepted."""
-        configuration = self._read(file)
+        """Print what submitting a file would change."""
+        configuration = _read(file)
         if isinstance(configuration, Failure):
             return self._output.fail(configuration)
         return anyio.run(self._plan, configuration)
@@ -51,11 +50,16 @@
         """Make a file the accepted configuration.
 
         `digest` is the one that was reviewed and `base` the generation that the
-        review compared with; both are printed by `plan`.
+        review compared with; both are printed by `plan`. Sections that others
+        changed since the base are kept; if the file changes them too, it is a
+        conflict.
         """
-        configuration = self._read(file)
+        configuration = _read(file)
         if isinstance(configuration, Failure):
             return self._output.fail(configuration)
+        base_generation = whole_number('base', base)
+        if isinstance(base_generation, Failure):
+            return self._output.fail(base_generation)
         reviewed = canonical.digest(configuration)
         if reviewed != digest:
             failure = Failure(
@@ -63,150 +67,138 @@
                 f'{file} has digest {reviewed}, not the reviewed {digest}',
             )
             return self._output.fail(failure, 'review it again with `plan`')
-        return anyio.run(self._submit, configuration, base)
+        return anyio.run(self._submit, configuration, base_generation)
+
+    def outcome(self, submission: str, generation: int) -> ExitStatus:
+        """Tell whether a submission with an unknown outcome was accepted."""
+        number = whole_number('generation', generation)
+        if isinstance(number, Failure):
+            return self._output.fail(number)
+        return anyio.run(self._outcome, submission, number)
 
-    def key_grant(self, organisation: str) -> ExitStatus:
-        """Make a key for an organisation and print it once."""
-        return anyio.run(self._key_grant, organisation)
+    def get(self, section: str = '') -> ExitStatus:
+        """Print the accepted configuration, or one section of it."""
+        return anyio.run(self._get, section)
+
+    def status(self, wait: int = 0, timeout_s: int = 60) -> ExitStatus:
+        """Print what is in force, from the first agent that answers.
+
+        With --wait=GENERATION, wait until each host that should be there has
+        reported it, or name those that are behind or unreachable.
+        """
+        generation = whole_number('wait', wait)
+        if isinstance(generation, Failure):
+            return self._output.fail(generation)
+        limit_s = whole_number('timeout_s', timeout_s)
+        if isinstance(limit_s, Failure):
+            return self._output.fail(limit_s)
+        return anyio.run(show_status, self._context, generation, limit_s)
 
     async def _plan(self, configuration: model.Configuration) -> ExitStatus:
-        accepted = await self._accepted()
-        if isinstance(accepted, Failure):
-            return self._output.fail(accepted)
-        digest = canonical.digest(configuration)
-        base = accepted.root.generation if accepted else 0
-        changes = await self._changes(accepted, configuration)
+        store = self._context.store()
+        if isinstance(store, Failure):
+            return self._output.fail(store)
+        present = await read_present(store)
+        if isinstance(present, Failure):
+            return self._output.fail(present)
+        base = present.root.generation if present else 0
+        wanted = chunks.split(configuration)
+        change = await merge_printed(store, present, base, wanted)
+        if isinstance(change, Failure):
+            return self._output.fail(change)
+        changes = await self._differences(store, present, change)
         if isinstance(changes, Failure):
             return self._output.fail(changes)
+        digest = canonical.digest(configuration)
         lines = [f'base {base}', f'digest {digest}', *changes]
         self._output.result(lines, base=base, digest=digest, changes=changes)
         return ExitStatus.SUCCESS
 
+    async def _differences(
+        self,
+        store: ObjectStore,
+        present: acceptance.AcceptedRoot | None,
+        change: Change,
+    ) -> list[str] | Failure:
+        digests = present.root.section_digests if present else {}
+        needed = {name: digests[name] for name in change.sections if name in digests}
+        before = await acceptance.read_sections(store, needed)
+        if isinstance(before, Failure):
+            return before
+        after = {
+            name: part for name, part in change.sections.items() if part is not None
+        }
+        return diff.sections(before, after)
+
     async def _submit(
         self,
         configuration: model.Configuration,
         base: int,
     ) -> ExitStatus:
-        accepted = await self._accepted()
-        if isinstance(accepted, Failure):
-            return self._output.fail(accepted)
-        present = accepted.root.generation if accepted else 0
-        if present != base:
-            author = accepted.root.author if accepted else '-'
-            failure = Failure(
-                ErrorKind.CONFIG_CONFLICT,
-                f'generation {present} by {author} is accepted, not base {base}',
-            )
-            return self._output.fail(failure, 'compare again with `plan`')
-        sections = chunks.split(configuration)
-        if accepted is not None:
-            kept = await self._keep_keys(accepted, sections)
-            if isinstance(kept, Failure):
-                return self._output.fail(kept)
-        return await self._accept(accepted, sections)
-
-    async def _key_grant(self, organisation: str) -> ExitStatus:
-        accepted = await self._accepted()
-        if isinstance(accepted, Failure):
-            return self._output.fail(accepted)
-        if accepted is None:
-            failure = Failure(ErrorKind.CONFIG_INVALID, 'no configuration is accepted')
-            return self._output.fail(failure, 'submit one first')
-        sections = await acceptance.read_sections(
-            self._store(),
-            accepted.root.section_digests,
+        store = self._context.store()
+        if isinstance(store, Failure):
+            return self._output.fail(store)
+        submitted = self._context.submission(store)
+        outcome = await submitted.submit(chunks.split(configuration), base)
+        if isinstance(outcome, Failure):
+            return self._context.fail_submission(submitted, outcome)
+        accepted = outcome.accepted
+        generation = accepted.root.generation
+        self._output.result(
+            [self._context.accepted_line(outcome)],
+            generation=generation,
+            digest=accepted.digest,
+            is_new=outcome.is_new,
+            rebased=outcome.is_new and generation != base + 1,
         )
-        if isinstance(sections, Failure):
-            return self._output.fail(sections)
-        configuration = chunks.join(sections)
-        if isinstance(configuration, Failure):
-            return self._output.fail(configuration)
-        key = secrets.token_urlsafe(_KEY_BYTES)
-        record = model.KeyRecord(
-            key_hash=digest_of(key.encode()),
-            organisation=organisation,
-        )
-        granted = msgspec.structs.replace(
-            configuration,
-            keys=(*configuration.keys, record),
-        )
-        faults = checks.find_faults(granted)
-        if faults:
-            return self._output.fail(Failure(ErrorKind.CONFIG_INVALID, faults[0]))
-        status = await self._accept(accepted, chunks.split(granted))
-        if status is ExitStatus.SUCCESS:
-            self._output.result([f'key {key}'], key=key, key_hash=record.key_hash)
-        return status
-
-    async def _accept(
-        self,
-        accepted: acceptance.AcceptedRoot | None,
-        sections: dict[str, bytes],
-    ) -> ExitStatus:
-        writer = ObjectWriter(self._store(), new_instance_id())
-        submitter = acceptance.Submitter(self._store(), writer)
-        author = getpass.getuser()
-        result = await submitter.submit(accepted, sections, author, time.time())
-        if isinstance(result, Failure):
-            return self._output.fail(result)
-        generation = result.root.generation
-        line = f'accepted generation {generation}, digest {result.digest}'
-        self._output.result([line], generation=generation, digest=result.digest)
         return ExitStatus.SUCCESS
 
-    async def _accepted(self) -> acceptance.AcceptedRoot | Failure | None:
-        if not self._platform:
-            return Failure(
+    async def _outcome(self, submission: str, generation: int) -> ExitStatus:
+        store = self._context.store()
+        if isinstance(store, Failure):
+            return self._output.fail(store)
+        found = await acceptance.find_outcome(store, submission, generation)
+        if isinstance(found, Failure):
+            return self._output.fail(found, 'ask again later')
+        text = f'accepted as generation {generation}'
+        if not found:
+            text = 'not accepted, and never will be'
+        self._output.result([text], accepted=found, generation=generation)
+        return ExitStatus.SUCCESS if found else ExitStatus.CONFLICT
+
+    async def _get(self, section: str) -> ExitStatus:
+        store = self._context.store()
+        if isinstance(store, Failure):
+            return self._output.fail(store)
+        present = await read_present(store)
+        if isinstance(present, Failure):
+            return self._output.fail(present)
+        digests = present.root.section_digests if present else {}
+        if section and section not in digests:
+            known = ', '.join(sorted(digests))
+            wrong = Failure(
                 ErrorKind.BAD_REQUEST,
-                'no platform is given; use --platform URL or CICADADOOR_PLATFORM',
+                f'section {section!r} does not exist; known: {known}',
             )
-        found = await acceptance.read_root(self._store())
-        is_first = (
-            isinstance(found, Failure) and found.kind is ErrorKind.STORE_NOT_FOUND
-        )
-        return None if is_first else found
+            return self._output.fail(wrong)
+        if section:
+            digests = {section: digests[section]}
+        found = await acceptance.read_sections(store, digests)
+        if isinstance(found, Failure):
+            return self._output.fail(found)
+        self._output.sections(present.root.generation if present else 0, found)
+        return ExitStatus.SUCCESS
 
-    async def _changes(
-        self,
-        accepted: acceptance.AcceptedRoot | None,
-        configuration: model.Configuration,
-    ) -> list[str] | Failure:
-        wanted = chunks.split(configuration)
-        if accepted is None:
-            return diff.sections({}, wanted)
-        present = await acceptance.read_sections(
-            self._store(),
-            accepted.root.section_digests,
-        )
-        if isinstance(present, Failure):
-            return present
-        wanted['keys'] = present['keys']
-        return diff.sections(present, wanted)
 
-    async def _keep_keys(
-        self,
-        accepted: acceptance.AcceptedRoot,
-        sections: dict[str, bytes],
-    ) -> Failure | None:
-        digest = accepted.root.section_digests['keys']
-        kept = await acceptance.read_sections(self._store(), {'keys': digest})
-        if isinstance(kept, Failure):
-            return kept
-        sections.update(kept)
-        return None
-
-    def _store(self) -> HttpObjectStore:
-        return HttpObjectStore(self._platform)
-
-    def _read(self, file: str) -> model.Configuration | Failure:
-        try:
-            text = sys.stdin.buffer.read() if file == '-' else Path(file).read_bytes()
-        except OSError as error:
-            return Failure(ErrorKind.BAD_REQUEST, f'{file}: {error.strerror}')
-        configuration = canonical.parse(text)
-        if isinstance(configuration, Failure):
-            return configuration
-        faults = checks.find_faults(configuration)
-        if faults:
-            return Failure(ErrorKind.CONFIG_INVALID, '; '.join(faults))
+def _read(file: str) -> model.Configuration | Failure:
+    try:
+        text = sys.stdin.buffer.read() if file == '-' else Path(file).read_bytes()
+    except OSError as error:
+        return Failure(ErrorKind.BAD_REQUEST, f'{file}: {error.strerror}')
+    configuration = canonical.parse(text)
+    if isinstance(configuration, Failure):
         return configuration
+    faults = checks.find_faults(configuration)
+    if faults:
+        return Failure(ErrorKind.CONFIG_INVALID, '; '.join(faults))
+    return configuration
--- /dev/null
+++ b/cicadadoor/cli/key_commands.py
@@ -0,0 +1,150 @@
+"""Grant, withdraw and list callers' keys."""
+
+import secrets
+
+import anyio
+
+from cicadadoor.cli import client
+from cicadadoor.cli.context import Context
+from cicadadoor.config import model, submission
+from cicadadoor.config.submission import Submission
+from cicadadoor.decisions.withdrawn_keys import is_key_hash
+from cicadadoor.errors import ErrorKind, ExitStatus, Failure
+from cicadadoor.ids import digest_of
+from cicadadoor.object_store.base import ObjectStore
+from cicadadoor.object_store.writes import ObjectWriter
+
+_KEY_BYTES = 24
+
+
+class KeyCommands:
+    """Grant, withdraw and list keys; only hashes of keys are stored."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._output = context.output
+
+    def grant(self, organisation: str) -> ExitStatus:
+        """Make a key for an organisation and print it once."""
+        return anyio.run(self._grant, organisation)
+
+    def withdraw(self, key_hash: str) -> ExitStatus:
+        """Withdraw a key, given by its SHA-256, for ever.
+
+        The withdrawal goes to the platform and to each agent named with --agent.
+        """
+        return anyio.run(self._withdraw, key_hash)
+
+    def list(self) -> ExitStatus:
+        """List the hashes of granted keys, with their organisations."""
+        return anyio.run(self._list)
+
+    async def _grant(self, organisation: str) -> ExitStatus:
+        store = self._context.store()
+        if isinstance(store, Failure):
+            return self._output.fail(store)
+        key = secrets.token_urlsafe(_KEY_BYTES)
+        record = model.KeyRecord(
+            key_hash=digest_of(key.encode()),
+            organisation=organisation,
+        )
+        submitted = self._context.submission(store)
+        outcome = await submitted.grant(record)
+        if isinstance(outcome, Failure):
+            status = self._context.fail_submission(submitted, outcome)
+            if status is not ExitStatus.UNKNOWN:
+                return status
+            # The key is valid if the submission turns out to be accepted.
+        else:
+            status = ExitStatus.SUCCESS
+        self._output.result(
+            [f'key {key}', f'key_hash {record.key_hash}'],
+            key=key,
+            key_hash=record.key_hash,
+            organisation=organisation,
+        )
+        return status
+
+    async def _withdraw(self, key_hash: str) -> ExitStatus:
+        if not is_key_hash(key_hash):
+            failure = Failure(
+                ErrorKind.BAD_REQUEST,
+                f'{key_hash[:8]!r} is not a SHA-256 in lower-case hexadecimal',
+            )
+            return self._output.fail(failure, 'see `cicadadoor key list`')
+        in_platform, detail = await self._withdraw_in_platform(key_hash)
+        reached: list[str] = []
+        unreached: list[str] = []
+        for agent in self._context.agents:
+            answer = await client.withdraw(agent, key_hash)
+            if isinstance(answer, Failure):
+                unreached.append(agent)
+            else:
+                reached.append(agent)
+                in_platform = in_platform or answer.recorded
+        lines = [f'platform: {"recorded" if in_platform else detail}']
+        lines.extend(f'agent {agent}: refuses the key' for agent in reached)
+        lines.extend(f'agent {agent}: not reached' for agent in unreached)
+        self._output.result(
+            lines,
+            key_hash=key_hash,
+            platform_recorded=in_platform,
+            agents_reached=reached,
+            agents_not_reached=unreached,
+        )
+        if not in_platform and not reached:
+            failure = Failure(
+                ErrorKind.STORE_UNAVAILABLE,
+                'the withdrawal reached neither the platform nor an agent',
+            )
+            return self._output.warn(failure, 'name reachable agents with --agent URL')
+        if not in_platform:
+            sys_note = 'the agents record it once the platform is back'
+            failure = Failure(ErrorKind.TIMED_OUT, 'not recorded in the platform yet')
+            return self._output.warn(failure, sys_note)
+        return ExitStatus.SUCCESS
+
+    async def _withdraw_in_platform(self, key_hash: str) -> tuple[bool, str]:
+        store = self._context.store()
+        if isinstance(store, Failure):
+            return False, 'not given'
+        submitted = self._context.submission(store)
+        recorded = await record_withdrawal(store, submitted, key_hash)
+        if isinstance(recorded, Failure):
+            return False, f'not recorded ({recorded.reason})'
+        # The key also leaves the configuration; that it is refused does not depend
+        # on this.
+        removed = await submitted.remove_key(key_hash)
+        if isinstance(removed, Failure):
+            self._output.warn(removed, 'the key is refused, but is still listed')
+        return True, ''
+
+    async def _list(self) -> ExitStatus:
+        store = self._context.store()
+        if isinstance(store, Failure):
+            return self._output.fail(store)
+        present = await submission.read_present(store)
+        if isinstance(present, Failure):
+            return self._output.fail(present)
+        records = await submission.read_keys(store, present)
+        if isinstance(records, Failure):
+            return self._output.fail(records)
+        self._output.result(
+            [f'{record.key_hash} {record.organisation}' for record in records],
+            generation=present.root.generation,
+            keys=records,
+        )
+        return ExitStatus.SUCCESS
+
+
+async def record_withdrawal(
+    store: ObjectStore,
+    submitted: Submission,
+    key_hash: str,
+) -> Failure | None:
+    """Write a withdrawal; one that is there already counts as written."""
+    writer = ObjectWriter(store, submitted.name)
+    written = await writer.create(submission.WITHDRAWAL_KIND, key_hash, b'{}')
+    if isinstance(written, Failure) and written.kind is not ErrorKind.STORE_CONFLICT:
+        return written
+    return None
--- a/cicadadoor/cli/output.py
+++ b/cicadadoor/cli/output.py
@@ -46,3 +46,23 @@
             body = {'error': failure.kind.value, 'detail': text}
             sys.stdout.write(f'{msgspec.json.encode(body).decode()}\n')
         return _EXIT_BY_KIND.get(failure.kind, ExitStatus.ERROR)
+
+    def warn(self, failure: Failure, advice: str) -> ExitStatus:
+        """Write the failure beside a result and return its exit code."""
+        sys.stderr.write(f'warning: {failure.reason}; {advice}\n')
+        return _EXIT_BY_KIND.get(failure.kind, ExitStatus.ERROR)
+
+    def sections(self, generation: int, contents: dict[str, bytes]) -> None:
+        """Write sections of the configuration in readable form."""
+        if self._as_json:
+            body = {
+                'generation': generation,
+                'sections': {
+                    name: msgspec.Raw(content) for name, content in contents.items()
+                },
+            }
+            sys.stdout.write(f'{msgspec.json.encode(body).decode()}\n')
+            return
+        for name, content in sorted(contents.items()):
+            text = msgspec.json.format(content, indent=2).decode()
+            sys.stdout.write(f'section {name}\n{text}\n')
--- a/cicadadoor/config/acceptance.py
+++ b/cicadadoor/config/acceptance.py
@@ -1,39 +1,102 @@
 """Read the accepted configuration from the platform and submit a new one."""
 
+from collections.abc import Iterable
+
 import msgspec
 
-from cicadadoor.config import chunks
+from cicadadoor.config import chunks, splices
+from cicadadoor.config.merge import SectionEntry
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.ids import digest_of, new_nonce
 from cicadadoor.object_store.base import ObjectStore, StoredObject
 from cicadadoor.object_store.writes import ObjectWriter
 
 ROOT_KIND = 'config_root'
 ROOT_NAME = 'root'
 CHUNK_KIND = 'config_chunk'
+GENERATION_KIND = 'config_generation'
+
+# A change whose splices are larger is read from the chunks, so that the root, which
+# goes to each watch, stays small.
+_ROOT_SPLICE_BYTES = 16_384
+# A base can be merged, and a replaced chunk can be read, for this long.
+RETENTION_S = 3600.0
+_COLLECTED_PER_SUBMISSION = 4
+_CHUNK_ATTEMPTS = 3
+
+
+class SectionChange(msgspec.Struct, frozen=True):
+    """Tell the new digest of a section and what to replace, if that is small."""
+
+    digest: str
+    splice: splices.Splice | None = None
+
+
+class ConfigIndex(msgspec.Struct, frozen=True, kw_only=True):
+    """List all sections of one generation."""
 
+    sections: dict[str, SectionEntry]
+    # The weights as an operator printed them; shift steps change only the section.
+    printed_weights: str = ''
 
-class ConfigRoot(msgspec.Struct, frozen=True, kw_only=True):
-    """Name the sections of the accepted generation."""
+
+class StoredRoot(msgspec.Struct, frozen=True, kw_only=True):
+    """Name the accepted generation and what it changed."""
 
     generation: int
-    section_digests: dict[str, str]
+    digest: str
+    index_digest: str
+    changes: dict[str, SectionChange]
+    removed: tuple[str, ...]
+    author: str
+    submission: str
+    wall_s: float
+    oldest_generation: int
+
+
+class GenerationRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Keep what is needed to merge with a generation that was replaced."""
+
+    index_digest: str
     author: str
+    submission: str
     wall_s: float
 
 
+class ConfigRoot:
+    """Hold the accepted generation with its sections."""
+
+    __slots__ = ('author', 'generation', 'index', 'section_digests', 'wall_s')
+
+    def __init__(self, announced: StoredRoot, index: ConfigIndex) -> None:
+        self.generation = announced.generation
+        self.author = announced.author
+        self.wall_s = announced.wall_s
+        self.index = index
+        self.section_digests = {
+            name: entry.digest for name, entry in index.sections.items()
+        }
+
+
 class AcceptedRoot:
-    """Hold the root and the object it was read from."""
+    """Hold the root, the object it was read from, and what that announces."""
 
-    __slots__ = ('root', 'stored')
+    __slots__ = ('announced', 'root', 'stored')
 
-    def __init__(self, root: ConfigRoot, stored: StoredObject) -> None:
+    def __init__(
+        self,
+        root: ConfigRoot,
+        stored: StoredObject,
+        announced: StoredRoot,
+    ) -> None:
         self.root = root
         self.stored = stored
+        self.announced = announced
 
     @property
     def digest(self) -> str:
         """Return the digest of the whole configuration."""
-        return chunks.digest_sections(self.root.section_digests)
+        return self.announced.digest
 
 
 async def read_root(store: ObjectStore) -> AcceptedRoot | Failure:
@@ -41,16 +104,50 @@
     stored = await store.get(ROOT_KIND, ROOT_NAME)
     if isinstance(stored, Failure):
         return stored
-    return parse_root(stored)
+    announced = parse_root(stored)
+    if isinstance(announced, Failure):
+        return announced
+    index = await read_index(store, announced.index_digest)
+    if isinstance(index, Failure):
+        return _chunk_failure(index, announced.index_digest)
+    return AcceptedRoot(ConfigRoot(announced, index), stored, announced)
 
 
-def parse_root(stored: StoredObject) -> AcceptedRoot | Failure:
+def parse_root(stored: StoredObject) -> StoredRoot | Failure:
     """Decode a stored root."""
-    try:
-        root = msgspec.json.decode(stored.body, type=ConfigRoot)
-    except msgspec.MsgspecError as error:
-        return Failure(ErrorKind.CONFIG_INVALID, f'malformed root: {error}')
-    return AcceptedRoot(root, stored)
+    return _decode(stored.body, StoredRoot, 'root')
+
+
+async def read_index(store: ObjectStore, digest: str) -> ConfigIndex | Failure:
+    """Read the list of sections of a generation."""
+    content = await read_chunk(store, digest)
+    if isinstance(content, Failure):
+        return content
+    return _decode(content, ConfigIndex, 'index')
+
+
+async def read_record(
+    store: ObjectStore,
+    generation: int,
+) -> GenerationRecord | Failure:
+    """Read what is kept of a replaced generation; STORE_NOT_FOUND if too old."""
+    stored = await store.get(GENERATION_KIND, str(generation))
+    if isinstance(stored, Failure):
+        return stored
+    return _decode(stored.body, GenerationRecord, 'generation record')
+
+
+async def read_chunk(store: ObjectStore, digest: str) -> bytes | Failure:
+    """Read a chunk; CONFIG_INVALID if its content does not match its name."""
+    stored = await store.get(CHUNK_KIND, digest)
+    if isinstance(stored, Failure):
+        return stored
+    if digest_of(stored.body) != digest:
+        return Failure(
+            ErrorKind.CONFIG_INVALID,
+            f'chunk {digest}: the content does not match its digest',
+        )
+    return stored.body
 
 
 async def read_sections(
@@ -60,10 +157,10 @@
     """Read the content of the named sections."""
     sections = {}
     for name, digest in section_digests.items():
-        stored = await store.get(CHUNK_KIND, digest)
-        if isinstance(stored, Failure):
-            return stored
-        sections[name] = stored.body
+        content = await read_chunk(store, digest)
+        if isinstance(content, Failure):
+            return _chunk_failure(content, digest)
+        sections[name] = content
     return sections
 
 
@@ -81,33 +178,313 @@
         author: str,
         wall_s: float,
     ) -> AcceptedRoot | Failure:
-        """Write the sections, then the root, if the base is still accepted."""
-        section_digests = chunks.digests(sections)
-        present = set(base.root.section_digests.values()) if base else set()
-        for name, digest in section_digests.items():
-            if digest in present:
-                continue
-            failure = await self._write_chunk(digest, sections[name])
-            if failure is not None:
-                return failure
-        root = ConfigRoot(
-            generation=base.root.generation + 1 if base else 1,
-            section_digests=section_digests,
+        """Accept a complete set of sections, if the base is still accepted."""
+        present = base.root.section_digests if base else {}
+        wanted = chunks.digests(sections)
+        changed: dict[str, bytes | None] = {
+            name: sections[name]
+            for name, digest in wanted.items()
+            if present.get(name) != digest
+        }
+        changed.update({name: None for name in present if name not in wanted})
+        return await self.submit_changes(base, changed, author, wall_s)
+
+    async def submit_changes(
+        self,
+        base: AcceptedRoot | None,
+        changed: dict[str, bytes | None],
+        author: str,
+        wall_s: float,
+        *,
+        printed_weights: bytes | None = None,
+        submission: str = '',
+    ) -> AcceptedRoot | Failure:
+        """Accept changed sections, if the base is still accepted.
+
+        None as content removes a section. STORE_CONFLICT means that the submission
+        was not and will not be accepted on this base; STORE_OUTCOME_UNKNOWN that it
+        may have been, or may still be.
+        """
+        old_index = base.root.index if base else ConfigIndex(sections={})
+        number = base.root.generation + 1 if base else 1
+        index = _next_index(old_index, changed, number, author, printed_weights)
+        index_body = chunks.encode(index)
+        contents = (*changed.values(), printed_weights, index_body)
+        failure = await self._write_all(contents)
+        if failure is not None:
+            return failure
+        changes = await self._describe(old_index, changed)
+        if isinstance(changes, Failure):
+            return changes
+        oldest = await self._retire(base, wall_s)
+        if isinstance(oldest, Failure):
+            return oldest
+        announced = StoredRoot(
+            generation=number,
+            digest=chunks.digest_sections(
+                {name: entry.digest for name, entry in index.sections.items()}
+            ),
+            index_digest=digest_of(index_body),
+            changes=changes,
+            removed=_removed(changed),
             author=author,
+            submission=submission or new_nonce(),
             wall_s=wall_s,
+            oldest_generation=oldest,
         )
-        body = msgspec.json.encode(root)
+        stored = await self._update_root(base, announced)
+        if isinstance(stored, Failure):
+            return stored
+        return AcceptedRoot(ConfigRoot(announced, index), stored, announced)
+
+    async def _update_root(
+        self,
+        base: AcceptedRoot | None,
+        announced: StoredRoot,
+    ) -> StoredObject | Failure:
+        body = msgspec.json.encode(announced)
         if base is None:
             stored = await self._writer.create(ROOT_KIND, ROOT_NAME, body)
         else:
             stored = await self._writer.update(base.stored, body)
-        if isinstance(stored, Failure):
+        if isinstance(stored, StoredObject):
             return stored
-        return AcceptedRoot(root, stored)
+        if stored.kind is ErrorKind.STORE_CONFLICT:
+            # The answer may have been lost and the root replaced since; the record
+            # of the generation then still names this submission.
+            return await self._find_accepted(announced, body, stored)
+        return stored
+
+    async def _find_accepted(
+        self,
+        announced: StoredRoot,
+        body: bytes,
+        conflict: Failure,
+    ) -> StoredObject | Failure:
+        outcome = await find_outcome(
+            self._store,
+            announced.submission,
+            announced.generation,
+        )
+        if isinstance(outcome, Failure):
+            return Failure(ErrorKind.STORE_OUTCOME_UNKNOWN, outcome.reason)
+        if outcome:
+            return StoredObject(kind=ROOT_KIND, name=ROOT_NAME, body=body)
+        return conflict
+
+    async def _write_all(self, contents: Iterable[bytes | None]) -> Failure | None:
+        for content in contents:
+            if content is None:
+                continue
+            failure = await self._write_chunk(digest_of(content), content)
+            if failure is not None:
+                return failure
+        return None
 
     async def _write_chunk(self, digest: str, content: bytes) -> Failure | None:
-        stored = await self._writer.create(CHUNK_KIND, digest, content)
+        outcome: StoredObject | Failure | None = None
+        for _ in range(_CHUNK_ATTEMPTS):
+            outcome = await self._writer.create(CHUNK_KIND, digest, content)
+            if isinstance(outcome, StoredObject):
+                return None
+            if outcome.kind is not ErrorKind.STORE_CONFLICT:
+                continue
+            # The content is there already. It gets a new version, so that a
+            # collection in progress, which deletes by version, does not remove it.
+            outcome = await self._store.get(CHUNK_KIND, digest)
+            if isinstance(outcome, StoredObject):
+                outcome = await self._writer.update(outcome, content)
+            if isinstance(outcome, StoredObject):
+                return None
+        return _before_acceptance(outcome)
+
+    async def _describe(
+        self,
+        old_index: ConfigIndex,
+        changed: dict[str, bytes | None],
+    ) -> dict[str, SectionChange] | Failure:
+        changes: dict[str, SectionChange] = {}
+        left_bytes = _ROOT_SPLICE_BYTES
+        for name, content in changed.items():
+            if content is None:
+                continue
+            entry = old_index.sections.get(name)
+            before = await read_chunk(self._store, entry.digest) if entry else b''
+            if isinstance(before, Failure):
+                return _chunk_failure(before, name)
+            splice = splices.make(before, content)
+            is_small = len(splice.middle) <= left_bytes
+            if is_small:
+                left_bytes -= len(splice.middle)
+            changes[name] = SectionChange(
+                digest_of(content),
+                splice if is_small else None,
+            )
+        return changes
+
+    async def _retire(
+        self,
+        base: AcceptedRoot | None,
+        wall_s: float,
+    ) -> int | Failure:
+        if base is None:
+            return 1
+        failure = await self._record(base)
+        if failure is not None:
+            return failure
+        return await collect(self._store, base.announced, wall_s)
+
+    async def _record(self, base: AcceptedRoot) -> Failure | None:
+        # Written before the root is replaced, so that each replaced generation has
+        # a record, also when a submitter ends halfway.
+        name = str(base.root.generation)
+        body = msgspec.json.encode(
+            GenerationRecord(
+                index_digest=base.announced.index_digest,
+                author=base.announced.author,
+                submission=base.announced.submission,
+                wall_s=base.announced.wall_s,
+            )
+        )
+        stored = await self._writer.create(GENERATION_KIND, name, body)
         if isinstance(stored, Failure) and stored.kind is not ErrorKind.STORE_CONFLICT:
-            return stored
-        # A conflict means that the same content is there already.
+            return _before_acceptance(stored)
         return None
+
+
+async def find_outcome(
+    store: ObjectStore,
+    submission: str,
+    generation: int,
+) -> bool | Failure:
+    """Tell whether a submission became the generation.
+
+    STORE_OUTCOME_UNKNOWN while the root is below the generation: the write may
+    still take effect.
+    """
+    stored = await store.get(ROOT_KIND, ROOT_NAME)
+    if isinstance(stored, Failure):
+        if stored.kind is not ErrorKind.STORE_NOT_FOUND:
+            return stored
+        return Failure(ErrorKind.STORE_OUTCOME_UNKNOWN, 'nothing is accepted yet')
+    announced = parse_root(stored)
+    if isinstance(announced, Failure):
+        return announced
+    if announced.generation < generation:
+        return Failure(
+            ErrorKind.STORE_OUTCOME_UNKNOWN,
+            f'generation {announced.generation} is accepted; the write of generation '
+            f'{generation} may still take effect',
+        )
+    if announced.generation == generation:
+        return announced.submission == submission
+    record = await read_record(store, generation)
+    if isinstance(record, Failure):
+        return record
+    return record.submission == submission
+
+
+async def collect(store: ObjectStore, announced: StoredRoot, wall_s: float) -> int:
+    """Delete chunks that only expired generations used; return the oldest kept.
+
+    A chunk is deleted only at the version that it had when the generation was
+    replaced: whoever uses the content again writes a new version first.
+    """
+    oldest = announced.oldest_generation
+    for number in range(oldest, oldest + _COLLECTED_PER_SUBMISSION):
+        if number + 1 >= announced.generation:
+            break
+        successor = await read_record(store, number + 1)
+        if isinstance(successor, Failure) or successor.wall_s > wall_s - RETENTION_S:
+            break
+        if not await _collect_one(store, number, successor):
+            break
+        oldest = number + 1
+    return oldest
+
+
+async def _collect_one(
+    store: ObjectStore,
+    number: int,
+    successor: GenerationRecord,
+) -> bool:
+    stored = await store.get(GENERATION_KIND, str(number))
+    if isinstance(stored, Failure):
+        return stored.kind is ErrorKind.STORE_NOT_FOUND
+    record = _decode(stored.body, GenerationRecord, 'generation record')
+    if isinstance(record, Failure):
+        return False
+    old = await read_index(store, record.index_digest)
+    new = await read_index(store, successor.index_digest)
+    if isinstance(new, Failure):
+        return False
+    gone = {record.index_digest}
+    if isinstance(old, ConfigIndex):
+        gone.update(_chunks_of(old))
+    elif old.kind is not ErrorKind.STORE_NOT_FOUND:
+        return False
+    # The index goes last: it names what is still to be deleted.
+    for digest in sorted(gone - _chunks_of(new), key=record.index_digest.__eq__):
+        chunk = await store.get(CHUNK_KIND, digest)
+        if isinstance(chunk, StoredObject) and chunk.version < stored.version:
+            await store.delete(CHUNK_KIND, digest, chunk.version)
+    await store.delete(GENERATION_KIND, str(number), stored.version)
+    return True
+
+
+def _chunks_of(index: ConfigIndex) -> set[str]:
+    digests = {entry.digest for entry in index.sections.values()}
+    digests.add(index.printed_weights)
+    return digests
+
+
+def _next_index(
+    old: ConfigIndex,
+    changed: dict[str, bytes | None],
+    generation: int,
+    author: str,
+    printed_weights: bytes | None,
+) -> ConfigIndex:
+    sections = dict(old.sections)
+    for name, content in changed.items():
+        if content is None:
+            sections.pop(name, None)
+            continue
+        sections[name] = SectionEntry(
+            digest=digest_of(content),
+            generation=generation,
+            author=author,
+        )
+    printed = old.printed_weights
+    if printed_weights is not None:
+        printed = digest_of(printed_weights)
+    return ConfigIndex(sections=sections, printed_weights=printed)
+
+
+def _removed(changed: dict[str, bytes | None]) -> tuple[str, ...]:
+    return tuple(name for name, content in changed.items() if content is None)
+
+
+def _before_acceptance(failure: Failure) -> Failure:
+    # A lost chunk leaves nothing in force, so the outcome as a whole is known.
+    return Failure(
+        ErrorKind.STORE_UNAVAILABLE,
+        f'nothing was accepted: {failure.reason}',
+    )
+
+
+def _chunk_failure(failure: Failure, name: str) -> Failure:
+    if failure.kind is not ErrorKind.STORE_NOT_FOUND:
+        return failure
+    # STORE_NOT_FOUND from here would be taken for "nothing was ever accepted".
+    return Failure(
+        ErrorKind.STORE_UNAVAILABLE,
+        f'chunk {name} is gone: the configuration has moved on; read it again',
+    )
+
+
+def _decode(body: bytes, wanted: type, what: str) -> object:
+    try:
+        return msgspec.json.decode(body, type=wanted)
+    except msgspec.MsgspecError as error:
+        return Failure(ErrorKind.CONFIG_INVALID, f'malformed {what}: {error}')
--- a/cicadadoor/config/chunks.py
+++ b/cicadadoor/config/chunks.py
@@ -1,5 +1,7 @@
 """Split a configuration into sections, and name sections by their digest."""
 
+from collections.abc import Container
+
 import msgspec
 
 from cicadadoor.config import model
@@ -47,9 +49,9 @@
             blocks.extend(part)
         else:
             decoded[name] = part
-    missing = sorted(set(_TYPES) - set(decoded))
-    if missing:
-        return Failure(ErrorKind.CONFIG_INVALID, f'section {missing[0]!r} is missing')
+    missing = missing_section(decoded)
+    if missing is not None:
+        return missing
     return model.Configuration(
         format=model.FORMAT_VERSION,
         topology=decoded['topology'],
@@ -61,6 +63,14 @@
     )
 
 
+def missing_section(names: Container[str]) -> Failure | None:
+    """Return CONFIG_INVALID if a section that must be there is not."""
+    for name in _TYPES:
+        if name not in names:
+            return Failure(ErrorKind.CONFIG_INVALID, f'section {name!r} is missing')
+    return None
+
+
 def decode(name: str, content: bytes) -> object:
     """Decode one section; CONFIG_INVALID if it is malformed or not known."""
     wanted = _TYPES.get(name)
--- /dev/null
+++ b/cicadadoor/config/merge.py
@@ -0,0 +1,112 @@
+"""Merge a submission with what was accepted since its base."""
+
+import msgspec
+
+from cicadadoor.config import chunks, model
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.ids import digest_of
+
+# Keys are granted and withdrawn by commands of their own.
+GRANTED_SECTION = 'keys'
+WEIGHTS_SECTION = 'weights'
+
+
+class SectionEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell the content of a section, and who changed it last."""
+
+    digest: str
+    generation: int
+    author: str
+
+
+def merge_sections(
+    base_digests: dict[str, str],
+    present: dict[str, SectionEntry],
+    wanted: dict[str, bytes],
+) -> dict[str, bytes | None] | Failure:
+    """Return the sections that a submission changes; None stands for removal.
+
+    CONFIG_CONFLICT names the sections that were also changed since the base, and
+    who changed them.
+    """
+    changed: dict[str, bytes | None] = {}
+    conflicts: list[str] = []
+    for name in sorted(set(base_digests) | set(present) | set(wanted)):
+        entry = present.get(name)
+        content = wanted.get(name)
+        digest = None if content is None else digest_of(content)
+        present_digest = entry.digest if entry else None
+        if digest in {present_digest, base_digests.get(name)}:
+            continue
+        if present_digest == base_digests.get(name):
+            changed[name] = content
+        else:
+            conflicts.append(_conflict(name, entry))
+    if conflicts:
+        return Failure(ErrorKind.CONFIG_CONFLICT, '; '.join(conflicts))
+    return changed
+
+
+def merge_weights(
+    base: model.Weights,
+    present: model.Weights,
+    wanted: model.Weights,
+) -> model.Weights | Failure:
+    """Merge the printed weights rule by rule with the weights in force.
+
+    `base` holds the weights as they were last printed and accepted. A rule that the
+    operator did not edit since then keeps what shift steps made of it.
+    """
+    before = _by_place(base)
+    now = _by_place(present)
+    after = _by_place(wanted)
+    rules: list[model.SteeringRule] = []
+    # The present order is kept, so that equal weights have equal content.
+    places = [*now, *sorted(set(after) - set(now))]
+    for place in places:
+        chosen = _choose(before.get(place), now.get(place), after.get(place))
+        if isinstance(chosen, Failure):
+            service, home_region = place
+            return Failure(
+                chosen.kind,
+                f'weights of {service!r} for {home_region!r} were also changed by '
+                'shift steps or by another operator',
+            )
+        if chosen is not None:
+            rules.append(chosen)
+    max_step = _choose(base.max_step, present.max_step, wanted.max_step)
+    if isinstance(max_step, Failure):
+        return Failure(max_step.kind, 'max_step was also changed by somebody else')
+    return model.Weights(
+        rules=tuple(rules),
+        max_step=max_step,
+        shift_steps=present.shift_steps,
+    )
+
+
+def decode_weights(content: bytes) -> model.Weights | Failure:
+    """Decode the section `weights`."""
+    return chunks.decode(WEIGHTS_SECTION, content)
+
+
+def _by_place(
+    weights: model.Weights,
+) -> dict[tuple[str, str], model.SteeringRule]:
+    return {(rule.service, rule.home_region): rule for rule in weights.rules}
+
+
+def _choose(base: object, present: object, wanted: object) -> object:
+    if wanted in (base, present):
+        return present
+    if present == base:
+        return wanted
+    return Failure(ErrorKind.CONFIG_CONFLICT, 'both were changed')
+
+
+def _conflict(name: str, entry: SectionEntry | None) -> str:
+    if entry is None:
+        return f'section {name!r} was removed since the base'
+    return (
+        f'section {name!r} was changed by {entry.author} in generation '
+        f'{entry.generation}'
+    )
--- /dev/null
+++ b/cicadadoor/config/submission.py
@@ -0,0 +1,326 @@
+"""Merge what an operator submits with what others changed, and have it accepted."""
+
+from collections.abc import Awaitable, Callable
+
+from cicadadoor.config import acceptance, checks, chunks, merge, model
+from cicadadoor.config.acceptance import AcceptedRoot, ConfigIndex, Submitter
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.ids import new_nonce
+from cicadadoor.object_store.base import ObjectStore
+from cicadadoor.object_store.writes import ObjectWriter
+
+_MAX_ATTEMPTS = 8
+WITHDRAWAL_KIND = 'withdrawal'
+
+
+class Change:
+    """Hold what a submission changes on one base."""
+
+    __slots__ = ('printed_weights', 'sections')
+
+    def __init__(
+        self,
+        sections: dict[str, bytes | None],
+        printed_weights: bytes | None = None,
+    ) -> None:
+        self.sections = sections
+        self.printed_weights = printed_weights
+
+
+class Accepted:
+    """Hold the outcome of a submission; `is_new` is False if nothing changed."""
+
+    __slots__ = ('accepted', 'is_new')
+
+    def __init__(self, accepted: AcceptedRoot, *, is_new: bool) -> None:
+        self.accepted = accepted
+        self.is_new = is_new
+
+
+Prepare = Callable[[AcceptedRoot | None], Awaitable[Change | Failure]]
+
+
+class Submission:
+    """Submit one change, and merge it again when somebody else was first."""
+
+    def __init__(self, store: ObjectStore, author: str, wall_s: float) -> None:
+        self.name = new_nonce()
+        # The generation that the last write would have made.
+        self.generation = 0
+        self._store = store
+        self._author = author
+        self._wall_s = wall_s
+        self._submitter = Submitter(store, ObjectWriter(store, self.name))
+
+    async def submit(
+        self,
+        wanted: dict[str, bytes],
+        base_generation: int,
+    ) -> Accepted | Failure:
+        """Accept printed sections that were reviewed against the base.
+
+        CONFIG_CONFLICT tells which sections somebody else changed too.
+        """
+
+        async def prepare(present: AcceptedRoot | None) -> Change | Failure:
+            return await merge_printed(self._store, present, base_generation, wanted)
+
+        return await self._run(prepare)
+
+    async def grant(self, record: model.KeyRecord) -> Accepted | Failure:
+        """Add a key; CONFIG_CONFLICT if it was ever withdrawn."""
+
+        async def prepare(present: AcceptedRoot | None) -> Change | Failure:
+            return await self._prepare_grant(present, record)
+
+        return await self._run(prepare)
+
+    async def remove_key(self, key_hash: str) -> Accepted | Failure:
+        """Remove a withdrawn key from the configuration."""
+
+        async def prepare(present: AcceptedRoot | None) -> Change | Failure:
+            records = await read_keys(self._store, present)
+            if isinstance(records, Failure):
+                return records
+            return _keys_change(
+                record for record in records if record.key_hash != key_hash
+            )
+
+        return await self._run(prepare)
+
+    async def _run(self, prepare: Prepare) -> Accepted | Failure:
+        outcome: AcceptedRoot | Failure | None = None
+        for _ in range(_MAX_ATTEMPTS):
+            present = await read_present(self._store)
+            if isinstance(present, Failure):
+                return present
+            change = await prepare(present)
+            if isinstance(change, Failure):
+                return change
+            if present is not None and _changes_nothing(present, change):
+                return Accepted(present, is_new=False)
+            self.generation = present.root.generation + 1 if present else 1
+            outcome = await self._submitter.submit_changes(
+                present,
+                change.sections,
+                self._author,
+                self._wall_s,
+                printed_weights=change.printed_weights,
+                submission=self.name,
+            )
+            if isinstance(outcome, AcceptedRoot):
+                return Accepted(outcome, is_new=True)
+            if outcome.kind is not ErrorKind.STORE_CONFLICT:
+                return outcome
+        return outcome
+
+    async def _prepare_grant(
+        self,
+        present: AcceptedRoot | None,
+        record: model.KeyRecord,
+    ) -> Change | Failure:
+        refused = await self._refuse_withdrawn(record.key_hash)
+        if refused is not None:
+            return refused
+        records = await read_keys(self._store, present)
+        if isinstance(records, Failure):
+            return records
+        limits = await read_part(self._store, present, 'organisations')
+        if isinstance(limits, Failure):
+            return limits
+        names = sorted(entry.name for entry in limits.organisations)
+        if record.organisation not in names:
+            return Failure(
+                ErrorKind.CONFIG_INVALID,
+                f'organisation {record.organisation!r} does not exist; '
+                f'known: {", ".join(names)}',
+            )
+        for known in records:
+            if known.key_hash == record.key_hash and known != record:
+                return Failure(
+                    ErrorKind.CONFIG_CONFLICT,
+                    f'the key belongs to organisation {known.organisation!r}',
+                )
+        return _keys_change({*records, record})
+
+    async def _refuse_withdrawn(self, key_hash: str) -> Failure | None:
+        found = await self._store.get(WITHDRAWAL_KIND, key_hash)
+        if not isinstance(found, Failure):
+            return Failure(
+                ErrorKind.CONFIG_CONFLICT,
+                f'key {key_hash[:8]} was withdrawn and is never granted again; '
+                'grant a new key',
+            )
+        return None if found.kind is ErrorKind.STORE_NOT_FOUND else found
+
+
+async def read_present(store: ObjectStore) -> AcceptedRoot | Failure | None:
+    """Return the accepted root, or None before the first submission."""
+    found = await acceptance.read_root(store)
+    if isinstance(found, Failure) and found.kind is ErrorKind.STORE_NOT_FOUND:
+        return None
+    return found
+
+
+async def merge_printed(
+    store: ObjectStore,
+    present: AcceptedRoot | None,
+    base_generation: int,
+    wanted: dict[str, bytes],
+) -> Change | Failure:
+    """Return what printed sections change, merged with changes since the base."""
+    printed = wanted[merge.WEIGHTS_SECTION]
+    if present is None:
+        if base_generation:
+            return Failure(
+                ErrorKind.CONFIG_CONFLICT,
+                f'nothing is accepted yet, so base {base_generation} does not exist',
+            )
+        return Change(dict(wanted), printed)
+    base = await _base_index(store, present, base_generation)
+    if isinstance(base, Failure):
+        return base
+    weights = await _merge_weights(store, base, present, printed)
+    if isinstance(weights, Failure):
+        return weights
+    entries = dict(present.root.index.sections)
+    base_digests = {name: entry.digest for name, entry in base.sections.items()}
+    wanted = dict(wanted)
+    for name in (merge.GRANTED_SECTION, merge.WEIGHTS_SECTION):
+        wanted.pop(name)
+        base_digests.pop(name, None)
+    others = {name: entry for name, entry in entries.items() if name not in _APART}
+    changed = merge.merge_sections(base_digests, others, wanted)
+    if isinstance(changed, Failure):
+        return changed
+    changed[merge.WEIGHTS_SECTION] = weights
+    fault = await _find_fault(store, present, wanted, changed)
+    return fault or Change(changed, printed)
+
+
+_APART = frozenset((merge.GRANTED_SECTION, merge.WEIGHTS_SECTION))
+
+
+async def read_keys(
+    store: ObjectStore,
+    present: AcceptedRoot | None,
+) -> tuple[model.KeyRecord, ...] | Failure:
+    """Read the granted keys."""
+    return await read_part(store, present, merge.GRANTED_SECTION)
+
+
+async def read_part(
+    store: ObjectStore,
+    present: AcceptedRoot | None,
+    name: str,
+) -> object:
+    """Read and decode one section of what is accepted."""
+    if present is None:
+        return Failure(
+            ErrorKind.CONFIG_INVALID,
+            'no configuration is accepted; submit one first',
+        )
+    digest = present.root.section_digests[name]
+    found = await acceptance.read_sections(store, {name: digest})
+    if isinstance(found, Failure):
+        return found
+    return chunks.decode(name, found[name])
+
+
+async def _base_index(
+    store: ObjectStore,
+    present: AcceptedRoot,
+    base_generation: int,
+) -> ConfigIndex | Failure:
+    number = present.root.generation
+    if base_generation == number:
+        return present.root.index
+    if 0 < base_generation < number:
+        record = await acceptance.read_record(store, base_generation)
+        if isinstance(record, Failure):
+            if record.kind is not ErrorKind.STORE_NOT_FOUND:
+                return record
+        else:
+            return await acceptance.read_index(store, record.index_digest)
+    return Failure(
+        ErrorKind.CONFIG_CONFLICT,
+        f'generation {number} by {present.root.author} is accepted, and base '
+        f'{base_generation} is not kept',
+    )
+
+
+async def _merge_weights(
+    store: ObjectStore,
+    base: ConfigIndex,
+    present: AcceptedRoot,
+    printed: bytes,
+) -> bytes | Failure:
+    # A base that was written section by section has no printed weights.
+    digest = base.printed_weights or base.sections[merge.WEIGHTS_SECTION].digest
+    found = await acceptance.read_sections(
+        store,
+        {
+            'base': digest,
+            'present': present.root.section_digests[merge.WEIGHTS_SECTION],
+        },
+    )
+    if isinstance(found, Failure):
+        return found
+    decoded = []
+    for content in (found['base'], found['present'], printed):
+        weights = merge.decode_weights(content)
+        if isinstance(weights, Failure):
+            return weights
+        decoded.append(weights)
+    merged = merge.merge_weights(*decoded)
+    return merged if isinstance(merged, Failure) else chunks.encode(merged)
+
+
+async def _find_fault(
+    store: ObjectStore,
+    present: AcceptedRoot,
+    wanted: dict[str, bytes],
+    changed: dict[str, bytes | None],
+) -> Failure | None:
+    # Sections that are sound one by one may not fit each other after a merge.
+    merged = {name: part for name, part in changed.items() if part is not None}
+    missing: dict[str, str] = {}
+    for name, digest in present.root.section_digests.items():
+        if name in changed:
+            continue
+        if name in wanted and chunks.digests({name: wanted[name]})[name] == digest:
+            merged[name] = wanted[name]
+        else:
+            missing[name] = digest
+    found = await acceptance.read_sections(store, missing)
+    if isinstance(found, Failure):
+        return found
+    configuration = chunks.join(merged | found)
+    if isinstance(configuration, Failure):
+        return configuration
+    faults = checks.find_faults(configuration)
+    if faults:
+        return Failure(ErrorKind.CONFIG_INVALID, '; '.join(faults))
+    return None
+
+
+def _changes_nothing(present: AcceptedRoot, change: Change) -> bool:
+    digests = present.root.section_digests
+    for name, content in change.sections.items():
+        if content is None:
+            return False
+        if chunks.digests({name: content})[name] != digests.get(name):
+            return False
+    if change.printed_weights is None:
+        return True
+    printed = chunks.digests({'': change.printed_weights})['']
+    return printed == present.root.index.printed_weights
+
+
+def _keys_change(records: object) -> Change:
+    ordered = sorted(records, key=_key_hash)
+    return Change({merge.GRANTED_SECTION: chunks.encode(tuple(ordered))})
+
+
+def _key_hash(record: model.KeyRecord) -> str:
+    return record.key_hash
--- a/cicadadoor/config/view.py
+++ b/cicadadoor/config/view.py
@@ -4,6 +4,7 @@
 import ipaddress
 from array import array
 from bisect import bisect_right
+from collections.abc import Mapping
 
 from cicadadoor.config import chunks, model
 from cicadadoor.errors import ErrorKind, Failure
@@ -50,6 +51,19 @@
         self.ipv4 = BlockIndex('I')
         self.ipv6 = BlockIndex('Q')
 
+    def renumbered(self, numbers: list[int | None]) -> 'BlockSection | None':
+        """Return the section with other region numbers, None if one is gone."""
+        translated = BlockSection()
+        for old, new in ((self.ipv4, translated.ipv4), (self.ipv6, translated.ipv6)):
+            new.starts = old.starts
+            new.ends = old.ends
+            for number in old.region_numbers:
+                wanted = numbers[number]
+                if wanted is None:
+                    return None
+                new.region_numbers.append(wanted)
+        return translated
+
 
 class ClientBlocks:
     """Find the home region and hash point of a client address."""
@@ -181,14 +195,39 @@
         self,
         generation: int,
         section_digests: dict[str, str],
-        contents: dict[str, bytes],
+        contents: Mapping[str, bytes],
+    ) -> ConfigView | Failure:
+        """Build a view; `contents` has to hold each section that changed.
+
+        After a failure the cache is as it was before.
+        """
+        trial = SectionCache()
+        trial._decoded = dict(self._decoded)
+        trial._blocks = dict(self._blocks)
+        trial._digests = dict(self._digests)
+        trial._block_regions = self._block_regions
+        view = trial._update(generation, section_digests, contents)
+        if isinstance(view, ConfigView):
+            self._decoded = trial._decoded
+            self._blocks = trial._blocks
+            self._digests = trial._digests
+            self._block_regions = trial._block_regions
+        return view
+
+    def _update(
+        self,
+        generation: int,
+        section_digests: dict[str, str],
+        contents: Mapping[str, bytes],
     ) -> ConfigView | Failure:
-        """Build a view; `contents` has to hold each section that changed."""
+        missing = chunks.missing_section(section_digests)
+        if missing is not None:
+            return missing
         for name, digest in section_digests.items():
             if name.startswith(chunks.BLOCK_SECTION_PREFIX):
                 continue
             if self._digests.get(name) != digest:
-                part = chunks.decode(name, contents[name])
+                part = _decode_part(name, contents)
                 if isinstance(part, Failure):
                     return part
                 self._decoded[name] = part
@@ -210,11 +249,11 @@
         self,
         regions: list[str],
         section_digests: dict[str, str],
-        contents: dict[str, bytes],
+        contents: Mapping[str, bytes],
     ) -> Failure | None:
-        if regions != self._block_regions:
-            self._blocks.clear()
-            self._block_regions = regions
+        failure = self._renumber(regions, section_digests)
+        if failure is not None:
+            return failure
         for gone in set(self._blocks) - set(section_digests):
             self._blocks.pop(gone)
         for name, digest in section_digests.items():
@@ -222,7 +261,7 @@
                 continue
             if name in self._blocks and self._digests.get(name) == digest:
                 continue
-            part = chunks.decode(name, contents[name])
+            part = _decode_part(name, contents)
             if isinstance(part, Failure):
                 return part
             section = index_blocks(part, regions)
@@ -232,6 +271,41 @@
             self._digests[name] = digest
         return None
 
+    def _renumber(
+        self,
+        regions: list[str],
+        section_digests: dict[str, str],
+    ) -> Failure | None:
+        # The contents of unchanged sections are not kept, so their region numbers
+        # are translated when the list of regions changes.
+        if regions == self._block_regions:
+            return None
+        numbers = {name: number for number, name in enumerate(regions)}
+        translated = [numbers.get(name) for name in self._block_regions]
+        kept: dict[str, BlockSection] = {}
+        for name, section in self._blocks.items():
+            if section_digests.get(name) != self._digests.get(name):
+                continue
+            renumbered = section.renumbered(translated)
+            if renumbered is None:
+                return Failure(
+                    ErrorKind.CONFIG_INVALID,
+                    f'section {name!r} has blocks of a region that is gone',
+                )
+            kept[name] = renumbered
+        self._blocks = kept
+        self._block_regions = regions
+        return None
+
+
+def _decode_part(name: str, contents: Mapping[str, bytes]) -> object:
+    if name not in contents:
+        return Failure(
+            ErrorKind.CONFIG_INVALID,
+            f'section {name!r}: the content is missing',
+        )
+    return chunks.decode(name, contents[name])
+
 
 def index_blocks(
     blocks: tuple[model.ClientBlock, ...],
--- a/cicadadoor/gate/config_receiver.py
+++ b/cicadadoor/gate/config_receiver.py
@@ -1,10 +1,12 @@
 """Put configuration that the agent sends in force, and report what is in use."""
 
 from cicadadoor.config.view import SectionCache
+from cicadadoor.decisions.withdrawn_keys import fingerprint, is_key_hash
 from cicadadoor.errors import Failure
 from cicadadoor.gate.state import GateState
 from cicadadoor.kernel import Kernel, Service
-from cicadadoor.links.config_parts import Assembler, Generation
+from cicadadoor.links.config_messages import WithdrawalUpdate
+from cicadadoor.links.config_parts import Assembler
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.messages import ConfigUpdate, GateReport
 from cicadadoor.telemetry import logs
@@ -13,6 +15,7 @@
 log = logs.logger('config')
 
 _REPORT_PERIOD_S = 0.5
+_MAX_KEPT = 10_000
 
 
 class ConfigReceiver(Service):
@@ -23,20 +26,46 @@
     def __init__(self) -> None:
         self._state: GateState
         self._link: DaemonLink
-        self._generation: Generation | None = None
+        self._section_digests: dict[str, str] = {}
         self._assembler = Assembler()
         self._sections = SectionCache()
+        self._told_keys: set[str] = set()
+        self._digested_count = -1
+        self._digest = ''
 
     async def start(self, kernel: Kernel) -> None:
         """Subscribe to configuration updates and report periodically."""
         self._state = kernel.find('state')
         self._link = kernel.find('daemon_link')
+        self._link.on(WithdrawalUpdate, self._withdraw)
         self._link.on(ConfigUpdate, self._apply)
         timer: TimerService = kernel.find('timer')
         timer.subscribe('gate_report', _REPORT_PERIOD_S, self._report)
 
+    async def _withdraw(self, update: WithdrawalUpdate) -> None:
+        state = self._state
+        state.withdrawn_keys.update(filter(is_key_hash, update.key_hashes))
+        self._told_keys.update(update.key_hashes)
+        if not update.is_complete:
+            return
+        kept = sorted(state.withdrawn_keys - self._told_keys)
+        self._told_keys = set()
+        if kept:
+            # The agent has restarted and lost them.
+            await self._link.send(WithdrawalUpdate(key_hashes=kept[:_MAX_KEPT]))
+        if not state.knows_withdrawals:
+            state.knows_withdrawals = True
+            log.info('withdrawals_known', count=len(state.withdrawn_keys))
+
     async def _apply(self, update: ConfigUpdate) -> None:
-        complete = self._assembler.add(update, self._generation)
+        if not self._state.knows_withdrawals:
+            log.info('config_update_early', generation=update.generation)
+            return
+        complete = self._assembler.add(
+            update,
+            self._state.view.generation if self._state.view else 0,
+            self._section_digests,
+        )
         if complete is None:
             return
         if isinstance(complete, Failure):
@@ -51,7 +80,7 @@
             log.warning('config_update_malformed', reason=view.reason)
             return
         if self._state.adopt(view):
-            self._generation = complete
+            self._section_digests = complete.section_digests
             await self._report()
 
     async def _report(self) -> None:
@@ -62,5 +91,16 @@
             digest=view.digest if view else '',
             in_flight=self._state.in_flight,
             counters=self._state.counters,
+            withdrawals=self._withdrawals_digest(),
         )
         await self._link.send(report)
+
+    def _withdrawals_digest(self) -> str:
+        if not self._state.knows_withdrawals:
+            return ''
+        keys = self._state.withdrawn_keys
+        if len(keys) != self._digested_count:
+            # The set only grows, so its size tells whether it changed.
+            self._digested_count = len(keys)
+            self._digest = fingerprint(keys)
+        return self._digest
--- a/cicadadoor/gate/keys.py
+++ b/cicadadoor/gate/keys.py
@@ -1,12 +1,18 @@
 """Find the organisation of a caller's key, and remove the key from the request."""
 
+from collections.abc import AsyncIterator
 from urllib.parse import parse_qsl, urlencode
 
 from cicadadoor.config.model import Organisation
+from cicadadoor.decisions.isolation import isolated_at_gate_s, may_serve
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
 from cicadadoor.gate.state import GateState
 from cicadadoor.ids import digest_of
 from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.config_messages import IsolationUpdate
+from cicadadoor.links.daemon_link import DaemonLink
+from cicadadoor.timer import TimerService
 
 KEY_HEADERS = frozenset(('authorization', 'proxy-authorization', 'x-api-key'))
 _KEY_PARAMETER = 'api_key'
@@ -24,6 +30,10 @@
         self.query = query
 
 
+class KeyWithdrawnError(Exception):
+    """End a streamed answer without its last part."""
+
+
 class KeyCheck(Service):
     """Check the key of every request against the configuration in force."""
 
@@ -31,10 +41,45 @@
 
     def __init__(self) -> None:
         self._state: GateState
+        self._timer: TimerService
+        self._isolated_for_s = 0.0
+        self._told_s: float | None = None
 
     async def start(self, kernel: Kernel) -> None:
-        """Find the state."""
+        """Find the state, and hear of isolation."""
         self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        link: DaemonLink = kernel.find('daemon_link')
+        link.on(IsolationUpdate, self._take_isolation)
+
+    async def _take_isolation(self, update: IsolationUpdate) -> None:
+        self._isolated_for_s = update.isolated_for_s
+        self._told_s = self._timer.now_s()
+
+    def is_withdrawn(self, key_hash: str) -> bool:
+        """Tell whether a key was withdrawn, also after its request began."""
+        return key_hash in self._state.withdrawn_keys
+
+    def guard(self, request: SteeredRequest, answer: SteeredAnswer | Failure) -> None:
+        """Cut a streamed answer before its next part once the key is withdrawn.
+
+        The answer to a non-idempotent request goes on: the caller could not tell
+        whether it ran.
+        """
+        if isinstance(answer, Failure) or answer.stream is None:
+            return
+        if request.key_hash and request.is_idempotent:
+            answer.stream = self._until_withdrawn(request.key_hash, answer.stream)
+
+    async def _until_withdrawn(
+        self,
+        key_hash: str,
+        stream: AsyncIterator[bytes],
+    ) -> AsyncIterator[bytes]:
+        async for part in stream:
+            if self.is_withdrawn(key_hash):
+                raise KeyWithdrawnError
+            yield part
 
     def authenticate(self, key_hash: str) -> Organisation | Failure:
         """Return the organisation that the key belongs to."""
@@ -49,6 +94,17 @@
         organisation = view.organisations.get(owner)
         if organisation is None:
             return Failure(ErrorKind.KEY_UNKNOWN, 'the key is not known')
+        isolated_s = isolated_at_gate_s(
+            self._timer.now_s(),
+            self._told_s,
+            self._isolated_for_s,
+        )
+        if not may_serve(organisation, isolated_s):
+            return Failure(
+                ErrorKind.KEY_UNVERIFIABLE,
+                f'this domain is cut off for {isolated_s:.0f} s and can not learn of '
+                'withdrawn keys',
+            )
         return organisation
 
 
--- a/cicadadoor/gate/pipeline.py
+++ b/cicadadoor/gate/pipeline.py
@@ -207,7 +207,13 @@
         target = await self._queue.acquire(request, is_local_only=is_local_only)
         if isinstance(target, Failure):
             return target
+        if self._keys.is_withdrawn(request.key_hash):
+            # The key was withdrawn while the request waited in the queue.
+            withdrawn = Failure(ErrorKind.KEY_WITHDRAWN, 'the key was withdrawn')
+            self._queue.release(target, withdrawn, 0)
+            return withdrawn
         answer = await self._forward(request, target)
+        self._keys.guard(request, answer)
         region = target.gate.region if target.gate else self._state.settings.region
         self._state.count_steered(request.organisation_name, region)
         return answer
--- a/cicadadoor/gate/state.py
+++ b/cicadadoor/gate/state.py
@@ -20,6 +20,8 @@
         self.instance = new_instance_id()
         self.view: ConfigView | None = None
         self.withdrawn_keys: set[str] = set()
+        # The first whole set of withdrawn keys has to come before a configuration.
+        self.knows_withdrawals = False
         self.is_stopping = False
         self.in_flight = 0
         self.counters = LoadCounters(by_region={}, by_link={}, by_organisation={})
--- a/cicadadoor/links/config_parts.py
+++ b/cicadadoor/links/config_parts.py
@@ -1,35 +1,82 @@
 """Split a configuration delta into messages, and put it together again."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
+from cicadadoor.config import splices
 from cicadadoor.config.chunks import digest_sections
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.ids import digest_of
+from cicadadoor.links.config_messages import ConfigDelta
 from cicadadoor.links.messages import ConfigUpdate, Section
+from cicadadoor.links.packing import PackedContents, unpack
 
 # Leaves room for section names and digests below MAX_MESSAGE_BYTES.
-_PART_BYTES = 1_000_000
+PART_BYTES = 1_000_000
 
 
 class Generation:
     """Hold one accepted generation with the content of its sections."""
 
-    __slots__ = ('contents', 'number', 'section_digests')
+    __slots__ = ('contents', 'digest', 'number', 'section_digests')
 
     def __init__(
         self,
         number: int,
         section_digests: dict[str, str],
-        contents: dict[str, bytes],
+        contents: Mapping[str, bytes],
     ) -> None:
         self.number = number
         self.section_digests = section_digests
-        self.contents = contents
+        self.contents = PackedContents.of(contents)
+        self.digest = digest_sections(section_digests)
 
-    @property
-    def digest(self) -> str:
-        """Return the digest of the whole configuration."""
-        return digest_sections(self.section_digests)
+
+def apply_delta(present: Generation, delta: ConfigDelta) -> Generation | Failure:
+    """Return the next generation; the present one is left as it is.
+
+    CONFIG_CONFLICT if the delta is not for the next generation, MESSAGE_INVALID if
+    its result does not have its digests.
+    """
+    if delta.generation != present.number + 1:
+        return Failure(
+            ErrorKind.CONFIG_CONFLICT,
+            f'generation {delta.generation} does not follow {present.number}',
+        )
+    digests = dict(present.section_digests)
+    for name in delta.removed:
+        digests.pop(name, None)
+    changed: dict[str, bytes] = {}
+    for name, change in delta.changes.items():
+        before = present.contents[name] if name in present.section_digests else b''
+        content = _splice(name, before, change.digest, change.splice)
+        if isinstance(content, Failure):
+            return content
+        digests[name] = change.digest
+        changed[name] = content
+    if digest_sections(digests) != delta.digest:
+        return Failure(
+            ErrorKind.MESSAGE_INVALID,
+            f'generation {delta.generation}: the result has another digest',
+        )
+    contents = present.contents.replaced(digests, changed)
+    return Generation(delta.generation, digests, contents)
+
+
+def _splice(
+    name: str,
+    before: bytes,
+    digest: str,
+    splice: splices.Splice | None,
+) -> bytes | Failure:
+    if splice is None:
+        return Failure(ErrorKind.MESSAGE_INVALID, f'section {name!r} has no splice')
+    content = splices.apply(before, splice)
+    if not isinstance(content, Failure) and digest_of(content) != digest:
+        return Failure(
+            ErrorKind.MESSAGE_INVALID,
+            f'section {name!r}: the content does not match its digest',
+        )
+    return content
 
 
 def parts_of(
@@ -38,40 +85,50 @@
     base_generation: int,
 ) -> Iterator[ConfigUpdate]:
     """Yield the messages that bring a receiver to the generation."""
-    wanted = [
-        name
+    wanted = {
+        name: digest
         for name, digest in generation.section_digests.items()
         if have_digests.get(name) != digest
-    ]
-    sections: dict[str, Section] = {}
-    size_bytes = 0
-    for name in wanted:
-        content = generation.contents[name]
-        if sections and size_bytes + len(content) > _PART_BYTES:
-            yield _part(generation, base_generation, sections)
-            sections = {}
-            size_bytes = 0
-        sections[name] = Section(generation.section_digests[name], content)
-        size_bytes += len(content)
-    yield _part(generation, base_generation, sections)
+    }
+    while True:
+        sections = sections_part(generation, wanted)
+        for name in sections:
+            wanted.pop(name)
+        yield ConfigUpdate(
+            generation=generation.number,
+            base_generation=base_generation,
+            digest=generation.digest,
+            section_digests=generation.section_digests,
+            sections=sections,
+        )
+        if not wanted:
+            return
 
 
-def _part(
+def sections_part(
     generation: Generation,
-    base_generation: int,
-    sections: dict[str, Section],
-) -> ConfigUpdate:
-    return ConfigUpdate(
-        generation=generation.number,
-        base_generation=base_generation,
-        digest=generation.digest,
-        section_digests=generation.section_digests,
-        sections=sections,
-    )
+    wanted: dict[str, str],
+) -> dict[str, Section]:
+    """Return as many of the wanted sections as fit into one message."""
+    sections: dict[str, Section] = {}
+    size_bytes = 0
+    for name, digest in wanted.items():
+        if generation.section_digests.get(name) != digest:
+            continue
+        content = generation.contents.packed(name)
+        if sections and size_bytes + len(content) > PART_BYTES:
+            break
+        sections[name] = Section(digest, content)
+        size_bytes += len(content)
+    return sections
 
 
 class Assembler:
-    """Collect the parts of the newest generation seen."""
+    """Collect the parts of the newest generation seen.
+
+    The contents of sections that did not change are not needed, so a receiver does
+    not have to keep them.
+    """
 
     def __init__(self) -> None:
         self._target: ConfigUpdate | None = None
@@ -80,18 +137,37 @@
     def add(
         self,
         update: ConfigUpdate,
-        present: Generation | None,
+        present_generation: int,
+        present_digests: dict[str, str],
     ) -> Generation | Failure | None:
-        """Return the generation once it is complete, None until then.
+        """Return the generation with its new contents once complete, else None.
 
         A lower generation than the present one, or one whose content does not
         match its digests, is a failure.
         """
-        present_number = present.number if present else 0
-        if update.generation <= present_number:
+        failure = self._check(update, present_generation)
+        if failure is None:
+            failure = self._take(update)
+        if failure is not None:
+            return failure
+        for name, digest in update.section_digests.items():
+            is_kept = present_digests.get(name) == digest
+            if name not in self._received and not is_kept:
+                return None
+        contents = PackedContents(self._received)
+        self._target = None
+        self._received = {}
+        return Generation(update.generation, update.section_digests, contents)
+
+    def _check(
+        self,
+        update: ConfigUpdate,
+        present_generation: int,
+    ) -> Failure | None:
+        if update.generation <= present_generation:
             return Failure(
                 ErrorKind.CONFIG_CONFLICT,
-                f'generation {update.generation} is not above {present_number}',
+                f'generation {update.generation} is not above {present_generation}',
             )
         if digest_sections(update.section_digests) != update.digest:
             return Failure(
@@ -106,39 +182,29 @@
                 ErrorKind.MESSAGE_INVALID,
                 f'generation {update.generation} differs from the one in progress',
             )
-        failure = self._take(update)
-        if failure is not None:
-            return failure
-        return self._complete(present)
+        return None
 
     def _take(self, update: ConfigUpdate) -> Failure | None:
         for name, section in update.sections.items():
             wanted = update.section_digests.get(name)
-            if wanted != section.digest or digest_of(section.content) != wanted:
-                return Failure(
+            content = check_section(name, section)
+            if wanted != section.digest:
+                content = Failure(
                     ErrorKind.MESSAGE_INVALID,
-                    f'section {name!r}: the content does not match its digest',
+                    f'section {name!r} is not part of the generation',
                 )
+            if isinstance(content, Failure):
+                return content
             self._received[name] = section.content
         return None
 
-    def _complete(self, present: Generation | None) -> Generation | None:
-        if self._target is None:
-            return None
-        contents: dict[str, bytes] = {}
-        for name, digest in self._target.section_digests.items():
-            content = self._received.get(name)
-            if content is None and present is not None:
-                if present.section_digests.get(name) == digest:
-                    content = present.contents[name]
-            if content is None:
-                return None
-            contents[name] = content
-        complete = Generation(
-            self._target.generation,
-            self._target.section_digests,
-            contents,
+
+def check_section(name: str, section: Section) -> bytes | Failure:
+    """Return the content; MESSAGE_INVALID if it does not match its digest."""
+    content = unpack(section.content)
+    if not isinstance(content, Failure) and digest_of(content) != section.digest:
+        return Failure(
+            ErrorKind.MESSAGE_INVALID,
+            f'section {name!r}: the content does not match its digest',
         )
-        self._target = None
-        self._received = {}
-        return complete
+    return content
--- /dev/null
+++ b/cicadadoor/links/fan_out.py
@@ -0,0 +1,42 @@
+"""Bring a message to many hosts through a tree with few neighbours each."""
+
+from collections.abc import Callable
+
+from cicadadoor.kernel import Kernel
+from cicadadoor.links.messages import Ack, Message
+from cicadadoor.links.peer_hub import PeerHub
+
+FAN_OUT = 4
+_PUSH_TIMEOUT_S = 0.8
+
+Build = Callable[[list[str]], Message]
+
+
+def split(addresses: list[str]) -> list[list[str]]:
+    """Divide addresses into at most FAN_OUT groups of nearly equal size."""
+    return [group for start in range(FAN_OUT) if (group := addresses[start::FAN_OUT])]
+
+
+class FanOut:
+    """Send to the first host of each group, which passes on to the rest.
+
+    A message names the hosts it is still to reach, so the tree does not depend on
+    what each host believes about the membership.
+    """
+
+    def __init__(self, kernel: Kernel, peers: PeerHub) -> None:
+        self._kernel = kernel
+        self._peers = peers
+
+    def send(self, addresses: list[str], build: Build) -> None:
+        """Send in the background; `build` is given the hosts to pass on to."""
+        for group in split(addresses):
+            self._kernel.spawn(self._send_group, group, build)
+
+    async def _send_group(self, group: list[str], build: Build) -> None:
+        for position, address in enumerate(group):
+            rest = group[position + 1 :]
+            answer = await self._peers.ask(address, build(rest), _PUSH_TIMEOUT_S)
+            if isinstance(answer, Ack):
+                return
+            # A host that does not answer must not keep the message from the rest.
--- a/cicadadoor/links/messages.py
+++ b/cicadadoor/links/messages.py
@@ -27,7 +27,7 @@
 
 
 class Section(msgspec.Struct, frozen=True):
-    """Hold one section of the configuration."""
+    """Hold one section of the configuration, compressed."""
 
     digest: str
     content: bytes
@@ -73,18 +73,6 @@
     gates: list[GateInfo]
 
 
-class Heartbeat(Message, frozen=True, kw_only=True, tag=True):
-    """Tell a peer agent that this host is alive, and what it has in use."""
-
-    host: str
-    peer_address: str
-    failure_domain: str
-    region: str
-    generation: int
-    digest: str
-    gate: GateInfo | None = None
-
-
 class GateReport(Message, frozen=True, kw_only=True, tag=True):
     """Report what a gate has in use."""
 
@@ -93,6 +81,8 @@
     digest: str
     in_flight: int
     counters: LoadCounters
+    # Digest of the withdrawn keys that the gate refuses.
+    withdrawals: str = ''
 
 
 def encode(message: Message) -> bytes:
--- /dev/null
+++ b/cicadadoor/links/packing.py
@@ -0,0 +1,75 @@
+"""Compress section contents for transfer and for keeping."""
+
+import zlib
+from collections.abc import Iterator, Mapping
+
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.object_store.base import MAX_OBJECT_BYTES
+
+# Higher levels take several times as long for a few percent.
+_LEVEL = 3
+
+
+def pack(content: bytes) -> bytes:
+    """Compress the content of a section."""
+    return zlib.compress(content, _LEVEL)
+
+
+def unpack(packed: bytes) -> bytes | Failure:
+    """Return the content; MESSAGE_INVALID if malformed or larger than a section."""
+    stream = zlib.decompressobj()
+    try:
+        content = stream.decompress(packed, MAX_OBJECT_BYTES + 1)
+    except zlib.error as error:
+        return Failure(ErrorKind.MESSAGE_INVALID, f'malformed section: {error}')
+    if len(content) > MAX_OBJECT_BYTES or not stream.eof:
+        return Failure(ErrorKind.MESSAGE_INVALID, 'a section is cut off or too large')
+    return content
+
+
+class PackedContents(Mapping[str, bytes]):
+    """Hold the contents of sections compressed, and read them as they were."""
+
+    __slots__ = ('_packed',)
+
+    def __init__(self, packed: dict[str, bytes]) -> None:
+        self._packed = packed
+
+    @classmethod
+    def of(cls, contents: Mapping[str, bytes]) -> 'PackedContents':
+        """Compress contents that are not yet."""
+        if isinstance(contents, PackedContents):
+            return contents
+        return cls({name: pack(content) for name, content in contents.items()})
+
+    def __getitem__(self, name: str) -> bytes:
+        content = unpack(self._packed[name])
+        if isinstance(content, Failure):
+            raise KeyError(name)
+        return content
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._packed)
+
+    def __len__(self) -> int:
+        return len(self._packed)
+
+    def packed(self, name: str) -> bytes:
+        """Return the compressed content."""
+        return self._packed[name]
+
+    def all_packed(self) -> dict[str, bytes]:
+        """Return all compressed contents."""
+        return dict(self._packed)
+
+    def replaced(
+        self,
+        names: Mapping[str, str],
+        changed: Mapping[str, bytes],
+    ) -> 'PackedContents':
+        """Return the contents of the named sections, with changed ones replaced."""
+        packed = {name: pack(content) for name, content in changed.items()}
+        for name in names:
+            if name not in packed:
+                packed[name] = self._packed[name]
+        return PackedContents(packed)
--- /dev/null
+++ b/tests/test_submission.py
@@ -0,0 +1,424 @@
+"""Submit configurations under races and faults at every step."""
+
+import anyio
+import msgspec
+import pytest
+
+from cicadadoor.config import acceptance, chunks, merge, model, splices
+from cicadadoor.config.submission import Accepted, Submission, read_keys, read_present
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.object_store.base import StoredObject
+from tests.utils.deployments import small_deployment
+from tests.utils.faulty_store import CrashError, Fault, FaultyStore
+
+DOMAINS = {'muenchen-1': ('muenchen', 1), 'augsburg-1': ('augsburg', 1)}
+KEY = model.KeyRecord(key_hash='a' * 64, organisation='guild-a')
+
+
+def printed(**changes: object) -> dict[str, bytes]:
+    """Return the sections of a printed configuration."""
+    built = small_deployment(DOMAINS).build()
+    return chunks.split(msgspec.structs.replace(built, **changes))
+
+
+def more_organisations() -> dict[str, bytes]:
+    """Return a print that adds an organisation."""
+    limits = small_deployment(DOMAINS).build().limits
+    extra = model.Organisation(name='guild-c', rate_per_s=1, burst=1)
+    organisations = (*limits.organisations, extra)
+    return printed(limits=msgspec.structs.replace(limits, organisations=organisations))
+
+
+def fewer_services() -> dict[str, bytes]:
+    """Return a print that drops a service."""
+    built = small_deployment(DOMAINS).build()
+    weights = msgspec.structs.replace(
+        built.weights,
+        rules=tuple(
+            rule for rule in built.weights.rules if rule.service == 'kursbuchung'
+        ),
+    )
+    return printed(services=built.services[:1], weights=weights)
+
+
+def changed_weights(share: float) -> model.Weights:
+    """Return weights in which one rule gives a share to the other region."""
+    weights = small_deployment(DOMAINS).build().weights
+    rule = model.SteeringRule(
+        service='kursbuchung',
+        home_region='muenchen',
+        weights=(
+            model.RegionWeight(region='muenchen', weight=1 - share),
+            model.RegionWeight(region='augsburg', weight=share),
+        ),
+    )
+    return msgspec.structs.replace(weights, rules=(rule,))
+
+
+async def accept(store, sections, base, author='ada') -> Accepted | Failure:
+    """Submit printed sections."""
+    return await Submission(store, author, 1000.0).submit(sections, base)
+
+
+async def step_shift(store, share: float, step: int) -> None:
+    """Change only the weights, as a step of a shift does."""
+    present = await read_present(store)
+    weights = msgspec.structs.replace(
+        changed_weights(share),
+        shift_steps={'shift-1': step},
+    )
+    submitter = Submission(store, 'planner', 1000.0)._submitter
+    sections = {'weights': chunks.encode(weights)}
+    done = await submitter.submit_changes(present, sections, 'planner', 1000.0)
+    assert not isinstance(done, Failure)
+
+
+async def read_all(store) -> tuple[int, dict[str, bytes]]:
+    """Return the accepted generation with the content of each section."""
+    present = await acceptance.read_root(store)
+    assert not isinstance(present, Failure), present
+    assert present.digest == chunks.digest_sections(present.root.section_digests)
+    found = await acceptance.read_sections(store, present.root.section_digests)
+    assert not isinstance(found, Failure), found
+    return present.root.generation, found
+
+
+class TestMerge:
+    """Guard against a submission that undoes somebody else's change."""
+
+    def test_disjoint_changes_rebase(self):
+        """Two operators who change different sections both get their change."""
+
+        async def run() -> None:
+            store = FaultyStore()
+            await accept(store, printed(), 0)
+            await accept(store, more_organisations(), 1)
+            outcome = await accept(store, fewer_services(), 1, 'bob')
+            assert isinstance(outcome, Accepted)
+            _, found = await read_all(store)
+            assert found['organisations'] == more_organisations()['organisations']
+            assert found['services'] == fewer_services()['services']
+
+        anyio.run(run)
+
+    def test_same_section_is_a_conflict_that_names_the_author(self):
+        """The second of two operators must hear who won, not overwrite it."""
+
+        async def run() -> None:
+            store = FaultyStore()
+            await accept(store, printed(), 0)
+            await accept(store, more_organisations(), 1)
+            limits = small_deployment(DOMAINS).build().limits
+            mine = msgspec.structs.replace(limits, floor_fraction=0.25)
+            outcome = await accept(store, printed(limits=mine), 1, 'bob')
+            assert outcome.kind is ErrorKind.CONFIG_CONFLICT
+            assert "'organisations' was changed by ada in generation 2" in (
+                outcome.reason
+            )
+            assert (await read_all(store))[0] == 2
+
+        anyio.run(run)
+
+    def test_sections_that_no_longer_fit_are_refused(self):
+        """A merge of sound sections can leave a key without its organisation."""
+
+        async def run() -> None:
+            store = FaultyStore()
+            await accept(store, printed(), 0)
+            granted = await Submission(store, 'ada', 1.0).grant(KEY)
+            assert isinstance(granted, Accepted)
+            limits = small_deployment(DOMAINS).build().limits
+            kept = msgspec.structs.replace(
+                limits,
+                organisations=limits.organisations[1:],
+            )
+            outcome = await accept(store, printed(limits=kept), 1, 'bob')
+            assert outcome.kind is ErrorKind.CONFIG_INVALID
+
+        anyio.run(run)
+
+    def test_print_keeps_granted_keys_and_running_shift(self):
+        """A program that was printed before must not revert a shift or a grant."""
+
+        async def run() -> None:
+            store = FaultyStore()
+            await accept(store, printed(weights=changed_weights(0)), 0)
+            await Submission(store, 'ada', 1.0).grant(KEY)
+            await step_shift(store, 0.1, 1)
+            wanted = {
+                **more_organisations(),
+                'weights': chunks.encode(changed_weights(0)),
+            }
+            for base in (1, 3):
+                outcome = await accept(store, wanted, base)
+                assert isinstance(outcome, Accepted)
+            _, found = await read_all(store)
+            weights = merge.decode_weights(found['weights'])
+            assert weights.rules == changed_weights(0.1).rules
+            assert weights.shift_steps == {'shift-1': 1}
+            assert KEY.key_hash in found['keys'].decode()
+
+        anyio.run(run)
+
+    def test_edit_of_a_shifted_rule_is_a_conflict(self):
+        """An operator's new weights must not override a shift unseen."""
+
+        async def run() -> None:
+            store = FaultyStore()
+            await accept(store, printed(weights=changed_weights(0)), 0)
+            await step_shift(store, 0.1, 1)
+            outcome = await accept(store, printed(weights=changed_weights(0.5)), 2)
+            assert outcome.kind is ErrorKind.CONFIG_CONFLICT
+            agreed = await accept(store, printed(weights=changed_weights(0.1)), 2)
+            assert isinstance(agreed, Accepted)
+
+        anyio.run(run)
+
+    @pytest.mark.parametrize('base', (0, 9))
+    def test_unknown_base_is_a_conflict(self, base):
+        """Without its base a submission can't be merged."""
+
+        async def run() -> None:
+            store = FaultyStore()
+            await accept(store, printed(), 0)
+            outcome = await accept(store, more_organisations(), base)
+            assert outcome.kind is ErrorKind.CONFIG_CONFLICT
+
+        anyio.run(run)
+
+    def test_withdrawn_key_is_not_granted(self):
+        """A withdrawal is for ever."""
+
+        async def run() -> None:
+            store = FaultyStore()
+            await accept(store, printed(), 0)
+            withdrawn = StoredObject(kind='withdrawal', name=KEY.key_hash, body=b'{}')
+            await store.create(withdrawn)
+            outcome = await Submission(store, 'ada', 1.0).grant(KEY)
+            assert outcome.kind is ErrorKind.CONFIG_CONFLICT
+
+        anyio.run(run)
+
+
+async def run_with_fault(store, operation) -> Accepted | Failure | None:
+    """Run an operation; None stands for a crash of the submitter."""
+    try:
+        return await operation(store)
+    except CrashError:
+        return None
+
+
+async def submit_more(store) -> Accepted | Failure:
+    """Add an organisation."""
+    return await accept(store, more_organisations(), 1)
+
+
+async def grant_key(store) -> Accepted | Failure:
+    """Grant a key."""
+    return await Submission(store, 'ada', 1000.0).grant(KEY)
+
+
+async def remove_key(store) -> Accepted | Failure:
+    """Remove a key that is not there, and one that is."""
+    return await Submission(store, 'ada', 1000.0).remove_key('b' * 64)
+
+
+async def prepare_store() -> FaultyStore:
+    """Return a store with one generation and a key."""
+    store = FaultyStore()
+    await accept(store, printed(), 0)
+    other = model.KeyRecord(key_hash='b' * 64, organisation='guild-b')
+    await Submission(store, 'ada', 1000.0).grant(other)
+    store.reset()
+    return store
+
+
+OPERATIONS = {
+    'submit': (submit_more, 'organisations'),
+    'grant': (grant_key, 'keys'),
+    'remove_key': (remove_key, 'keys'),
+}
+# Chunk, index, record of the replaced generation, root; a submit also writes the
+# printed weights, which takes two calls because they are there already.
+STEPS = 7
+
+
+class TestFaultMatrix:
+    """Guard against a lost, doubled or half-done change at each write."""
+
+    @pytest.mark.parametrize('name', OPERATIONS)
+    @pytest.mark.parametrize('fault', Fault)
+    @pytest.mark.parametrize('step', range(STEPS))
+    def test_outcome_is_true_and_a_repeat_completes(self, name, fault, step):
+        """What the operator is told must be what the platform holds."""
+        operation, section = OPERATIONS[name]
+
+        async def run() -> None:
+            store = await prepare_store()
+            before = await read_all(store)
+            reference = await prepare_store()
+            await operation(reference)
+            wanted = (await read_all(reference))[1]
+            store.faults[step] = fault
+            outcome = await run_with_fault(store, operation)
+            after = await read_all(store)
+            if isinstance(outcome, Accepted):
+                assert after == (before[0] + 1, wanted)
+            elif outcome is not None:
+                if outcome.kind is not ErrorKind.STORE_OUTCOME_UNKNOWN:
+                    assert after == before
+            store.reset()
+            await store.release()
+            repeated = await operation(store)
+            assert isinstance(repeated, Accepted), repeated
+            generation, found = await read_all(store)
+            assert found[section] == wanted[section]
+            # A repeat of a change that was accepted makes no new generation.
+            assert generation == before[0] + 1
+
+        anyio.run(run)
+
+    @pytest.mark.parametrize('name', OPERATIONS)
+    @pytest.mark.parametrize('step', range(STEPS))
+    def test_race_with_another_section_keeps_both(self, name, step):
+        """A rival who is accepted at any moment in between must lose nothing."""
+        operation, section = OPERATIONS[name]
+
+        async def run() -> None:
+            store = await prepare_store()
+
+            async def rival() -> None:
+                await accept(store, fewer_services(), 1, 'bob')
+
+            store.before_write[step] = rival
+            outcome = await operation(store)
+            if step >= store.writes:
+                return
+            assert isinstance(outcome, Accepted)
+            if step in store.before_write:
+                return
+            _, found = await read_all(store)
+            assert found['services'] == fewer_services()['services']
+            reference = await prepare_store()
+            await operation(reference)
+            wanted = (await read_all(reference))[1]
+            assert found[section] == wanted[section]
+
+        anyio.run(run)
+
+    def test_answer_lost_and_root_replaced_since(self):
+        """An accepted change must not be told as lost because a rival followed."""
+
+        async def run() -> None:
+            store = await prepare_store()
+            submission = Submission(store, 'ada', 1000.0)
+            real_get = store.get
+            is_armed = True
+
+            async def get(kind: str, name: str):
+                nonlocal is_armed
+                root = await real_get('config_root', 'root')
+                if is_armed and root.writer == submission.name:
+                    is_armed = False
+                    await accept(store, fewer_services(), 1, 'bob')
+                return await real_get(kind, name)
+
+            store.get = get
+            store.faults[3] = Fault.ANSWER_LOST
+            outcome = await submission.grant(KEY)
+            assert isinstance(outcome, Accepted)
+            assert not is_armed
+            keys = await read_keys(store, await read_present(store))
+            assert KEY in keys
+
+        anyio.run(run)
+
+    def test_delayed_write_is_told_as_unknown_until_it_is_decided(self):
+        """A write that takes effect after the read-back is neither yes nor no."""
+
+        async def run() -> None:
+            store = await prepare_store()
+            submission = Submission(store, 'ada', 1000.0)
+            store.faults[3] = Fault.DELAYED
+            outcome = await submission.grant(KEY)
+            assert outcome.kind is ErrorKind.STORE_OUTCOME_UNKNOWN
+            arguments = (store, submission.name, submission.generation)
+            found = await acceptance.find_outcome(*arguments)
+            assert found.kind is ErrorKind.STORE_OUTCOME_UNKNOWN
+            await store.release()
+            assert await acceptance.find_outcome(*arguments) is True
+            await accept(store, fewer_services(), 1, 'bob')
+            assert await acceptance.find_outcome(*arguments) is True
+            lost = (store, 'another', submission.generation)
+            assert await acceptance.find_outcome(*lost) is False
+
+        anyio.run(run)
+
+
+class TestCollection:
+    """Guard against chunks that pile up, or vanish under a reader."""
+
+    def test_only_expired_chunks_go(self):
+        """A section that was replaced, dropped and used again must stay."""
+
+        async def run() -> None:
+            store = FaultyStore()
+            variants = (printed(), more_organisations())
+            await accept(store, variants[0], 0)
+            for number in range(1, 40):
+                base = (await read_all(store))[0]
+                wall_s = 1000.0 + 600 * number
+                submission = Submission(store, 'ada', wall_s)
+                outcome = await submission.submit(variants[number % 2], base)
+                assert isinstance(outcome, Accepted)
+                await read_all(store)
+            kept = await store.list('config_generation')
+            assert len(kept.objects) < 12
+            assert len((await store.list('config_chunk')).objects) < 24
+
+        anyio.run(run)
+
+    def test_chunk_that_a_submission_uses_again_survives(self):
+        """A collection in progress must not delete what is about to be accepted."""
+
+        async def run() -> None:
+            store = FaultyStore()
+            await accept(store, printed(), 0)
+            await accept(store, more_organisations(), 1)
+            old_digest = chunks.digests(printed())['organisations']
+            before = await store.get('config_chunk', old_digest)
+            outcome = await accept(store, printed(), 2)
+            assert isinstance(outcome, Accepted)
+            stale = await store.delete('config_chunk', old_digest, before.version)
+            assert stale.kind is ErrorKind.STORE_CONFLICT
+            await read_all(store)
+
+        anyio.run(run)
+
+
+class TestSplices:
+    """Guard against deltas that rebuild another content."""
+
+    @pytest.mark.parametrize(
+        ('before', 'after'),
+        [
+            (b'', b''),
+            (b'', b'abc'),
+            (b'abc', b''),
+            (b'abcabc', b'abc'),
+            (b'abc', b'abcabc'),
+            (b'aXb', b'aYYb'),
+            (b'aaaa', b'aaaaa'),
+        ],
+    )
+    def test_round_trip(self, before, after):
+        """Overlapping heads and tails must not be counted twice."""
+        splice = splices.make(before, after)
+        assert splices.apply(before, splice) == after
+
+    def test_splice_of_another_base_is_refused(self):
+        """A splice from a peer can name more bytes than there are."""
+        wrong = splices.Splice(5, 5, b'')
+        assert isinstance(splices.apply(b'abc', wrong), Failure)
+        negative = splices.Splice(-1, 2, b'')
+        assert isinstance(splices.apply(b'abc', negative), Failure)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -143,7 +143,7 @@
 
     def grant_key(self, organisation: str) -> str:
         """Grant a key and return it."""
-        output = self.operate('key_grant', organisation, '--json')
+        output = self.operate('key', 'grant', organisation, '--json')
         return json.loads(output.splitlines()[-1])['key']
 
     def operate(self, *arguments: str, expect: int = 0) -> str:
