--- /dev/null
+++ b/cicadadoor/decisions/balancing.py
@@ -0,0 +1,133 @@
+"""Choose a backend server by own counts, corrected by latency and reported load."""
+
+import math
+import random
+import zlib
+from collections.abc import Collection, Sequence
+from statistics import median
+
+# A reported load may lag or mislead, so that it weighs less than own counts and is
+# forgotten when it is not renewed.
+REPORT_WEIGHT = 0.25
+REPORT_MAX_AGE_S = 5.0
+RAMP_S = 10.0
+_RAMP_FLOOR = 0.2
+_LATENCY_GAIN = 0.2
+_LEAST_LATENCY_FACTOR = 0.5
+_MOST_LATENCY_FACTOR = 4.0
+_SHED_PAUSE_S = 0.2
+
+
+class ServerLoad:
+    """Hold what this gate knows of one backend server; times on the boot clock."""
+
+    __slots__ = (
+        'in_flight',
+        'latency_s',
+        'paused_until_s',
+        'ramp_from_s',
+        'reported',
+        'reported_s',
+    )
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.latency_s = 0.0
+        self.paused_until_s = -math.inf
+        self.ramp_from_s = -math.inf
+        self.reported = 0.0
+        self.reported_s = -math.inf
+
+    def note_latency(self, took_s: float) -> None:
+        """Move the observed latency towards a new sample."""
+        if self.latency_s <= 0:
+            self.latency_s = took_s
+            return
+        self.latency_s += _LATENCY_GAIN * (took_s - self.latency_s)
+
+    def note_report(self, load: float, now_s: float) -> None:
+        """Take a load that the server reports, 0 for idle and 1 for full."""
+        if math.isfinite(load):
+            self.reported = min(1.0, max(0.0, load))
+            self.reported_s = now_s
+
+    def note_shed(self, now_s: float) -> None:
+        """Prefer other servers for a moment after a shed answer."""
+        self.paused_until_s = now_s + _SHED_PAUSE_S
+
+    def soft_limit(self, slots: int, now_s: float) -> int:
+        """Return the slots to use while the server may be cold or has shed."""
+        if now_s < self.paused_until_s:
+            return min(slots, self.in_flight)
+        warm_share = max(0.0, (now_s - self.ramp_from_s) / RAMP_S)
+        if warm_share >= 1:
+            return slots
+        return max(1, int(slots * max(_RAMP_FLOOR, warm_share)))
+
+    def score(self, slots: int, typical_latency_s: float, now_s: float) -> float:
+        """Return the expected load after one more request; lower is better."""
+        own_load = (self.in_flight + 1) / slots
+        freshness = 1 - (now_s - self.reported_s) / REPORT_MAX_AGE_S
+        hint = REPORT_WEIGHT * self.reported * max(0.0, freshness)
+        return own_load * self._latency_factor(typical_latency_s) + hint
+
+    def _latency_factor(self, typical_latency_s: float) -> float:
+        if self.latency_s <= 0 or typical_latency_s <= 0:
+            return 1.0
+        factor = self.latency_s / typical_latency_s
+        return min(_MOST_LATENCY_FACTOR, max(_LEAST_LATENCY_FACTOR, factor))
+
+
+class Candidate:
+    """Name a backend server with a free slot in this gate's share."""
+
+    __slots__ = ('load', 'name', 'slots')
+
+    def __init__(self, name: str, slots: int, load: ServerLoad) -> None:
+        self.name = name
+        self.slots = slots
+        self.load = load
+
+
+def choose(
+    candidates: Sequence[Candidate],
+    now_s: float,
+    source: random.Random,
+) -> Candidate | None:
+    """Return the better of two random candidates with a free slot, or None.
+
+    Servers that are cold or have just shed are used only if no other has a free slot.
+    """
+    free = [each for each in candidates if each.load.in_flight < each.slots]
+    preferred = [
+        each
+        for each in free
+        if each.load.in_flight < each.load.soft_limit(each.slots, now_s)
+    ]
+    pool = preferred or free
+    if not pool:
+        return None
+    known = [each.load.latency_s for each in candidates if each.load.latency_s > 0]
+    typical_s = median(known) if known else 0.0
+    pair = source.sample(pool, min(2, len(pool)))
+    return min(pair, key=lambda each: each.load.score(each.slots, typical_s, now_s))
+
+
+def seat_share(
+    total: int,
+    seats: Collection[int],
+    seat_count: int,
+    name: str,
+) -> int:
+    """Return the part of a server's slots or connections that some seats hold.
+
+    The parts of all seats add up to the total. The remainder goes to other seats for
+    each name, so that with more seats than slots each server is left to somebody.
+    """
+    offset = zlib.crc32(name.encode())
+    share = 0
+    for seat in set(seats):
+        if 0 <= seat < seat_count:
+            position = (seat + offset) % seat_count
+            share += max(0, math.ceil((total - position) / seat_count))
+    return share
--- /dev/null
+++ b/cicadadoor/decisions/ejection.py
@@ -0,0 +1,78 @@
+"""Take backend servers out of use by own evidence, and let them return by probe."""
+
+from collections.abc import Sequence
+
+MAX_EJECTED_SHARE = 0.5
+# From this share of bad servers on, the gate's own measurement is suspect.
+SUSPECT_SHARE = 0.8
+_BAD_IN_A_ROW = 3
+_LEAST_SAMPLES = 10
+_BAD_RATIO = 0.5
+_GAIN = 0.1
+_FIRST_WAIT_S = 5.0
+_LONGEST_WAIT_S = 60.0
+
+
+class _Record:
+    __slots__ = ('bad_in_a_row', 'bad_ratio', 'bad_since_s', 'samples', 'wait_s')
+
+    def __init__(self) -> None:
+        self.bad_in_a_row = 0
+        self.bad_ratio = 0.0
+        self.samples = 0
+        self.bad_since_s: float | None = None
+        self.wait_s = _FIRST_WAIT_S
+
+
+class EjectionTable:
+    """Judge the backend servers of one gate; times on the boot clock."""
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+
+    def note_result(self, server: str, *, is_bad: bool, now_s: float) -> None:
+        """Count the outcome of one request."""
+        record = self._records.setdefault(server, _Record())
+        record.samples += 1
+        record.bad_in_a_row = record.bad_in_a_row + 1 if is_bad else 0
+        record.bad_ratio += _GAIN * (int(is_bad) - record.bad_ratio)
+        has_samples = record.samples >= _LEAST_SAMPLES
+        looks_bad = record.bad_in_a_row >= _BAD_IN_A_ROW or (
+            has_samples and record.bad_ratio >= _BAD_RATIO
+        )
+        if looks_bad and record.bad_since_s is None:
+            record.bad_since_s = now_s
+
+    def note_probe(self, server: str, *, is_good: bool, now_s: float) -> bool:
+        """Take a probe's outcome; tell whether the server returns by it."""
+        record = self._records.get(server)
+        if record is None or record.bad_since_s is None:
+            return False
+        if not is_good or now_s < record.bad_since_s + record.wait_s:
+            return False
+        returned = _Record()
+        # A health endpoint may claim too much: each further ejection lasts longer.
+        returned.wait_s = min(_LONGEST_WAIT_S, 2 * record.wait_s)
+        self._records[server] = returned
+        return True
+
+    def ejected(self, servers: Sequence[str]) -> frozenset[str]:
+        """Return the servers of one service and domain to leave out.
+
+        At most half are ejected, the longest bad ones first; none if nearly all look
+        bad, because then the measurement is suspect.
+        """
+        bad = [name for name in servers if self._bad_since_s(name) is not None]
+        if not bad or len(bad) >= SUSPECT_SHARE * len(servers):
+            return frozenset()
+        bad.sort(key=self._bad_since_s)
+        return frozenset(bad[: int(MAX_EJECTED_SHARE * len(servers))])
+
+    def forget(self, present: frozenset[str]) -> None:
+        """Drop servers that are no longer configured."""
+        for name in set(self._records) - present:
+            self._records.pop(name)
+
+    def _bad_since_s(self, server: str) -> float | None:
+        record = self._records.get(server)
+        return record.bad_since_s if record else None
--- /dev/null
+++ b/cicadadoor/decisions/leaving.py
@@ -0,0 +1,125 @@
+"""Know which backend servers are leaving, from sources that may lag or mislead."""
+
+from collections.abc import Collection
+from enum import Enum, unique
+
+# A restart between two probes shows no change of health. A server whose answers said
+# that it drains returns after its health was good for this long without a break; the
+# time doubles each time the server says again that it drains.
+SETTLED_S = 120.0
+_LONGEST_SETTLED_S = 1800.0
+
+
+@unique
+class Evidence(Enum):
+    """Name the source that says a backend server is leaving."""
+
+    HOST_LIST = 'host_list'
+    ANSWER = 'answer'
+    HEALTH = 'health'
+    REFUSED = 'refused'
+    SIBLING = 'sibling'
+    OPERATOR = 'operator'
+
+
+_OWN = frozenset((Evidence.ANSWER, Evidence.HEALTH))
+# Good health after these was seen is a change, which is fresh evidence of a return.
+_CHANGES = frozenset((Evidence.HEALTH, Evidence.REFUSED))
+_CLEARED_BY_CHANGE = frozenset(
+    (Evidence.ANSWER, Evidence.HEALTH, Evidence.REFUSED, Evidence.SIBLING)
+)
+
+
+class _Mark:
+    __slots__ = ('good_since_s', 'last_s', 'list_version', 'settled_s', 'sources')
+
+    def __init__(self) -> None:
+        self.sources: set[Evidence] = set()
+        self.last_s = 0.0
+        self.list_version = 0
+        self.good_since_s: float | None = None
+        self.settled_s = SETTLED_S
+
+
+class LeavingTable:
+    """Hold the evidence for each backend server; any one source suffices."""
+
+    def __init__(self) -> None:
+        self._marks: dict[str, _Mark] = {}
+
+    def is_leaving(self, server: str) -> bool:
+        """Tell whether the server must get nothing new."""
+        mark = self._marks.get(server)
+        return mark is not None and bool(mark.sources)
+
+    def note(self, server: str, evidence: Evidence, now_s: float) -> bool:
+        """Take evidence that the server is leaving; tell whether it is news."""
+        mark = self._marks.setdefault(server, _Mark())
+        is_news = not mark.sources
+        mark.sources.add(evidence)
+        mark.last_s = now_s
+        mark.good_since_s = None
+        return is_news
+
+    def note_good_health(self, server: str, asked_s: float, now_s: float) -> bool:
+        """Take a good answer of `/health`; tell whether the server returns.
+
+        An answer to a question from before the last evidence counts for nothing.
+        """
+        mark = self._marks.get(server)
+        if mark is None or not mark.sources or asked_s <= mark.last_s:
+            return False
+        if mark.good_since_s is None:
+            mark.good_since_s = asked_s
+        if mark.sources & _CHANGES:
+            mark.sources -= _CLEARED_BY_CHANGE
+        elif now_s - mark.good_since_s >= mark.settled_s:
+            mark.sources -= _CLEARED_BY_CHANGE
+            mark.settled_s = min(_LONGEST_SETTLED_S, 2 * mark.settled_s)
+        return not mark.sources
+
+    def note_no_health(self, server: str) -> None:
+        """Take that `/health` gave no good answer."""
+        mark = self._marks.get(server)
+        if mark is not None:
+            mark.good_since_s = None
+
+    def note_listed(
+        self,
+        server: str,
+        version: int,
+        *,
+        is_leaving: bool,
+        now_s: float,
+    ) -> None:
+        """Take the platform's list entry; an older version changes nothing."""
+        mark = self._marks.get(server)
+        known_version = mark.list_version if mark else 0
+        if version <= known_version:
+            return
+        if is_leaving:
+            self.note(server, Evidence.HOST_LIST, now_s)
+            self._marks[server].list_version = version
+        elif mark is not None:
+            mark.list_version = version
+            mark.sources.discard(Evidence.HOST_LIST)
+
+    def set_operator(self, servers: Collection[str], now_s: float) -> None:
+        """Replace the servers that an operator's drain names."""
+        for name, mark in self._marks.items():
+            if name not in servers:
+                mark.sources.discard(Evidence.OPERATOR)
+        for server in servers:
+            mark = self._marks.get(server)
+            if mark is None or Evidence.OPERATOR not in mark.sources:
+                self.note(server, Evidence.OPERATOR, now_s)
+
+    def own(self) -> list[str]:
+        """Return the servers that told this gate itself that they leave."""
+        return sorted(name for name, mark in self._marks.items() if mark.sources & _OWN)
+
+    def why(self, server: str) -> str:
+        """Return the sources of evidence, for log lines."""
+        mark = self._marks.get(server)
+        sources = mark.sources if mark else ()
+        return ','.join(sorted(source.value for source in sources))
--- /dev/null
+++ b/cicadadoor/gate/credits.py
@@ -0,0 +1,300 @@
+"""Give credits to other gates, and get credits from them."""
+
+import math
+
+from cicadadoor.config.model import Service as ConfiguredService
+from cicadadoor.decisions.credits import (
+    MAX_PER_GRANT,
+    CreditIssuer,
+    CreditWallet,
+    HeldCredit,
+)
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.directory import GateDirectory
+from cicadadoor.gate.link_budgets import LinkBudgets
+from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
+from cicadadoor.gate.routing import CreditSource, Target, TwoChoicesRouter
+from cicadadoor.gate.servers import BackendServers
+from cicadadoor.gate.state import GateState
+from cicadadoor.ids import new_nonce
+from cicadadoor.kernel import Kernel
+from cicadadoor.links.forward_messages import ForwardRequest
+from cicadadoor.links.messages import Ack, GateInfo
+from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.links.steering_messages import (
+    CreditGrant,
+    CreditRequest,
+    CreditReturn,
+    ServiceGrant,
+)
+from cicadadoor.timer import TimerService
+
+CREDIT_LIFETIME_S = 2.0
+_PERIOD_S = 0.05
+_ANSWER_TIMEOUT_S = 0.5
+# A gate that gave nothing is not asked again for this long.
+_REFUSED_PAUSE_S = 0.25
+_ASKED_AT_MOST = 6
+_MS_PER_S = 1000
+
+
+class CreditDesk(CreditSource):
+    """Exchange credits with other gates in batches, never one message a request."""
+
+    def __init__(self) -> None:
+        self._state: GateState
+        self._timer: TimerService
+        self._kernel: Kernel
+        self._router: TwoChoicesRouter
+        self._servers: BackendServers
+        self._links: LinkBudgets
+        self._directory: GateDirectory
+        self._peers: PeerHub
+        self._issuer = CreditIssuer(CREDIT_LIFETIME_S)
+        self._wallet = CreditWallet()
+        self._missed: dict[str, int] = {}
+        self._used: dict[str, int] = {}
+        self._paused_until_s: dict[tuple[str, str], float] = {}
+        self._is_asking = False
+
+    async def start(self, kernel: Kernel) -> None:
+        """Answer other gates, and ask them while credits are missing."""
+        self._kernel = kernel
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._router = kernel.find('router')
+        self._servers = kernel.find('servers')
+        self._links = kernel.find('link_budgets')
+        self._directory = kernel.find('directory')
+        self._peers = kernel.find('peers')
+        self._peers.on(CreditRequest, self.give, CreditGrant)
+        self._peers.on(CreditReturn, self.take_back)
+        self._timer.subscribe('credits', _PERIOD_S, self._tick)
+
+    def try_take(
+        self,
+        request: SteeredRequest,
+        avoid: frozenset[str],
+    ) -> Target | Failure:
+        """Return the nearest gate that gave a credit, or NO_CAPACITY."""
+        service = request.service
+        gates = {
+            gate.instance: gate
+            for gate in self._candidates(service.name)
+            if gate.host not in avoid
+        }
+        now_s = self._timer.now_s()
+        credit = self._wallet.take(service.name, list(gates), now_s)
+        if credit is None:
+            self._missed[service.name] = self._missed.get(service.name, 0) + 1
+            return Failure(ErrorKind.NO_CAPACITY, 'no other gate gave a credit')
+        gate = gates[credit.gate]
+        if not self._links.try_send(
+            gate.region, len(request.body), service.service_class
+        ):
+            self._hand_back([credit])
+            return Failure(
+                ErrorKind.LINK_BUDGET_EXCEEDED,
+                f'the link to {gate.region} has no room now',
+            )
+        self._used[service.name] = self._used.get(service.name, 0) + 1
+        return Target(gate=gate, credit_id=credit.credit_id, service=service.name)
+
+    def redeem(self, message: ForwardRequest) -> Failure | None:
+        """Use up the credit of a forwarded request, or return CREDIT_REFUSED."""
+        is_valid = self._issuer.redeem(
+            message.credit_id,
+            message.service,
+            message.sender_instance,
+            self._timer.now_s(),
+        )
+        if is_valid:
+            return None
+        return Failure(
+            ErrorKind.CREDIT_REFUSED,
+            f'host {self._state.settings.host} has no open credit for the request',
+        )
+
+    def note_answer(
+        self,
+        message: ForwardRequest,
+        answer: SteeredAnswer | Failure,
+    ) -> None:
+        """Charge the answer to the link that carries it."""
+        gate = self._directory.find(message.sender_instance)
+        if gate is not None and isinstance(answer, SteeredAnswer):
+            self._links.charge_answer(gate.region, len(answer.body))
+
+    async def give(self, message: CreditRequest) -> CreditGrant:
+        """Give credits from this gate's own free slots."""
+        grants = {}
+        for name, wanted in message.wanted.items():
+            service = self._state.view.services.get(name) if self._state.view else None
+            if service is None or not self._may_give(service, message.region):
+                continue
+            grant_id = new_nonce()
+            count = self._issuer.give(
+                grant_id,
+                name,
+                message.sender_instance,
+                wanted,
+                self._router.headroom(service),
+                self._timer.now_s(),
+            )
+            if count:
+                grants[name] = ServiceGrant(grant_id=grant_id, count=count)
+        lifetime_ms = int(self._issuer.lifetime_s * _MS_PER_S)
+        return CreditGrant(grants=grants, lifetime_ms=lifetime_ms)
+
+    async def take_back(self, message: CreditReturn) -> Ack:
+        """Free credits that their holder does not need."""
+        for credit_id in message.credit_ids:
+            self._issuer.take_back(credit_id, message.sender_instance)
+        return Ack()
+
+    def _may_give(self, service: ConfiguredService, region: str) -> bool:
+        if self._state.is_stopping or self._is_held(service.name, region):
+            return False
+        return self._links.is_open(region, service.service_class)
+
+    def _is_held(self, service: str, other_region: str) -> bool:
+        own_region = self._state.settings.region
+        if other_region == own_region:
+            return False
+        orders = self._servers.orders
+        is_region_held = {own_region, other_region} & set(orders.held_regions)
+        return service in orders.held_services or bool(is_region_held)
+
+    def _candidates(self, service: str) -> list[GateInfo]:
+        view = self._state.view
+        if view is None:
+            return []
+        domains = {
+            server.failure_domain for server in view.services[service].backend_servers
+        }
+        domains.difference_update(self._servers.orders.drained_domains)
+        gates = [
+            gate
+            for gate in self._directory.all_gates()
+            if gate.failure_domain in domains
+        ]
+        open_gates = [gate for gate in gates if not self._is_held(service, gate.region)]
+        return sorted(open_gates, key=self._distance)
+
+    def _distance(self, gate: GateInfo) -> tuple[bool, bool, float, str]:
+        settings = self._state.settings
+        view = self._state.view
+        link = view.links.get((settings.region, gate.region)) if view else None
+        return (
+            gate.failure_domain != settings.failure_domain,
+            gate.region != settings.region,
+            link.delay_us if link else math.inf,
+            gate.instance,
+        )
+
+    async def _tick(self) -> None:
+        wanted = self._wanted()
+        self._return_surplus()
+        if wanted and not self._is_asking:
+            self._is_asking = True
+            self._kernel.spawn(self._ask_all, wanted)
+
+    def _wanted(self) -> dict[str, int]:
+        now_s = self._timer.now_s()
+        wanted = {}
+        for service in set(self._missed) | set(self._used):
+            demand = self._missed.get(service, 0) + self._used.get(service, 0)
+            missing = min(demand, MAX_PER_GRANT) - self._wallet.count(service, now_s)
+            if missing > 0:
+                wanted[service] = missing
+        return wanted
+
+    def _return_surplus(self) -> None:
+        # Demand is forgotten by halves, so that a pause of some periods does not
+        # return credits that the next burst needs.
+        now_s = self._timer.now_s()
+        for service in self._wallet.services():
+            if not self._missed.get(service) and not self._used.get(service):
+                self._hand_back(self._wallet.surplus(service, 0, now_s))
+        self._missed = _halved(self._missed)
+        self._used = _halved(self._used)
+
+    async def _ask_all(self, wanted: dict[str, int]) -> None:
+        try:
+            await self._ask_in_order(wanted)
+        finally:
+            self._is_asking = False
+
+    async def _ask_in_order(self, wanted: dict[str, int]) -> None:
+        gates = {
+            gate.instance: gate
+            for service in wanted
+            for gate in self._candidates(service)
+        }
+        nearest_first = sorted(gates.values(), key=self._distance)
+        asked = 0
+        for gate in nearest_first:
+            missing = self._missing_at(gate, wanted)
+            if missing and asked < _ASKED_AT_MOST:
+                asked += 1
+                await self._ask(gate, missing, wanted)
+
+    def _missing_at(self, gate: GateInfo, wanted: dict[str, int]) -> dict[str, int]:
+        now_s = self._timer.now_s()
+        missing = {}
+        for service, count in wanted.items():
+            pause = self._paused_until_s.get((gate.instance, service), -math.inf)
+            if count > 0 and now_s >= pause and gate in self._candidates(service):
+                missing[service] = count
+        return missing
+
+    async def _ask(
+        self,
+        gate: GateInfo,
+        missing: dict[str, int],
+        wanted: dict[str, int],
+    ) -> None:
+        asked_s = self._timer.now_s()
+        request = CreditRequest(region=self._state.settings.region, wanted=missing)
+        answer = await self._peers.ask(gate.peer_address, request, _ANSWER_TIMEOUT_S)
+        grants: dict[str, ServiceGrant] = {}
+        if isinstance(answer, CreditGrant):
+            grants = answer.grants
+            lifetime_s = answer.lifetime_ms / _MS_PER_S
+        for service in missing:
+            grant = grants.get(service)
+            if grant is None:
+                pause_end_s = self._timer.now_s() + _REFUSED_PAUSE_S
+                self._paused_until_s[gate.instance, service] = pause_end_s
+                continue
+            wanted[service] -= grant.count
+            self._wallet.add(
+                service,
+                gate.instance,
+                grant.grant_id,
+                grant.count,
+                asked_s,
+                lifetime_s,
+            )
+        if grants:
+            self._router.capacity_appeared()
+
+    def _hand_back(self, credits: list[HeldCredit]) -> None:
+        by_gate: dict[str, list[str]] = {}
+        for credit in credits:
+            by_gate.setdefault(credit.gate, []).append(credit.credit_id)
+        for instance, credit_ids in by_gate.items():
+            gate = self._directory.find(instance)
+            if gate is not None:
+                # A lost return only means that the credits expire.
+                message = CreditReturn(credit_ids=credit_ids)
+                self._kernel.spawn(
+                    self._peers.ask,
+                    gate.peer_address,
+                    message,
+                    _ANSWER_TIMEOUT_S,
+                )
+
+
+def _halved(counts: dict[str, int]) -> dict[str, int]:
+    return {name: count // 2 for name, count in counts.items() if count > 1}
--- a/cicadadoor/gate/daemon.py
+++ b/cicadadoor/gate/daemon.py
@@ -7,15 +7,20 @@
 from cicadadoor.gate.app import CallerServer
 from cicadadoor.gate.at_most_once import PassThrough
 from cicadadoor.gate.config_receiver import ConfigReceiver
+from cicadadoor.gate.credits import CreditDesk
 from cicadadoor.gate.directory import GateDirectory
 from cicadadoor.gate.forwarding import Forwarder
 from cicadadoor.gate.keys import KeyCheck
+from cicadadoor.gate.link_budgets import LinkBudgets
 from cicadadoor.gate.lookup import Lookup
 from cicadadoor.gate.peer_forwarding import PeerForwarder
 from cicadadoor.gate.pipeline import Pipeline
+from cicadadoor.gate.probing import Prober
 from cicadadoor.gate.quarantine import NoQuarantine
 from cicadadoor.gate.queueing import NoQueue
 from cicadadoor.gate.routing import TwoChoicesRouter
+from cicadadoor.gate.servers import BackendServers
+from cicadadoor.gate.slot_share import ConfiguredSeat
 from cicadadoor.gate.state import GateState
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.daemon_link import DaemonLink
@@ -39,12 +44,17 @@
         FloorAdmission(),
         PassThrough(),
         NoQuarantine(),
+        ConfiguredSeat(),
+        BackendServers(),
+        LinkBudgets(),
         TwoChoicesRouter(),
+        CreditDesk(),
         NoQueue(),
         Forwarder(),
         PeerForwarder(),
         Lookup(),
         GateDirectory(),
+        Prober(),
         ConfigReceiver(),
         Pipeline(),
     )
--- a/cicadadoor/gate/forwarding.py
+++ b/cicadadoor/gate/forwarding.py
@@ -6,8 +6,10 @@
 import httpx
 
 from cicadadoor.config.model import BackendServer
+from cicadadoor.decisions.leaving import Evidence
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
+from cicadadoor.gate.servers import BackendServers
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.telemetry import tracing
 from cicadadoor.timer import TimerService
@@ -43,11 +45,13 @@
 
     def __init__(self) -> None:
         self._timer: TimerService
+        self._servers: BackendServers
         self._client: httpx.AsyncClient
 
     async def start(self, kernel: Kernel) -> None:
         """Open the pool."""
         self._timer = kernel.find('timer')
+        self._servers = kernel.find('servers')
         self._client = httpx.AsyncClient(
             limits=httpx.Limits(
                 max_connections=_MAX_CONNECTIONS,
@@ -77,6 +81,8 @@
             try:
                 response = await self._client.send(outgoing, stream=True)
             except _NOT_SENT as error:
+                if isinstance(error, httpx.ConnectError):
+                    self._servers.note_leaving(server.name, Evidence.REFUSED)
                 return Failure(
                     ErrorKind.CONNECT_FAILED,
                     f'backend server {server.name}: {type(error).__name__}',
@@ -91,6 +97,8 @@
                     ErrorKind.OUTCOME_UNKNOWN,
                     f'backend server {server.name}: {type(error).__name__}',
                 )
+            if response.headers.get('x-draining') == '1':
+                self._servers.note_leaving(server.name, Evidence.ANSWER)
             return await self._take_answer(response, server)
 
     def _build(
--- a/cicadadoor/gate/pipeline.py
+++ b/cicadadoor/gate/pipeline.py
@@ -5,11 +5,12 @@
 from cicadadoor.gate import keys
 from cicadadoor.gate.admission import Admission
 from cicadadoor.gate.at_most_once import AtMostOnce
+from cicadadoor.gate.credits import CreditDesk
 from cicadadoor.gate.forwarding import Forwarder
 from cicadadoor.gate.peer_forwarding import PeerForwarder, pack
 from cicadadoor.gate.quarantine import Quarantine
 from cicadadoor.gate.queueing import RequestQueue
-from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
+from cicadadoor.gate.request import CANCELLED, SteeredAnswer, SteeredRequest
 from cicadadoor.gate.routing import Target
 from cicadadoor.gate.state import GateState
 from cicadadoor.ids import new_nonce
@@ -63,6 +64,7 @@
         self._queue: RequestQueue
         self._forwarder: Forwarder
         self._peer_forwarder: PeerForwarder
+        self._credits: CreditDesk
 
     async def start(self, kernel: Kernel) -> None:
         """Find the services of the steps."""
@@ -75,6 +77,7 @@
         self._queue = kernel.find('queue')
         self._forwarder = kernel.find('forwarder')
         self._peer_forwarder = kernel.find('peer_forwarder')
+        self._credits = kernel.find('credits')
         peers: PeerHub = kernel.find('peers')
         peers.on(ForwardRequest, self.handle_forwarded, ForwardAnswer)
 
@@ -140,6 +143,7 @@
     async def handle_forwarded(self, message: Message) -> Message:
         """Answer a request that another gate handed over."""
         answer = await self._run_forwarded(message)
+        self._credits.note_answer(message, answer)
         return pack(answer)
 
     async def _run_forwarded(
@@ -151,6 +155,10 @@
         request = self._rebuild(message)
         if isinstance(request, Failure):
             return request
+        if not message.is_owner:
+            refusal = self._credits.redeem(message)
+            if refusal is not None:
+                return refusal
         self._state.in_flight += 1
         try:
             if message.is_owner:
@@ -218,10 +226,7 @@
         target: Target,
     ) -> SteeredAnswer | Failure:
         started_s = self._timer.now_s()
-        answer: SteeredAnswer | Failure = Failure(
-            ErrorKind.OUTCOME_UNKNOWN,
-            'the request was cancelled',
-        )
+        answer: SteeredAnswer | Failure = CANCELLED
         if target.server is not None:
             self._quarantine.began(request, target.server)
         try:
@@ -248,7 +253,11 @@
     ) -> SteeredAnswer | Failure:
         if target.server is not None:
             return await self._forwarder.forward(request, target.server)
-        return await self._peer_forwarder.forward(request, target.gate)
+        return await self._peer_forwarder.forward(
+            request,
+            target.gate,
+            credit_id=target.credit_id,
+        )
 
 
 def find_route(service: Service, method: str, path: str) -> Route | None:
--- /dev/null
+++ b/cicadadoor/gate/probing.py
@@ -0,0 +1,148 @@
+"""Ask backend servers for health and load, and share what they say of leaving."""
+
+import math
+
+import httpx
+import msgspec
+
+from cicadadoor.config.model import BackendServer
+from cicadadoor.config.model import Service as ConfiguredService
+from cicadadoor.decisions.leaving import Evidence
+from cicadadoor.gate.directory import GateDirectory
+from cicadadoor.gate.servers import BackendServers
+from cicadadoor.gate.slot_share import SlotShare
+from cicadadoor.gate.state import GateState
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.messages import Ack
+from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.links.steering_messages import LeavingNotice
+from cicadadoor.timer import TimerService
+
+_TICK_S = 0.5
+_PERIOD_S = 2.0
+_TIMEOUT_S = 1.0
+_NOTICE_PERIOD_S = 1.0
+# All gates of a domain together take at most this part of a server's time.
+_COST_SHARE = 0.02
+_US_PER_S = 1_000_000
+_SERVER_ERROR = 500
+
+
+class Health(msgspec.Struct, frozen=True):
+    """Hold the part of `/health` that is read."""
+
+    draining: bool = False
+
+
+class Load(msgspec.Struct, frozen=True):
+    """Hold the part of `/load` that is read."""
+
+    load: float = 0
+
+
+class Prober(Service):
+    """Probe this domain's backend servers and tell the domain's other gates."""
+
+    name = 'prober'
+
+    def __init__(self) -> None:
+        self._state: GateState
+        self._timer: TimerService
+        self._kernel: Kernel
+        self._servers: BackendServers
+        self._share: SlotShare
+        self._directory: GateDirectory
+        self._peers: PeerHub
+        self._client: httpx.AsyncClient
+        self._asked_s: dict[str, float] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        """Probe periodically, and hear what other gates were told."""
+        self._kernel = kernel
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._servers = kernel.find('servers')
+        self._share = kernel.find('slot_share')
+        self._directory = kernel.find('directory')
+        self._peers = kernel.find('peers')
+        self._client = httpx.AsyncClient(timeout=_TIMEOUT_S, trust_env=False)
+        self._peers.on(LeavingNotice, self.hear)
+        self._timer.subscribe('probe', _TICK_S, self._tick)
+        self._timer.subscribe('leaving_notice', _NOTICE_PERIOD_S, self._tell)
+
+    async def stop(self, grace_s: float) -> None:
+        """Close the probes' connections."""
+        await self._client.aclose()
+
+    async def hear(self, notice: LeavingNotice) -> Ack:
+        """Take what another gate of the domain was told by backend servers."""
+        for server in notice.servers:
+            self._servers.note_leaving(server, Evidence.SIBLING)
+        return Ack()
+
+    async def probe(self, server: BackendServer) -> None:
+        """Ask one server for health and load, and note the answers."""
+        asked_s = self._timer.now_s()
+        try:
+            answer = await self._client.get(f'{server.url}/health')
+        except httpx.ConnectError:
+            self._servers.note_leaving(server.name, Evidence.REFUSED)
+            self._servers.note_probe(server.name, asked_s, is_good=False)
+            return
+        except httpx.HTTPError:
+            self._servers.note_probe(server.name, asked_s, is_good=False)
+            return
+        if _says_draining(answer):
+            self._servers.note_leaving(server.name, Evidence.HEALTH)
+        is_good = answer.status_code < _SERVER_ERROR and not _says_draining(answer)
+        self._servers.note_probe(server.name, asked_s, is_good=is_good)
+        await self._ask_load(server)
+
+    async def _ask_load(self, server: BackendServer) -> None:
+        try:
+            answer = await self._client.get(f'{server.url}/load')
+            reported = msgspec.json.decode(answer.content, type=Load)
+        except (httpx.HTTPError, msgspec.MsgspecError):
+            return
+        if answer.is_success:
+            load = self._servers.load(server.name)
+            load.note_report(reported.load, self._timer.now_s())
+
+    async def _tick(self) -> None:
+        view = self._state.view
+        if view is None:
+            return
+        now_s = self._timer.now_s()
+        for service in view.services.values():
+            period_s = self._period_s(service)
+            for server in self._servers.local(service):
+                last_s = self._asked_s.get(server.name, -math.inf)
+                if now_s - last_s >= period_s:
+                    self._asked_s[server.name] = now_s
+                    self._kernel.spawn(self.probe, server)
+
+    def _period_s(self, service: ConfiguredService) -> float:
+        cost_s = service.probe_cost_us * self._share.seat_count() / _US_PER_S
+        return max(_PERIOD_S, cost_s / _COST_SHARE)
+
+    async def _tell(self) -> None:
+        leaving = self._servers.leaving.own()
+        if not leaving:
+            return
+        notice = LeavingNotice(servers=leaving)
+        for gate in self._directory.in_domain(self._state.settings.failure_domain):
+            self._kernel.spawn(
+                self._peers.ask,
+                gate.peer_address,
+                notice,
+                _TIMEOUT_S,
+            )
+
+
+def _says_draining(answer: httpx.Response) -> bool:
+    if answer.headers.get('x-draining') == '1':
+        return True
+    try:
+        return msgspec.json.decode(answer.content, type=Health).draining
+    except msgspec.MsgspecError:
+        return False
--- a/cicadadoor/gate/request.py
+++ b/cicadadoor/gate/request.py
@@ -3,9 +3,11 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 from cicadadoor.config.model import Organisation, Route, Service
-from cicadadoor.errors import Run
+from cicadadoor.errors import ErrorKind, Failure, Run
 
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
+# Compared by identity: it says nothing about the backend server.
+CANCELLED = Failure(ErrorKind.OUTCOME_UNKNOWN, 'the request was cancelled')
 
 
 class SteeredRequest:
--- a/cicadadoor/gate/routing.py
+++ b/cicadadoor/gate/routing.py
@@ -2,29 +2,44 @@
 
 import abc
 import random
+from collections.abc import Callable
 
 from cicadadoor.config.model import BackendServer
+from cicadadoor.config.model import Service as ConfiguredService
+from cicadadoor.decisions.balancing import choose
+from cicadadoor.decisions.credits import OwnLoad, headroom
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
+from cicadadoor.gate.servers import BackendServers
 from cicadadoor.gate.state import GateState
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.messages import GateInfo
+from cicadadoor.telemetry import metrics
+from cicadadoor.timer import TimerService
 
 AVOID_NONE: frozenset[str] = frozenset()
 
 
 class Target:
-    """Name where a request runs: a backend server, or a gate of another domain."""
+    """Name where a request runs: a backend server, or a gate that gave a credit."""
 
-    __slots__ = ('gate', 'server')
+    __slots__ = ('credit_id', 'gate', 'is_own', 'server', 'service')
 
     def __init__(
         self,
         server: BackendServer | None = None,
         gate: GateInfo | None = None,
+        *,
+        credit_id: str = '',
+        service: str = '',
+        is_own: bool = True,
     ) -> None:
         self.server = server
         self.gate = gate
+        self.credit_id = credit_id
+        self.service = service
+        # Whether a caller of this gate sent the request, not another gate.
+        self.is_own = is_own
 
 
 class Router(Service):
@@ -42,7 +57,8 @@
     ) -> Target | Failure:
         """Choose a target now, or return NO_CAPACITY or NO_BACKEND_SERVER.
 
-        `avoid` names backend servers that this request already failed at.
+        `avoid` names backend servers and entry hosts that this request already
+        failed at. `is_local_only` stands for a request of another gate.
         """
 
     @abc.abstractmethod
@@ -54,17 +70,52 @@
     ) -> None:
         """Give the slot or credit back, and learn from the answer."""
 
+    def on_capacity(self, callback: Callable[[], None]) -> None:
+        """Call back when capacity appears by other ways than a release."""
+
+
+class CreditSource(Service):
+    """Find a gate that permits this one to forward a request."""
+
+    name = 'credits'
+
+    @abc.abstractmethod
+    def try_take(
+        self,
+        request: SteeredRequest,
+        avoid: frozenset[str],
+    ) -> Target | Failure:
+        """Return the nearest gate that gave a credit, or NO_CAPACITY."""
+
 
 class TwoChoicesRouter(Router):
-    """Take the less loaded of two random backend servers of this domain."""
+    """Take a backend server of this domain, or a credit of another gate."""
 
-    def __init__(self) -> None:
+    def __init__(self, source: random.Random | None = None) -> None:
         self._state: GateState
-        self._in_flight: dict[str, int] = {}
+        self._timer: TimerService
+        self._servers: BackendServers
+        self._credits: CreditSource
+        self._source = source or random.Random()
+        self._own_in_use: dict[str, int] = {}
+        self._own_load: dict[str, OwnLoad] = {}
+        self._callbacks: list[Callable[[], None]] = []
 
     async def start(self, kernel: Kernel) -> None:
-        """Find the state."""
+        """Find the services that know servers and credits."""
         self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._servers = kernel.find('servers')
+        self._credits = kernel.find('credits')
+
+    def on_capacity(self, callback: Callable[[], None]) -> None:
+        """Call back when credits arrive."""
+        self._callbacks.append(callback)
+
+    def capacity_appeared(self) -> None:
+        """Tell those who wait that a target may be free."""
+        for callback in self._callbacks:
+            callback()
 
     def try_acquire(
         self,
@@ -73,25 +124,21 @@
         *,
         is_local_only: bool = False,
     ) -> Target | Failure:
-        """Choose a backend server and take a slot of it."""
-        domain = self._state.settings.failure_domain
-        local = [
-            server
-            for server in request.service.backend_servers
-            if server.failure_domain == domain and server.name not in avoid
-        ]
-        if not local:
-            return Failure(
-                ErrorKind.NO_BACKEND_SERVER,
-                f'service {request.service.name} has none left in {domain}',
-            )
-        free = [server for server in local if self._load(server) < 1]
-        if not free:
-            return Failure(ErrorKind.NO_CAPACITY, f'all slots in {domain} are taken')
-        candidates = random.sample(free, min(2, len(free)))
-        chosen = min(candidates, key=self._load)
-        self._in_flight[chosen.name] = self._in_flight.get(chosen.name, 0) + 1
-        return Target(server=chosen)
+        """Choose a backend server and take a slot, or use a credit."""
+        service = request.service
+        usable = self._servers.usable(service)
+        kept = [candidate for candidate in usable if candidate.name not in avoid]
+        chosen = choose(kept, self._timer.now_s(), self._source)
+        if chosen is None:
+            return self._elsewhere(request, avoid, bool(kept), is_local_only)
+        chosen.load.in_flight += 1
+        metrics.BACKEND_IN_FLIGHT.labels(chosen.name).set(chosen.load.in_flight)
+        if not is_local_only:
+            self._count_own(service.name, 1)
+        server = next(
+            each for each in service.backend_servers if each.name == chosen.name
+        )
+        return Target(server=server, service=service.name, is_own=not is_local_only)
 
     def release(
         self,
@@ -99,9 +146,53 @@
         answer: SteeredAnswer | Failure,
         took_s: float,
     ) -> None:
-        """Give the slot back."""
-        if target.server is not None:
-            self._in_flight[target.server.name] -= 1
-
-    def _load(self, server: BackendServer) -> float:
-        return self._in_flight.get(server.name, 0) / server.slots
+        """Give the slot back and learn from the answer."""
+        if target.server is None:
+            return
+        name = target.server.name
+        load = self._servers.load(name)
+        load.in_flight -= 1
+        metrics.BACKEND_IN_FLIGHT.labels(name).set(load.in_flight)
+        if target.is_own:
+            self._count_own(target.service, -1)
+        self._servers.note_answer(name, answer, took_s)
+
+    def usage(self, service: ConfiguredService) -> tuple[int, int]:
+        """Return slots in use and slots in all at usable servers of this domain."""
+        usable = self._servers.usable(service)
+        in_use = sum(candidate.load.in_flight for candidate in usable)
+        return in_use, sum(candidate.slots for candidate in usable)
+
+    def headroom(self, service: ConfiguredService) -> int:
+        """Return the slots that other gates may have after the reserve."""
+        in_use, slots = self.usage(service)
+        own_load = self._own_load.get(service.name)
+        peak = own_load.peak(self._timer.now_s()) if own_load else 0
+        return headroom(slots, in_use, peak)
+
+    def _elsewhere(
+        self,
+        request: SteeredRequest,
+        avoid: frozenset[str],
+        has_local: bool,
+        is_local_only: bool,
+    ) -> Target | Failure:
+        if not is_local_only:
+            found = self._credits.try_take(request, avoid)
+            if isinstance(found, Target):
+                return found
+            if found.kind is not ErrorKind.NO_CAPACITY:
+                return found
+        domain = self._state.settings.failure_domain
+        if has_local:
+            return Failure(ErrorKind.NO_CAPACITY, f'all slots in {domain} are taken')
+        return Failure(
+            ErrorKind.NO_BACKEND_SERVER,
+            f'service {request.service.name} has none left in {domain}',
+        )
+
+    def _count_own(self, service: str, change: int) -> None:
+        in_use = self._own_in_use.get(service, 0) + change
+        self._own_in_use[service] = in_use
+        own_load = self._own_load.setdefault(service, OwnLoad())
+        own_load.note(in_use, self._timer.now_s())
--- /dev/null
+++ b/cicadadoor/gate/servers.py
@@ -0,0 +1,165 @@
+"""Know the backend servers of this failure domain and which of them may be used."""
+
+from cicadadoor.config.model import BackendServer
+from cicadadoor.config.model import Service as ConfiguredService
+from cicadadoor.decisions.balancing import Candidate, ServerLoad
+from cicadadoor.decisions.ejection import EjectionTable
+from cicadadoor.decisions.leaving import Evidence, LeavingTable
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.request import CANCELLED, SteeredAnswer
+from cicadadoor.gate.slot_share import SlotShare
+from cicadadoor.gate.state import GateState
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.daemon_link import DaemonLink
+from cicadadoor.links.steering_messages import BackendUpdate
+from cicadadoor.telemetry import logs
+from cicadadoor.timer import TimerService
+
+log = logs.logger('routing')
+
+_BAD_STATUSES = frozenset((502, 503, 504))
+_BAD_KINDS = frozenset(
+    (
+        ErrorKind.CONNECT_FAILED,
+        ErrorKind.OUTCOME_UNKNOWN,
+        ErrorKind.ANSWER_TRUNCATED,
+    )
+)
+# A caller with a short deadline must not make a server look bad.
+_LEAST_TIMEOUT_S = 1.0
+
+
+class BackendServers(Service):
+    """Hold load, ejection and leaving of this domain's backend servers."""
+
+    name = 'servers'
+
+    def __init__(self) -> None:
+        self._state: GateState
+        self._timer: TimerService
+        self._share: SlotShare
+        self._loads: dict[str, ServerLoad] = {}
+        self._first_generation = 0
+        self.ejection = EjectionTable()
+        self.leaving = LeavingTable()
+        self.orders = BackendUpdate()
+
+    async def start(self, kernel: Kernel) -> None:
+        """Subscribe to what the platform and operators say."""
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._share = kernel.find('slot_share')
+        link: DaemonLink = kernel.find('daemon_link')
+        link.on(BackendUpdate, self.take_orders)
+
+    def local(self, service: ConfiguredService) -> list[BackendServer]:
+        """Return the service's backend servers in this failure domain."""
+        domain = self._state.settings.failure_domain
+        return [
+            server
+            for server in service.backend_servers
+            if server.failure_domain == domain
+        ]
+
+    def usable(self, service: ConfiguredService) -> list[Candidate]:
+        """Return the servers that may get something new, with this gate's slots."""
+        if self._state.settings.failure_domain in self.orders.drained_domains:
+            return []
+        staying = [
+            server
+            for server in self.local(service)
+            if not self.leaving.is_leaving(server.name)
+        ]
+        judged = [
+            server.name
+            for server in staying
+            if not self._is_held(service.name, server.name)
+        ]
+        ejected = self.ejection.ejected(judged)
+        candidates = [
+            Candidate(server.name, self._share.slots(server), self.load(server.name))
+            for server in staying
+            if server.name not in ejected
+        ]
+        return [candidate for candidate in candidates if candidate.slots]
+
+    def load(self, server: str) -> ServerLoad:
+        """Return the load record of a server; one that came later starts cold."""
+        load = self._loads.get(server)
+        if load is None:
+            load = ServerLoad()
+            generation = self._state.view.generation if self._state.view else 0
+            self._first_generation = self._first_generation or generation
+            if generation > self._first_generation:
+                load.ramp_from_s = self._timer.now_s()
+            self._loads[server] = load
+        return load
+
+    def in_flight(self) -> dict[str, int]:
+        """Return the requests in flight by server."""
+        return {name: load.in_flight for name, load in self._loads.items()}
+
+    def note_answer(
+        self,
+        server: str,
+        answer: SteeredAnswer | Failure,
+        took_s: float,
+    ) -> None:
+        """Learn from the outcome of a request."""
+        if answer is CANCELLED:
+            return
+        now_s = self._timer.now_s()
+        load = self.load(server)
+        if isinstance(answer, SteeredAnswer):
+            load.note_latency(took_s)
+            is_bad = answer.status in _BAD_STATUSES
+            self.ejection.note_result(server, is_bad=is_bad, now_s=now_s)
+            return
+        if answer.kind is ErrorKind.BACKEND_SHED:
+            load.note_shed(now_s)
+            return
+        is_late = answer.kind is ErrorKind.ANSWER_TIMED_OUT
+        if is_late:
+            load.note_latency(took_s)
+        if answer.kind in _BAD_KINDS or (is_late and took_s >= _LEAST_TIMEOUT_S):
+            self.ejection.note_result(server, is_bad=True, now_s=now_s)
+
+    def note_leaving(self, server: str, evidence: Evidence) -> None:
+        """Take evidence that a server is leaving."""
+        if self.leaving.note(server, evidence, self._timer.now_s()):
+            log.info(
+                'backend_server_leaving',
+                backend_server=server,
+                evidence=evidence.value,
+            )
+
+    def note_probe(self, server: str, asked_s: float, *, is_good: bool) -> None:
+        """Take the outcome of a health probe."""
+        now_s = self._timer.now_s()
+        returns = self.ejection.note_probe(server, is_good=is_good, now_s=now_s)
+        if is_good:
+            came_back = self.leaving.note_good_health(server, asked_s, now_s)
+            returns = returns or came_back
+        else:
+            self.leaving.note_no_health(server)
+        if returns:
+            self.load(server).ramp_from_s = now_s
+            log.info('backend_server_returns', backend_server=server)
+
+    async def take_orders(self, update: BackendUpdate) -> None:
+        """Apply the platform's host list and the operators' drains and holds."""
+        now_s = self._timer.now_s()
+        self.orders = update
+        self.leaving.set_operator(update.drained, now_s)
+        for name, listed in update.hosts.items():
+            self.leaving.note_listed(
+                name,
+                listed.version,
+                is_leaving=listed.is_leaving,
+                now_s=now_s,
+            )
+
+    def _is_held(self, service: str, server: str) -> bool:
+        if server in self.orders.held_servers or service in self.orders.held_services:
+            return True
+        return self._state.settings.region in self.orders.held_regions
--- a/cicadadoor/settings.py
+++ b/cicadadoor/settings.py
@@ -51,6 +51,7 @@
         'peer_certificate_file',
         'platform_url',
         'region',
+        'seat_index',
         'seed_peers',
         'store_calls_per_s',
         'tls_certificate_file',
@@ -205,6 +206,11 @@
     return parse
 
 
+def _parse_seat(given: Any) -> int | None:
+    is_number = isinstance(given, int) and not isinstance(given, bool)
+    return given if is_number and given >= 0 else None
+
+
 _NAME = 'lower-case letters, digits and hyphens, at most 63'
 _ADDRESS = 'IP number and port, as in "127.0.0.1:8080"'
 _URL = 'a URL that starts with http:// or https://'
@@ -222,6 +228,11 @@
     'agent_peers': FieldRule(parse_address, _ADDRESS, required=True),
     'operators': FieldRule(parse_address, _ADDRESS, required=True),
     'seed_peers': FieldRule(_parse_addresses, f'a list of {_ADDRESS}', []),
+    'seat_index': FieldRule(
+        _parse_seat,
+        'a whole number from 0',
+        0,
+    ),
     'answer_ttl_ms': FieldRule(
         _number_between(100, 600_000),
         'milliseconds from 100 to 600000',
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measure decisions and processes; every figure comes from a run."""
--- /dev/null
+++ b/tests/test_balancing.py
@@ -0,0 +1,202 @@
+"""Check the choice of a backend server, its bounds, and ejection."""
+
+import random
+
+import anyio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadadoor.decisions.balancing import (
+    REPORT_MAX_AGE_S,
+    Candidate,
+    ServerLoad,
+    choose,
+    seat_share,
+)
+from cicadadoor.decisions.ejection import EjectionTable
+from cicadadoor.decisions.link_budget import LinkBudget
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.request import CANCELLED, SteeredAnswer
+from cicadadoor.links.steering_messages import BackendUpdate
+from tests.utils.gates import (
+    FakeNetwork,
+    GateUnderTest,
+    Settings,
+    domain_deployment,
+    view_of,
+)
+from tests.utils.manual_timer import ManualTimer
+
+NAMES = ['a', 'b', 'c', 'd']
+
+
+def run_gate(check, **deployment) -> None:
+    """Run a check against one gate of a one-domain deployment."""
+
+    async def run() -> None:
+        timer = ManualTimer()
+        view = view_of(domain_deployment({'m-1': ('m', 1)}, **deployment))
+        gate = GateUnderTest(timer, FakeNetwork(), Settings('h', 'm', 'm-1'), view)
+        await gate.start()
+        await check(gate, timer)
+
+    anyio.run(run)
+
+
+class TestSeatShare:
+    """Guard against two gates using the same slot, and against unused slots."""
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.integers(0, 60), st.integers(1, 20), st.text(max_size=5))
+    def test_shares_add_up(self, total, seat_count, name):
+        shares = [
+            seat_share(total, [seat], seat_count, name) for seat in range(seat_count)
+        ]
+        assert sum(shares) == total
+        assert max(shares) - min(shares) <= 1
+        assert seat_share(total, range(seat_count), seat_count, name) == total
+        assert seat_share(total, [seat_count], seat_count, name) == 0
+
+
+class TestChoice:
+    """Guard against herding onto a server that lies about its load."""
+
+    def loads(self, count=4, slots=8):
+        return [Candidate(f's{number}', slots, ServerLoad()) for number in range(count)]
+
+    def test_misleading_report_does_not_overload(self):
+        """A server that always reports 0 must not get more than its part."""
+        candidates = self.loads()
+        source = random.Random(1)
+        for step in range(24):
+            for each in candidates:
+                is_liar = each.name == 's0'
+                each.load.note_report(0 if is_liar else 1, step)
+            choose(candidates, step, source).load.in_flight += 1
+        assert max(each.load.in_flight for each in candidates) < 8
+
+    def test_report_ages_out(self):
+        candidates = self.loads(count=2)
+        candidates[0].load.note_report(1, 0)
+        late_s = REPORT_MAX_AGE_S
+        scores = [each.load.score(8, 0, late_s) for each in candidates]
+        assert scores[0] == scores[1]
+
+    def test_slow_server_gets_less(self):
+        candidates = self.loads(count=3, slots=100)
+        for each, took_s in zip(candidates, (0.1, 0.1, 1), strict=True):
+            each.load.note_latency(took_s)
+        for _ in range(150):
+            choose(candidates, 0, random.Random(_)).load.in_flight += 1
+        in_flight = [each.load.in_flight for each in candidates]
+        assert in_flight[2] < min(in_flight[:2]) / 2
+
+    def test_cold_server_ramps_and_is_used_when_no_other_is_free(self):
+        candidates = self.loads(count=2, slots=10)
+        cold = candidates[1].load
+        cold.ramp_from_s = 0
+        source = random.Random(1)
+        for _ in range(12):
+            choose(candidates, 0.1, source).load.in_flight += 1
+        assert cold.in_flight == 2
+        for _ in range(8):
+            choose(candidates, 0.1, source).load.in_flight += 1
+        assert cold.in_flight == 10
+        assert choose(candidates, 0.1, source) is None
+
+
+class TestEjection:
+    """Guard against using bad servers, and against believing that all are bad."""
+
+    @pytest.mark.parametrize(
+        ('bad', 'expected'),
+        [(1, 1), (2, 2), (3, 2), (4, 0)],
+    )
+    def test_share_is_capped_and_doubt_stops_it(self, bad, expected):
+        table = EjectionTable()
+        for now_s, name in enumerate(NAMES[:bad]):
+            for _ in range(3):
+                table.note_result(name, is_bad=True, now_s=now_s)
+        assert table.ejected(NAMES) == frozenset(NAMES[:expected])
+        assert not table.ejected(NAMES[:1])
+
+    def test_return_needs_a_probe_and_takes_longer_each_time(self):
+        table = EjectionTable()
+        for start_s, wait_s in ((0, 5), (100, 10), (200, 20)):
+            for _ in range(3):
+                table.note_result('a', is_bad=True, now_s=start_s)
+            early_s = start_s + wait_s - 0.1
+            assert not table.note_probe('a', is_good=True, now_s=early_s)
+            assert not table.note_probe('a', is_good=False, now_s=start_s + wait_s)
+            assert table.ejected(NAMES) == {'a'}
+            assert table.note_probe('a', is_good=True, now_s=start_s + wait_s)
+            assert not table.ejected(NAMES)
+
+
+class TestRouterBounds:
+    """Guard against more requests at a backend server than its slots."""
+
+    def test_no_more_than_slots(self):
+        async def check(gate, timer):
+            taken = gate.fill()
+            assert len(taken) == 8
+            refused = gate.router.try_acquire(gate.request())
+            assert refused.kind is ErrorKind.NO_CAPACITY
+            gate.router.release(taken[0], SteeredAnswer(status=200, headers=[]), 0.1)
+            assert len(gate.fill()) == 1
+
+        run_gate(check)
+
+    @pytest.mark.parametrize(
+        ('answer', 'took_s', 'is_ejected'),
+        [
+            (Failure(ErrorKind.OUTCOME_UNKNOWN, 'died'), 0.1, True),
+            (SteeredAnswer(status=502, headers=[]), 0.1, True),
+            (SteeredAnswer(status=500, headers=[]), 0.1, False),
+            (Failure(ErrorKind.ANSWER_TIMED_OUT, 'late'), 5, True),
+            (Failure(ErrorKind.ANSWER_TIMED_OUT, 'short deadline'), 0.01, False),
+            (Failure(ErrorKind.BACKEND_SHED, 'shed'), 0.1, False),
+            (CANCELLED, 0.1, False),
+        ],
+    )
+    def test_only_the_servers_own_faults_eject_it(self, answer, took_s, is_ejected):
+        """A caller that cancels or sets short deadlines must not eject servers."""
+
+        async def check(gate, timer):
+            name = 'kb-m-1-0'
+            for _ in range(3):
+                gate.servers.note_answer(name, answer, took_s)
+            usable = gate.servers.usable(gate.request().service)
+            assert (name not in [each.name for each in usable]) is is_ejected
+            await gate.link.deliver(BackendUpdate(held_servers=[name]))
+            usable = gate.servers.usable(gate.request().service)
+            assert name in [each.name for each in usable]
+
+        run_gate(check, servers=3)
+
+
+class TestLinkBudget:
+    """Guard against deferrable traffic that fills a link."""
+
+    def test_deferrable_yields_first_and_answers_overdraw(self):
+        budget = LinkBudget(1000, 0)
+        taken = [budget.try_take(50, 0, is_deferrable=True) for _ in range(10)]
+        assert sum(taken) == 5
+        assert not budget.is_open(0, is_deferrable=True)
+        assert budget.try_take(50, 0, is_deferrable=False)
+        budget.charge(1200, 0)
+        assert not budget.is_open(0.9, is_deferrable=False)
+        assert budget.is_open(1.1, is_deferrable=False)
+
+    @settings(derandomize=True, max_examples=100)
+    @given(st.lists(st.tuples(st.integers(0, 400), st.floats(0, 1)), max_size=50))
+    def test_requests_stay_within_rate_and_burst(self, steps):
+        budget = LinkBudget(1000, 0)
+        now_s = 0.0
+        sent = 0
+        for size_bytes, wait_s in steps:
+            now_s += wait_s
+            if budget.try_take(size_bytes, now_s, is_deferrable=False):
+                sent += size_bytes
+        assert sent <= budget.burst_bytes + 1000 * now_s + 1e-6
--- /dev/null
+++ b/tests/test_credits.py
@@ -0,0 +1,279 @@
+"""Check that credits bound what other domains may send."""
+
+import anyio
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from cicadadoor.decisions.credits import (
+    CreditIssuer,
+    CreditWallet,
+    OwnLoad,
+    headroom,
+)
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.links.forward_messages import ForwardRequest
+from cicadadoor.links.steering_messages import BackendUpdate
+from tests.utils.gates import (
+    FakeNetwork,
+    GateUnderTest,
+    Settings,
+    domain_deployment,
+    view_of,
+)
+from tests.utils.manual_timer import ManualTimer
+
+SLOTS = 10
+SENDERS = ('x', 'y')
+DOMAINS = {'m-1': ('m', 1), 'm-2': ('m', 1), 'n-1': ('n', 1)}
+
+
+class TwoDomainsOverflow(RuleBasedStateMachine):
+    """Let two domains overflow into one gate over a network that fails.
+
+    Grants and forwarded requests may be lost, late, repeated and out of order; the
+    senders' measurements play no part, so that they may be as stale as they like.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.issuer = CreditIssuer(2.0)
+        self.own = OwnLoad()
+        self.own_in_use = 0
+        self.foreign = 0
+        self.redeemed = []
+        self.wallets = {name: CreditWallet() for name in SENDERS}
+        self.grants = []
+        self.forwards = []
+
+    @rule(sender=st.sampled_from(SENDERS), wanted=st.integers(1, 40))
+    def ask(self, sender, wanted):
+        free = headroom(
+            SLOTS,
+            self.own_in_use + self.foreign,
+            self.own.peak(self.now_s),
+        )
+        grant_id = f'g{len(self.grants)}'
+        count = self.issuer.give(grant_id, 's', sender, wanted, free, self.now_s)
+        self.grants.append((sender, grant_id, count, self.now_s))
+
+    @precondition(lambda machine: machine.grants)
+    @rule(choice=st.integers(0, 1000))
+    def deliver_grant(self, choice):
+        sender, grant_id, count, asked_s = self.grants[choice % len(self.grants)]
+        self.wallets[sender].add('s', 'r', grant_id, count, asked_s, 2.0)
+
+    @rule(sender=st.sampled_from(SENDERS))
+    def send(self, sender):
+        credit = self.wallets[sender].take('s', ['r'], self.now_s)
+        if credit is not None:
+            self.forwards.append((sender, credit.credit_id))
+
+    @precondition(lambda machine: machine.forwards)
+    @rule(choice=st.integers(0, 1000), thief=st.booleans())
+    def arrive(self, choice, thief):
+        sender, credit_id = self.forwards[choice % len(self.forwards)]
+        holder = 'z' if thief else sender
+        if self.issuer.redeem(credit_id, 's', holder, self.now_s):
+            assert holder == sender
+            self.redeemed.append(credit_id)
+            if self.own_in_use + self.foreign < SLOTS:
+                self.foreign += 1
+
+    @rule(sender=st.sampled_from(SENDERS), repeats=st.integers(1, 2))
+    def hand_back(self, sender, repeats):
+        for credit in self.wallets[sender].surplus('s', 0, self.now_s):
+            for _ in range(repeats):
+                self.issuer.take_back(credit.credit_id, sender)
+
+    @rule()
+    def own_request(self):
+        if self.own_in_use + self.foreign < SLOTS:
+            self.own_in_use += 1
+            self.own.note(self.own_in_use, self.now_s)
+
+    @rule(is_own=st.booleans())
+    def finish(self, is_own):
+        if is_own and self.own_in_use:
+            self.own_in_use -= 1
+            self.own.note(self.own_in_use, self.now_s)
+        elif not is_own and self.foreign:
+            self.foreign -= 1
+
+    @rule(delay_s=st.floats(0, 3))
+    def wait(self, delay_s):
+        self.now_s += delay_s
+
+    @invariant()
+    def stays_within_slots(self):
+        promised = self.foreign + self.issuer.outstanding('s', self.now_s)
+        assert promised <= headroom(SLOTS, 0, 0)
+        assert self.own_in_use + self.foreign <= SLOTS
+        assert len(self.redeemed) == len(set(self.redeemed))
+
+
+TwoDomainsOverflow.TestCase.settings = settings(
+    derandomize=True,
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+)
+TestTwoDomainsOverflow = TwoDomainsOverflow.TestCase
+
+
+class Gates:
+    """Run one gate in each domain over a network with faults."""
+
+    def __init__(self) -> None:
+        self.timer = ManualTimer()
+        self.network = FakeNetwork()
+        view = view_of(domain_deployment(DOMAINS))
+        self.gates = {}
+        for domain, (region, _) in DOMAINS.items():
+            port = f'127.0.0.1:{2000 + len(self.gates)}'
+            placed = Settings(domain, region, domain, gate_peers=port)
+            gate = GateUnderTest(self.timer, self.network, placed, view)
+            self.gates[domain] = gate
+
+    async def start(self) -> None:
+        for gate in self.gates.values():
+            await gate.start()
+        for gate in self.gates.values():
+            others = [other for other in self.gates.values() if other is not gate]
+            await gate.hears(*others)
+
+    async def ask_for_credits(self, gate) -> None:
+        for _ in range(30):
+            gate.router.try_acquire(gate.request())
+        await self.timer.advance(0.06)
+        await gate.kernel.run_spawned()
+
+
+def run_gates(check) -> None:
+    """Run a check over three gates."""
+
+    async def run() -> None:
+        gates = Gates()
+        await gates.start()
+        await check(gates)
+
+    anyio.run(run)
+
+
+def redeem(gate, sender, target):
+    """Hand the receiving gate the credit of a target."""
+    message = ForwardRequest(
+        sender_instance=sender.state.instance,
+        request_id='r',
+        service='kursbuchung',
+        organisation='guild-a',
+        key_hash='',
+        method='GET',
+        path='/',
+        query='',
+        headers={},
+        body=b'',
+        client_ip='127.0.0.1',
+        left_ms=1000,
+        is_owner=False,
+        credit_id=target.credit_id,
+    )
+    return gate.credits.redeem(message)
+
+
+class TestCrossing:
+    """Guard against requests that cross domains without permission."""
+
+    def test_nearest_domain_first_then_other_regions(self):
+        async def check(gates):
+            sender = gates.gates['m-1']
+            assert len(sender.fill()) == 8
+            await gates.ask_for_credits(sender)
+            crossed = sender.fill()
+            places = [target.gate.failure_domain for target in crossed]
+            # Each receiver keeps a fifth of its eight slots for its own load.
+            assert places[:6] == ['m-2' for _ in range(6)]
+            assert places[6:] == ['n-1' for _ in range(6)]
+            receiver = gates.gates['m-2']
+            assert redeem(receiver, sender, crossed[0]) is None
+            again = redeem(receiver, sender, crossed[0])
+            assert again.kind is ErrorKind.CREDIT_REFUSED
+            other = gates.gates['n-1']
+            assert redeem(receiver, other, crossed[1]) is not None
+            gates.timer.jump(2.1)
+            assert redeem(receiver, sender, crossed[2]) is not None
+
+        run_gates(check)
+
+    @pytest.mark.parametrize('fault', ['lose_requests', 'lose_answers', 'duplicate'])
+    def test_faults_only_lose_credits(self, fault):
+        async def check(gates):
+            sender = gates.gates['m-1']
+            sender.fill()
+            setattr(gates.network, fault, True)
+            await gates.ask_for_credits(sender)
+            crossed = sender.fill()
+            receiver = gates.gates['m-2']
+            given = receiver.credits._issuer.outstanding(
+                'kursbuchung', gates.timer.now_s()
+            )
+            assert given <= 6
+            assert len(crossed) <= 12
+            setattr(gates.network, fault, False)
+            gates.timer.jump(2.5)
+            await gates.ask_for_credits(sender)
+            assert len(sender.fill()) == 12
+
+        run_gates(check)
+
+    @pytest.mark.parametrize(
+        ('orders', 'places'),
+        [
+            ({'held_regions': ['n']}, {'m-2'}),
+            ({'held_regions': ['m']}, {'m-2'}),
+            ({'held_services': ['kursbuchung']}, {'m-2'}),
+            ({'drained_domains': ['m-2']}, {'n-1'}),
+        ],
+    )
+    def test_holds_and_drains_stop_overflow(self, orders, places):
+        """A hold goes before any automatic decision, also of a single gate."""
+
+        async def check(gates):
+            for gate in gates.gates.values():
+                await gate.link.deliver(BackendUpdate(**orders))
+            sender = gates.gates['m-1']
+            sender.fill()
+            await gates.ask_for_credits(sender)
+            assert {target.gate.failure_domain for target in sender.fill()} == places
+
+        run_gates(check)
+
+    def test_receiver_with_a_full_return_link_gives_nothing(self):
+        async def check(gates):
+            sender = gates.gates['m-1']
+            receiver = gates.gates['n-1']
+            receiver.links.charge_answer('m', 10**10)
+            sender.fill()
+            await gates.ask_for_credits(sender)
+            places = {target.gate.failure_domain for target in sender.fill()}
+            assert places == {'m-2'}
+
+        run_gates(check)
+
+    def test_unused_credits_go_back(self):
+        async def check(gates):
+            sender = gates.gates['m-1']
+            receiver = gates.gates['m-2']
+            taken = sender.fill()
+            await gates.ask_for_credits(sender)
+            for target in taken:
+                sender.router.release(target, Failure(ErrorKind.BACKEND_SHED, ''), 1)
+            for _ in range(20):
+                await gates.timer.advance(0.06)
+                await sender.kernel.run_spawned()
+            now_s = gates.timer.now_s()
+            assert receiver.credits._issuer.outstanding('kursbuchung', now_s) == 0
+
+        run_gates(check)
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,148 @@
+"""Check that a leaving backend server gets nothing new, whatever one source says."""
+
+import httpx
+import pytest
+
+from cicadadoor.decisions.leaving import SETTLED_S, Evidence, LeavingTable
+from cicadadoor.gate.forwarding import Forwarder
+from cicadadoor.gate.probing import Prober
+from cicadadoor.links.steering_messages import (
+    BackendUpdate,
+    HostState,
+    LeavingNotice,
+)
+from tests.test_balancing import run_gate
+
+SERVER = 'kb-m-1-0'
+
+
+class TestLeavingTable:
+    """Guard against a return on stale or weak evidence."""
+
+    @pytest.mark.parametrize('evidence', list(Evidence))
+    def test_any_source_suffices(self, evidence):
+        table = LeavingTable()
+        assert table.note('a', evidence, 1)
+        assert table.is_leaving('a')
+        assert not table.is_leaving('b')
+
+    @pytest.mark.parametrize(
+        'evidence',
+        [Evidence.ANSWER, Evidence.SIBLING, Evidence.HOST_LIST, Evidence.OPERATOR],
+    )
+    def test_health_that_lags_does_not_bring_it_back(self, evidence):
+        table = LeavingTable()
+        table.note('a', evidence, 0)
+        for second in range(1, int(SETTLED_S)):
+            assert not table.note_good_health('a', second, second)
+            assert table.is_leaving('a')
+
+    def test_change_of_health_is_fresh_evidence(self):
+        table = LeavingTable()
+        table.note('a', Evidence.ANSWER, 0)
+        table.note('a', Evidence.HEALTH, 5)
+        assert not table.note_good_health('a', 4, 6)
+        assert table.note_good_health('a', 7, 7.1)
+        assert not table.is_leaving('a')
+
+    def test_refused_server_returns_once_it_connects(self):
+        table = LeavingTable()
+        table.note('a', Evidence.REFUSED, 0)
+        assert table.note_good_health('a', 1, 1.1)
+
+    def test_settled_time_doubles_for_a_lying_endpoint(self):
+        table = LeavingTable()
+        now_s = 0.0
+        waited = []
+        for _ in range(3):
+            table.note('a', Evidence.ANSWER, now_s)
+            marked_s = now_s
+            while table.is_leaving('a'):
+                now_s += 2
+                table.note_good_health('a', now_s, now_s)
+            waited.append(now_s - marked_s)
+        assert waited[0] >= SETTLED_S
+        assert waited[1] > 1.9 * waited[0] - 4
+        assert waited[2] > 1.9 * waited[1] - 4
+
+    def test_interrupted_good_health_starts_again(self):
+        table = LeavingTable()
+        table.note('a', Evidence.ANSWER, 0)
+        table.note_good_health('a', 1, 1)
+        table.note_no_health('a')
+        table.note_good_health('a', SETTLED_S, SETTLED_S)
+        assert not table.note_good_health('a', SETTLED_S + 2, SETTLED_S + 2)
+
+    def test_older_list_entry_changes_nothing(self):
+        table = LeavingTable()
+        table.note_listed('a', 5, is_leaving=True, now_s=0)
+        table.note_listed('a', 4, is_leaving=False, now_s=1)
+        table.note_listed('a', 5, is_leaving=False, now_s=1)
+        assert table.is_leaving('a')
+        table.note_listed('a', 6, is_leaving=False, now_s=2)
+        assert not table.is_leaving('a')
+
+
+class TestLeavingServer:
+    """Guard against new work at a leaving server while other sources lag."""
+
+    @pytest.mark.parametrize('source', ['list', 'drain', 'probe', 'refused', 'sibling'])
+    def test_gets_nothing_new(self, source):
+        def answer(request: httpx.Request) -> httpx.Response:
+            if source == 'refused':
+                raise httpx.ConnectError('refused')
+            is_draining = source == 'probe'
+            return httpx.Response(200, json={'draining': is_draining, 'load': 0})
+
+        async def check(gate, timer):
+            prober = Prober()
+            gate.kernel.register(prober)
+            await prober.start(gate.kernel)
+            transport = httpx.MockTransport(answer)
+            prober._client = httpx.AsyncClient(transport=transport)
+            if source == 'list':
+                hosts = {SERVER: HostState(version=3, is_leaving=True)}
+                await gate.link.deliver(BackendUpdate(hosts=hosts))
+            elif source == 'drain':
+                await gate.link.deliver(BackendUpdate(drained=[SERVER]))
+            elif source == 'sibling':
+                await prober.hear(LeavingNotice(servers=[SERVER]))
+            for _ in range(6):
+                await timer.advance(1)
+                await gate.kernel.run_spawned()
+            taken = gate.fill()
+            is_at_server = [target.server.name == SERVER for target in taken]
+            assert not any(is_at_server)
+            expected = 0 if source in {'probe', 'refused'} else 4
+            assert len(taken) == expected
+
+        run_gate(check)
+
+    def test_return_ramps_up(self):
+        async def check(gate, timer):
+            gate.servers.note_leaving(SERVER, Evidence.REFUSED)
+            await timer.advance(1)
+            gate.servers.note_probe(SERVER, timer.now_s(), is_good=True)
+            load = gate.servers.load(SERVER)
+            assert load.soft_limit(8, timer.now_s()) == 1
+            assert load.soft_limit(8, timer.now_s() + 10) == 8
+
+        run_gate(check)
+
+
+def test_forwarder_notes_the_drain_signal_on_any_answer():
+    """A shed answer also carries the drain signal, and becomes a failure."""
+
+    async def check(gate, timer):
+        forwarder = Forwarder()
+        await forwarder.start(gate.kernel)
+        headers = {'x-draining': '1', 'x-shed': 'not-run'}
+        transport = httpx.MockTransport(
+            lambda request: httpx.Response(503, headers=headers)
+        )
+        forwarder._client = httpx.AsyncClient(transport=transport)
+        target = gate.router.try_acquire(gate.request())
+        await forwarder.forward(gate.request(), target.server)
+        assert gate.servers.leaving.is_leaving(target.server.name)
+
+    run_gate(check)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -186,6 +186,7 @@
             for number in range(count):
                 name = f'{domain}-{number}'
                 all_settings[name] = self._settings(name, region, domain)
+                all_settings[name]['seat_index'] = number
         return all_settings
 
     def _settings(self, name: str, region: str, domain: str) -> dict:
