--- a/cicadadoor/gate/forwarding.py
+++ b/cicadadoor/gate/forwarding.py
@@ -8,6 +8,7 @@
 from cicadadoor.config.model import BackendServer
 from cicadadoor.decisions.leaving import Evidence
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.connection_pool import BackendTransport
 from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
 from cicadadoor.gate.servers import BackendServers
 from cicadadoor.kernel import Kernel, Service
@@ -18,7 +19,6 @@
 _MS_PER_S = 1000
 _CONNECT_TIMEOUT_S = 1.0
 _MAX_CONNECTIONS = 1000
-_KEEP_ALIVE_S = 60.0
 
 # Headers that concern one connection only, or that the client library sets.
 HOP_HEADERS = frozenset(
@@ -53,11 +53,7 @@
         self._timer = kernel.find('timer')
         self._servers = kernel.find('servers')
         self._client = httpx.AsyncClient(
-            limits=httpx.Limits(
-                max_connections=_MAX_CONNECTIONS,
-                max_keepalive_connections=_MAX_CONNECTIONS,
-                keepalive_expiry=_KEEP_ALIVE_S,
-            ),
+            transport=BackendTransport(_MAX_CONNECTIONS),
             follow_redirects=False,
             trust_env=False,
         )
--- a/measure/__init__.py
+++ b/measure/__init__.py
@@ -1,1 +1,1 @@
-"""Measure decisions and processes; every figure comes from a run."""
+"""Measure the decisions and the daemons; figures go to docs after a run."""
