--- a/cicadadoor/agent/claims.py
+++ b/cicadadoor/agent/claims.py
@@ -73,14 +73,8 @@
         return _held(request, claim)
 
     async def collect(self) -> None:
-        """Delete claims older than their lifetime, from one host of each domain."""
-        settings = self._state.settings
-        names = [
-            beat.host
-            for beat in self._membership.heard()
-            if beat.failure_domain == settings.failure_domain
-        ]
-        if names and min(names) < settings.host:
+        """Delete claims older than their lifetime, from the relays only."""
+        if not self._membership.is_relay():
             return
         listed = await self._state.store.list(CLAIM_KIND)
         if isinstance(listed, Failure):
--- a/cicadadoor/config/view.py
+++ b/cicadadoor/config/view.py
@@ -1,14 +1,14 @@
 """Index one generation of the configuration for look-ups."""
 
 import hashlib
-import ipaddress
 from array import array
 from bisect import bisect_right
+from collections.abc import Mapping
 
 from cicadadoor.config import chunks, model
+from cicadadoor.config.addresses import IPV4_BITS, parse_address, parse_block
 from cicadadoor.errors import ErrorKind, Failure
 
-_IPV4 = 4
 # IPv6 blocks are compared by their first 64 bits; longer prefixes are not steered
 # on their own.
 _IPV6_HOST_BITS = 64
@@ -50,6 +50,43 @@
         self.ipv4 = BlockIndex('I')
         self.ipv6 = BlockIndex('Q')
 
+    def renumbered(self, numbers: list[int | None]) -> 'BlockSection | None':
+        """Return the section with other region numbers, None if one is gone."""
+        translated = BlockSection()
+        for old, new in ((self.ipv4, translated.ipv4), (self.ipv6, translated.ipv6)):
+            new.starts = old.starts
+            new.ends = old.ends
+            for number in old.region_numbers:
+                wanted = numbers[number]
+                if wanted is None:
+                    return None
+                new.region_numbers.append(wanted)
+        return translated
+
+
+class BlockIndexes:
+    """Find a block among the sections of one address family, in order of address."""
+
+    __slots__ = ('_firsts', '_indexes')
+
+    def __init__(self, indexes: list[BlockIndex]) -> None:
+        self._indexes = [index for index in indexes if index.starts]
+        self._firsts = [index.starts[0] for index in self._indexes]
+
+    def __len__(self) -> int:
+        return sum(len(index.starts) for index in self._indexes)
+
+    def find(self, address: int) -> 'tuple[int, int] | None':
+        """Return the block's start and region number, or None if not covered."""
+        number = bisect_right(self._firsts, address) - 1
+        if number < 0:
+            return None
+        index = self._indexes[number]
+        position = index.find(address)
+        if position is None:
+            return None
+        return index.starts[position], index.region_numbers[position]
+
 
 class ClientBlocks:
     """Find the home region and hash point of a client address."""
@@ -58,31 +95,26 @@
 
     def __init__(self, regions: list[str], sections: list[BlockSection]) -> None:
         self._regions = regions
-        self._ipv4 = BlockIndex('I')
-        self._ipv6 = BlockIndex('Q')
-        for section in sections:
-            _extend(self._ipv4, section.ipv4)
-            _extend(self._ipv6, section.ipv6)
+        self._ipv4 = BlockIndexes([section.ipv4 for section in sections])
+        self._ipv6 = BlockIndexes([section.ipv6 for section in sections])
 
     def __len__(self) -> int:
-        return len(self._ipv4.starts) + len(self._ipv6.starts)
+        return len(self._ipv4) + len(self._ipv6)
 
     def locate(self, client_ip: str) -> 'tuple[str, float] | None':
         """Return home region and hash point in [0, 1), or None if not covered.
 
         Raise ValueError if the text is no IP number.
         """
-        address = ipaddress.ip_address(client_ip)
-        index = self._ipv4
-        number = int(address)
-        if address.version != _IPV4:
-            index = self._ipv6
-            number >>= _IPV6_HOST_BITS
-        position = index.find(number)
-        if position is None:
+        address = parse_address(client_ip)
+        if address.bits == IPV4_BITS:
+            found = self._ipv4.find(address.first)
+        else:
+            found = self._ipv6.find(address.first >> _IPV6_HOST_BITS)
+        if found is None:
             return None
-        region = self._regions[index.region_numbers[position]]
-        return region, hash_point(index.starts[position])
+        start, region_number = found
+        return self._regions[region_number], hash_point(start)
 
 
 class ConfigView:
@@ -144,7 +176,7 @@
         located = self.blocks.locate(client_ip)
         if located is None:
             home_region = self.regions[0]
-            point = hash_point(int(ipaddress.ip_address(client_ip)))
+            point = hash_point(parse_address(client_ip).first)
         else:
             home_region, point = located
         chosen = self._choose(service, home_region, point)
@@ -181,14 +213,39 @@
         self,
         generation: int,
         section_digests: dict[str, str],
-        contents: dict[str, bytes],
+        contents: Mapping[str, bytes],
+    ) -> ConfigView | Failure:
+        """Build a view; `contents` has to hold each section that changed.
+
+        After a failure the cache is as it was before.
+        """
+        trial = SectionCache()
+        trial._decoded = dict(self._decoded)
+        trial._blocks = dict(self._blocks)
+        trial._digests = dict(self._digests)
+        trial._block_regions = self._block_regions
+        view = trial._update(generation, section_digests, contents)
+        if isinstance(view, ConfigView):
+            self._decoded = trial._decoded
+            self._blocks = trial._blocks
+            self._digests = trial._digests
+            self._block_regions = trial._block_regions
+        return view
+
+    def _update(
+        self,
+        generation: int,
+        section_digests: dict[str, str],
+        contents: Mapping[str, bytes],
     ) -> ConfigView | Failure:
-        """Build a view; `contents` has to hold each section that changed."""
+        missing = chunks.missing_section(section_digests)
+        if missing is not None:
+            return missing
         for name, digest in section_digests.items():
             if name.startswith(chunks.BLOCK_SECTION_PREFIX):
                 continue
             if self._digests.get(name) != digest:
-                part = chunks.decode(name, contents[name])
+                part = _decode_part(name, contents)
                 if isinstance(part, Failure):
                     return part
                 self._decoded[name] = part
@@ -210,11 +267,11 @@
         self,
         regions: list[str],
         section_digests: dict[str, str],
-        contents: dict[str, bytes],
+        contents: Mapping[str, bytes],
     ) -> Failure | None:
-        if regions != self._block_regions:
-            self._blocks.clear()
-            self._block_regions = regions
+        failure = self._renumber(regions, section_digests)
+        if failure is not None:
+            return failure
         for gone in set(self._blocks) - set(section_digests):
             self._blocks.pop(gone)
         for name, digest in section_digests.items():
@@ -222,7 +279,7 @@
                 continue
             if name in self._blocks and self._digests.get(name) == digest:
                 continue
-            part = chunks.decode(name, contents[name])
+            part = _decode_part(name, contents)
             if isinstance(part, Failure):
                 return part
             section = index_blocks(part, regions)
@@ -232,6 +289,41 @@
             self._digests[name] = digest
         return None
 
+    def _renumber(
+        self,
+        regions: list[str],
+        section_digests: dict[str, str],
+    ) -> Failure | None:
+        # The contents of unchanged sections are not kept, so their region numbers
+        # are translated when the list of regions changes.
+        if regions == self._block_regions:
+            return None
+        numbers = {name: number for number, name in enumerate(regions)}
+        translated = [numbers.get(name) for name in self._block_regions]
+        kept: dict[str, BlockSection] = {}
+        for name, section in self._blocks.items():
+            if section_digests.get(name) != self._digests.get(name):
+                continue
+            renumbered = section.renumbered(translated)
+            if renumbered is None:
+                return Failure(
+                    ErrorKind.CONFIG_INVALID,
+                    f'section {name!r} has blocks of a region that is gone',
+                )
+            kept[name] = renumbered
+        self._blocks = kept
+        self._block_regions = regions
+        return None
+
+
+def _decode_part(name: str, contents: Mapping[str, bytes]) -> object:
+    if name not in contents:
+        return Failure(
+            ErrorKind.CONFIG_INVALID,
+            f'section {name!r}: the content is missing',
+        )
+    return chunks.decode(name, contents[name])
+
 
 def index_blocks(
     blocks: tuple[model.ClientBlock, ...],
@@ -247,13 +339,15 @@
                 ErrorKind.CONFIG_INVALID,
                 f'client block {block.cidr!r}: no region {block.region!r}',
             )
-        network = ipaddress.ip_network(block.cidr)
-        start = int(network.network_address)
-        end = int(network.broadcast_address)
-        if network.version == _IPV4:
-            section.ipv4.add(start, end, number)
+        try:
+            addresses = parse_block(block.cidr)
+        except ValueError as error:
+            return Failure(ErrorKind.CONFIG_INVALID, f'client block: {error}')
+        if addresses.bits == IPV4_BITS:
+            section.ipv4.add(addresses.first, addresses.last, number)
         else:
-            section.ipv6.add(start >> _IPV6_HOST_BITS, end >> _IPV6_HOST_BITS, number)
+            first = addresses.first >> _IPV6_HOST_BITS
+            section.ipv6.add(first, addresses.last >> _IPV6_HOST_BITS, number)
     return section
 
 
@@ -262,9 +356,3 @@
     seed = number.to_bytes(_SEED_BYTES, 'big')
     hashed = hashlib.blake2b(seed, digest_size=_HASH_BYTES).digest()
     return int.from_bytes(hashed, 'big') / _HASH_SPACE
-
-
-def _extend(target: BlockIndex, part: BlockIndex) -> None:
-    target.starts.extend(part.starts)
-    target.ends.extend(part.ends)
-    target.region_numbers.extend(part.region_numbers)
--- a/cicadadoor/gate/attempts.py
+++ b/cicadadoor/gate/attempts.py
@@ -5,10 +5,11 @@
 from cicadadoor.decisions.retries import MAX_ATTEMPTS, RetryBudget, is_repeatable
 from cicadadoor.errors import ErrorKind, Failure, Run
 from cicadadoor.gate.forwarding import Forwarder
+from cicadadoor.gate.keys import KeyCheck
 from cicadadoor.gate.peer_forwarding import PeerForwarder
 from cicadadoor.gate.quarantine import Quarantine
 from cicadadoor.gate.queueing import RequestQueue
-from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
+from cicadadoor.gate.request import CANCELLED, SteeredAnswer, SteeredRequest
 from cicadadoor.gate.routing import Target
 from cicadadoor.gate.state import GateState
 from cicadadoor.gate.streams import hold
@@ -28,6 +29,7 @@
         self._kernel: Kernel
         self._state: GateState
         self._timer: TimerService
+        self._keys: KeyCheck
         self._quarantine: Quarantine
         self._queue: RequestQueue
         self._forwarder: Forwarder
@@ -39,6 +41,7 @@
         self._kernel = kernel
         self._state = kernel.find('state')
         self._timer = kernel.find('timer')
+        self._keys = kernel.find('keys')
         self._quarantine = kernel.find('quarantine')
         self._queue = kernel.find('queue')
         self._forwarder = kernel.find('forwarder')
@@ -100,7 +103,11 @@
         target = await self._acquire(request, tried, is_local_only=is_local_only)
         if isinstance(target, Failure):
             return target
-        tried.add(target.server.name if target.server else target.gate.instance)
+        if self._keys.is_withdrawn(request.key_hash):
+            # The key was withdrawn while the request waited in the queue.
+            self._give_back(target)
+            return Failure(ErrorKind.KEY_WITHDRAWN, 'the key was withdrawn')
+        tried.add(target.server.name if target.server else target.gate.host)
         answer, _ = await self._attempt(request, target)
         return answer
 
@@ -165,10 +172,7 @@
         target: Target,
     ) -> tuple[SteeredAnswer | Failure, bool]:
         """Return the answer, and whether the backend server died."""
-        answer: SteeredAnswer | Failure = Failure(
-            ErrorKind.OUTCOME_UNKNOWN,
-            'the request was cancelled',
-        )
+        answer: SteeredAnswer | Failure = CANCELLED
         started_s = self._timer.now_s()
         if target.server is not None:
             self._quarantine.began(request, target.server)
@@ -183,6 +187,7 @@
                 release = partial(self._finish, request, target, answer, started_s)
                 answer = hold(self._kernel, request, answer, release, left_s)
                 is_held = True
+                self._keys.guard(request, answer)
         finally:
             if not is_held:
                 self._finish(request, target, answer, started_s)
@@ -196,7 +201,11 @@
     ) -> SteeredAnswer | Failure:
         if target.server is not None:
             return await self._forwarder.forward(request, target.server)
-        return await self._peer_forwarder.forward(request, target.gate)
+        return await self._peer_forwarder.forward(
+            request,
+            target.gate,
+            credit_id=target.credit_id,
+        )
 
     async def _examine(self, target: Target, failure: Failure) -> bool:
         if target.server is None:
--- a/cicadadoor/gate/daemon.py
+++ b/cicadadoor/gate/daemon.py
@@ -6,12 +6,17 @@
 from cicadadoor.gate.admission import FloorAdmission
 from cicadadoor.gate.app import CallerServer
 from cicadadoor.gate.config_receiver import ConfigReceiver
+from cicadadoor.gate.credits import CreditDesk
 from cicadadoor.gate.directory import GateDirectory
 from cicadadoor.gate.keys import KeyCheck
+from cicadadoor.gate.link_budgets import LinkBudgets
 from cicadadoor.gate.lookup import Lookup
+from cicadadoor.gate.probing import Prober
 from cicadadoor.gate.queueing import NoQueue
 from cicadadoor.gate.request_services import request_services
 from cicadadoor.gate.routing import TwoChoicesRouter
+from cicadadoor.gate.servers import BackendServers
+from cicadadoor.gate.slot_share import ConfiguredSeat
 from cicadadoor.gate.state import GateState
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.daemon_link import DaemonLink
@@ -33,10 +38,15 @@
         state,
         KeyCheck(),
         FloorAdmission(),
+        ConfiguredSeat(),
+        BackendServers(),
+        LinkBudgets(),
         TwoChoicesRouter(),
+        CreditDesk(),
         NoQueue(),
         Lookup(),
         GateDirectory(),
+        Prober(),
         ConfigReceiver(),
         *request_services(),
     )
--- a/cicadadoor/gate/forward_server.py
+++ b/cicadadoor/gate/forward_server.py
@@ -1,10 +1,12 @@
 """Run the requests that other gates hand over."""
 
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 
 import anyio
 
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.credits import CreditDesk
 from cicadadoor.gate.peer_forwarding import pack
 from cicadadoor.gate.request import SteeredAnswer
 from cicadadoor.gate.streams import StoredStream, read_part
@@ -41,6 +43,7 @@
     def __init__(self) -> None:
         self._timer: TimerService
         self._run: RunForwarded
+        self._credits: CreditDesk
         self._streams: dict[str, StoredStream] = {}
         self._running: dict[tuple[str, str], anyio.CancelScope] = {}
         # Messages that were taken, so that a duplicate does not run again.
@@ -49,6 +52,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Answer other gates."""
         self._timer = kernel.find('timer')
+        self._credits = kernel.find('credits')
         self._run = kernel.find('pipeline').run_forwarded
         peers: PeerHub = kernel.find('peers')
         peers.on(ForwardRequest, self.handle, ForwardAnswer)
@@ -75,7 +79,8 @@
             finally:
                 self._running.pop(running, None)
         if isinstance(answer, SteeredAnswer) and answer.stream is not None:
-            return await self._store(answer)
+            return await self._store(message, answer)
+        self._credits.note_answer(message, answer)
         return pack(answer)
 
     async def handle_next(self, message: ForwardNext) -> Message:
@@ -96,6 +101,7 @@
             return ForwardPart(is_broken=True)
         stored.is_busy = False
         stored.used_s = self._timer.now_s()
+        self._charge(message, body)
         is_last = len(body) < PART_BYTES
         if is_last:
             await self._close(message.stream_id)
@@ -127,13 +133,14 @@
             self._taken.pop(next(iter(self._taken)))
         return True
 
-    async def _store(self, answer: SteeredAnswer) -> Message:
+    async def _store(self, message: ForwardRequest, answer: SteeredAnswer) -> Message:
         try:
             body = await read_part(answer.stream, PART_BYTES)
         except Exception as error:
             await answer.close()
             failure = Failure(ErrorKind.ANSWER_TRUNCATED, type(error).__name__)
             return pack(failure)
+        self._charge(message, body)
         stream_id = new_nonce()
         self._streams[stream_id] = StoredStream(answer, self._timer.now_s())
         return ForwardAnswer(
@@ -144,6 +151,10 @@
             stream_id=stream_id,
         )
 
+    def _charge(self, message: ForwardRequest | ForwardNext, body: bytes) -> None:
+        part = SteeredAnswer(status=HTTPStatus.OK, headers=[], body=body)
+        self._credits.note_answer(message, part)
+
     async def _close(self, stream_id: str) -> None:
         stored = self._streams.pop(stream_id, None)
         if stored is not None:
--- a/cicadadoor/gate/forwarding.py
+++ b/cicadadoor/gate/forwarding.py
@@ -8,8 +8,11 @@
 import httpx
 
 from cicadadoor.config.model import BackendServer
+from cicadadoor.decisions.leaving import Evidence
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.connection_pool import BackendTransport
 from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
+from cicadadoor.gate.servers import BackendServers
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.telemetry import tracing
 from cicadadoor.timer import TimerService
@@ -18,9 +21,6 @@
 _MS_PER_S = 1000
 _CONNECT_TIMEOUT_S = 1.0
 _MAX_CONNECTIONS = 1000
-# Shorter than the 5 s after which many servers close an idle connection. A request
-# that is sent while the server closes ends with an unknown outcome.
-_KEEP_ALIVE_S = 4.0
 _FIRST_BYTES_EVENT = 'http11.send_request_headers.started'
 _CLOSED_EVENT = 'http11.response_closed.started'
 
@@ -71,17 +71,15 @@
 
     def __init__(self) -> None:
         self._timer: TimerService
+        self._servers: BackendServers
         self._client: httpx.AsyncClient
 
     async def start(self, kernel: Kernel) -> None:
         """Open the pool."""
         self._timer = kernel.find('timer')
+        self._servers = kernel.find('servers')
         self._client = httpx.AsyncClient(
-            limits=httpx.Limits(
-                max_connections=_MAX_CONNECTIONS,
-                max_keepalive_connections=_MAX_CONNECTIONS,
-                keepalive_expiry=_KEEP_ALIVE_S,
-            ),
+            transport=BackendTransport(_MAX_CONNECTIONS),
             follow_redirects=False,
             trust_env=False,
         )
@@ -114,6 +112,8 @@
                 with anyio.fail_after(left_s):
                     return await self._exchange(request, outgoing, server, sending)
             except (TimeoutError, httpx.HTTPError) as error:
+                if isinstance(error, httpx.ConnectError):
+                    self._servers.note_leaving(server.name, Evidence.REFUSED)
                 return _failed(server, sending, error)
 
     def _build(
@@ -154,6 +154,8 @@
     ) -> SteeredAnswer | Failure:
         response = await self._client.send(outgoing, stream=True)
         sending.response = response
+        if response.headers.get('x-draining') == '1':
+            self._servers.note_leaving(server.name, Evidence.ANSWER)
         is_kept_open = False
         try:
             answer = await _take_answer(request, response, server)
@@ -208,9 +210,10 @@
 
     The client library has no public access to its parser.
     """
-    pool_stream = response.stream._stream._httpcore_stream  # noqa: SLF001
-    parser = pool_stream._stream._connection._h11_state  # noqa: SLF001
-    surplus, _ = parser.trailing_data
+    stream: Any = response.stream
+    while not hasattr(stream, '_connection') or not hasattr(stream, '_request'):
+        stream = getattr(stream, '_httpcore_stream', None) or stream._stream
+    surplus, _ = stream._connection._h11_state.trailing_data
     return bool(surplus)
 
 
--- a/cicadadoor/gate/pipeline.py
+++ b/cicadadoor/gate/pipeline.py
@@ -8,6 +8,7 @@
 from cicadadoor.gate.admission import Admission
 from cicadadoor.gate.at_most_once import AtMostOnce
 from cicadadoor.gate.attempts import Attempts
+from cicadadoor.gate.credits import CreditDesk
 from cicadadoor.gate.detached import Detached, Work, run_safely
 from cicadadoor.gate.quarantine import Quarantine
 from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
@@ -59,6 +60,7 @@
         self._at_most_once: AtMostOnce
         self._quarantine: Quarantine
         self._attempts: Attempts
+        self._credits: CreditDesk
         self._kernel: Kernel
 
     async def start(self, kernel: Kernel) -> None:
@@ -70,6 +72,7 @@
         self._at_most_once = kernel.find('at_most_once')
         self._quarantine = kernel.find('quarantine')
         self._attempts = kernel.find('attempts')
+        self._credits = kernel.find('credits')
         self._kernel = kernel
 
     async def handle(self, raw: RawRequest) -> SteeredAnswer | Failure:
@@ -165,6 +168,9 @@
             )
         if self._state.is_stopping:
             return Failure(ErrorKind.DRAINING, 'this host is stopping')
+        refusal = self._credits.redeem(message)
+        if refusal is not None:
+            return refusal
         return await self._run(
             request,
             partial(self._attempts.run, request, is_local_only=True),
@@ -215,7 +221,7 @@
         return await self._attempts.run(request)
 
     def _must_stop(self, request: SteeredRequest) -> bool:
-        return request.key_hash in self._state.withdrawn_keys
+        return self._keys.is_withdrawn(request.key_hash)
 
 
 def find_route(service: Service, method: str, path: str) -> Route | None:
