--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,270 @@
+"""Break the exchange with a backend server at each of its steps."""
+
+import anyio
+import pytest
+
+from cicadadoor.config.model import BackendServer
+from cicadadoor.decisions.retries import RetryBudget, is_repeatable
+from cicadadoor.errors import ANSWERS, ErrorKind, Failure, Run
+from cicadadoor.gate.forwarding import Forwarder
+from cicadadoor.gate.request import SteeredRequest
+from cicadadoor.timer import BootTimer
+from tests.test_keyed_once import Named
+from tests.utils.deployments import small_deployment
+from tests.utils.gates import FakeKernel, view_of
+
+VIEW = view_of(small_deployment({'muenchen-1': ('muenchen', 1)}))
+HEAD = b'HTTP/1.1 200 OK\r\n'
+WHOLE = HEAD + b'content-length: 4\r\n\r\nbook'
+LONG_BYTES = 1_500_000
+LONG = b'content-length: 1500000\r\n\r\n'
+
+
+class RawServer:
+    """Answer each request with scripted bytes, then close or go on."""
+
+    def __init__(self, *answers, closes=False, waits=False) -> None:
+        self.answers = list(answers)
+        self.closes = closes
+        self.waits = waits
+        self.requests = []
+        self.connections = 0
+        self.was_dropped = anyio.Event()
+
+    async def serve(self, stream):
+        """Take requests of one connection."""
+        self.connections += 1
+        async with stream:
+            try:
+                await self._serve(stream)
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                self.was_dropped.set()
+
+    async def _serve(self, stream):
+        while True:
+            received = b''
+            while b'\r\n\r\n' not in received:
+                received += await stream.receive()
+            self.requests.append(received)
+            if self.waits:
+                await stream.receive()
+            await stream.send(self.answers.pop(0))
+            if self.closes:
+                return
+
+
+class ClosesOnSecond(RawServer):
+    """Take a second request on a connection and close it without an answer."""
+
+    async def _serve(self, stream):
+        await stream.receive()
+        await stream.send(WHOLE)
+        self.requests.append(await stream.receive())
+
+
+def steered(method='POST', left_s=5.0, path='/enrol', **headers):
+    """Make a request of the booking service."""
+    timer = BootTimer()
+    return SteeredRequest(
+        request_id='r',
+        method=method,
+        path=path,
+        query='',
+        headers={name.replace('_', '-'): text for name, text in headers.items()},
+        body=b'',
+        client_ip='127.0.0.1',
+        received_s=timer.now_s(),
+        deadline_s=timer.now_s() + left_s,
+        service=VIEW.services['kursbuchung'],
+        route=None,
+        organisation=None,
+        key_hash='',
+    )
+
+
+def exchange(server, use):
+    """Call `use` with a function that forwards to the raw server."""
+
+    async def play():
+        kernel = FakeKernel()
+        kernel.register(BootTimer())
+        kernel.register(Named('servers', note_leaving=lambda name, evidence: None))
+        forwarder = Forwarder()
+        await forwarder.start(kernel)
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        backend = BackendServer(
+            name='kb-1',
+            url=f'http://127.0.0.1:{port}',
+            failure_domain='muenchen-1',
+            slots=1,
+            connections=10,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, server.serve)
+
+            async def forward(request):
+                return await forwarder.forward(request, backend)
+
+            await use(forward)
+            tasks.cancel_scope.cancel()
+        await forwarder.stop(0)
+
+    anyio.run(play)
+
+
+class TestFailures:
+    """Guard against `run=no` after a byte may have reached the backend server."""
+
+    @pytest.mark.parametrize(
+        ('sent', 'kind'),
+        [
+            (b'', ErrorKind.OUTCOME_UNKNOWN),
+            (b'HTTP/1.1 200', ErrorKind.OUTCOME_UNKNOWN),
+            (b'nonsense\r\n\r\n', ErrorKind.OUTCOME_UNKNOWN),
+            (HEAD + b'content-length: 9\r\n\r\nbook', ErrorKind.ANSWER_TRUNCATED),
+            (
+                HEAD + b'transfer-encoding: chunked\r\n\r\n4\r\nbook\r\n',
+                ErrorKind.ANSWER_TRUNCATED,
+            ),
+            (HEAD + b'\r\nbook', ErrorKind.ANSWER_TRUNCATED),
+            (
+                b'HTTP/1.1 503 Shed\r\nx-shed: not-run\r\ncontent-length: 0\r\n\r\n',
+                ErrorKind.BACKEND_SHED,
+            ),
+        ],
+    )
+    def test_broken_answers(self, sent, kind):
+        """The server took the request, and its answer is not whole."""
+
+        async def use(forward):
+            answer = await forward(steered())
+            assert answer.kind is kind
+            assert (answer.run is Run.NO) == (kind is ErrorKind.BACKEND_SHED)
+
+        exchange(RawServer(sent, closes=True), use)
+
+    @pytest.mark.parametrize('part', [b'', HEAD + b'content-length: 9\r\n\r\nbook'])
+    def test_deadline_ends_a_slow_answer(self, part):
+        """A server that trickles must not hold the request past its deadline."""
+
+        async def use(forward):
+            answer = await forward(steered(left_s=0.3))
+            assert answer.kind is ErrorKind.ANSWER_TIMED_OUT
+            assert answer.run is Run.UNKNOWN
+
+        exchange(RawServer(part), use)
+
+    @pytest.mark.parametrize('header', ['caf\xe9', 'a\nb'])
+    def test_odd_headers_do_not_raise(self, header):
+        """A header that can't be sent must not end in an untyped error."""
+
+        async def use(forward):
+            answer = await forward(steered(x_name=header))
+            if isinstance(answer, Failure):
+                assert answer.kind is ErrorKind.CONNECT_FAILED or answer.run
+            else:
+                assert answer.body == b'book'
+
+        exchange(RawServer(WHOLE), use)
+
+    def test_kept_connection_that_the_server_closes(self):
+        """The closed connection must cause neither a second run nor `run=no`."""
+
+        server = ClosesOnSecond()
+
+        async def use(forward):
+            assert (await forward(steered())).body == b'book'
+            answer = await forward(steered())
+            assert answer.run is Run.UNKNOWN
+            assert len(server.requests) == 1
+
+        exchange(server, use)
+
+    def test_cancelled_request_reaches_the_server(self):
+        """A listing that nobody waits for must free its slot."""
+        server = RawServer(waits=True)
+
+        async def use(forward):
+            with anyio.move_on_after(0.2):
+                await forward(steered('GET'))
+            with anyio.fail_after(30):
+                await server.was_dropped.wait()
+
+        exchange(server, use)
+
+
+class TestAnswers:
+    """Guard against parts of one answer in place of, or in, another."""
+
+    def test_surplus_bytes_are_not_the_next_answer(self):
+        """A server that answers twice must not answer another caller."""
+        stolen = WHOLE.replace(b'book', b'evil')
+        server = RawServer(WHOLE + stolen, WHOLE)
+
+        async def use(forward):
+            assert (await forward(steered())).body == b'book'
+            assert (await forward(steered())).body == b'book'
+            assert server.connections == 2
+
+        exchange(server, use)
+
+    @pytest.mark.parametrize(
+        ('method', 'sent', 'length'),
+        [
+            ('HEAD', HEAD + b'content-length: 9\r\n\r\n', '9'),
+            ('GET', b'HTTP/1.1 204 No Content\r\n\r\n', None),
+            ('GET', b'HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n', '9'),
+        ],
+    )
+    def test_answers_without_a_body(self, method, sent, length):
+        """A declared length without a body is no truncation here."""
+
+        async def use(forward):
+            answer = await forward(steered(method))
+            assert answer.body == b''
+            assert dict(answer.headers).get('content-length') == length
+
+        exchange(RawServer(sent), use)
+
+    @pytest.mark.parametrize('is_short', [False, True])
+    def test_long_answers(self, is_short):
+        """A stream that ends early has to raise, so that the caller sees it."""
+        body = bytes(LONG_BYTES - is_short)
+        server = RawServer(HEAD + LONG + body, closes=True)
+
+        async def use(forward):
+            answer = await forward(steered())
+            chunks = []
+            broke = False
+            try:
+                async for chunk in answer.stream:
+                    chunks.append(chunk)
+            except Exception:
+                broke = True
+            await answer.close()
+            assert broke is is_short
+            assert is_short or len(b''.join(chunks)) == LONG_BYTES
+
+        exchange(server, use)
+
+
+class TestRetries:
+    """Guard against a second run, and against a storm of attempts."""
+
+    @pytest.mark.parametrize('kind', list(ErrorKind))
+    def test_repeatable_kinds(self, kind):
+        """A request that may have run is repeated only if it is idempotent."""
+        run = ANSWERS[kind].run
+        if is_repeatable(kind, run, is_idempotent=False):
+            assert run is Run.NO
+        assert not is_repeatable(kind, Run.UNKNOWN, is_idempotent=False)
+
+    def test_budget_bounds_a_storm(self):
+        """When every attempt fails, retries stay a share of the requests."""
+        budget = RetryBudget(0)
+        retries = 0
+        for _ in range(1000):
+            budget.earn(0)
+            retries += budget.spend(0)
+        assert retries <= 10 + 0.2 * 1000
--- /dev/null
+++ b/tests/test_keyed_once.py
@@ -0,0 +1,394 @@
+"""Fail each step between a caller's gate, the key's owner and the backend server."""
+
+import anyio
+import pytest
+
+from cicadadoor.agent.claims import ClaimKeeper
+from cicadadoor.decisions import prefixes
+from cicadadoor.errors import ANSWERS, ErrorKind, Failure, Run
+from cicadadoor.gate.claims import Claims
+from cicadadoor.gate.directory import GateDirectory
+from cicadadoor.gate.forward_server import ForwardServer
+from cicadadoor.gate.keyed_once import KeyedOnce
+from cicadadoor.gate.peer_forwarding import PeerForwarder
+from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
+from cicadadoor.gate.state import GateState
+from cicadadoor.kernel import Service
+from cicadadoor.links.claim_messages import ClaimRequest
+from cicadadoor.links.messages import PeerUpdate
+from cicadadoor.object_store.memory import MemoryObjectStore
+from tests.utils.deployments import small_deployment
+from tests.utils.gates import (
+    FakeHub,
+    FakeKernel,
+    FakeLink,
+    FakeNetwork,
+    Settings,
+    view_of,
+)
+from tests.utils.manual_timer import ManualTimer
+
+
+class Named(Service):
+    """Stand in for a service that the test does not use."""
+
+    def __init__(self, name, **members) -> None:
+        self.name = name
+        for member, content in members.items():
+            setattr(self, member, content)
+
+
+class Agent:
+    """Claim keys in a store, with faults."""
+
+    def __init__(self, link, store) -> None:
+        self.link = link
+        self.is_away = False
+        self.loses_answer = False
+        self.keeper = ClaimKeeper()
+        self.keeper._state = Named('state', store=store, instance='agent')
+        self.keeper._timer = ManualTimer()
+
+    async def take(self, message: ClaimRequest) -> None:
+        """Answer a claim, unless a fault is on."""
+        if self.is_away:
+            return
+        answer = await self.keeper.claim(message)
+        if not self.loses_answer:
+            await self.link.deliver(answer)
+
+
+class ClaimLink(FakeLink):
+    """Hand claims to the agent under test."""
+
+    agent = None
+
+    async def send(self, message) -> None:
+        """Keep the message and let the agent answer."""
+        await super().send(message)
+        if isinstance(message, ClaimRequest):
+            await self.agent.take(message)
+
+
+class Gate:
+    """Run the at-most-once services of one gate over a fake network."""
+
+    def __init__(self, host, network, timer, store, table_bytes=1_000_000) -> None:
+        self.timer = timer
+        self.kernel = FakeKernel()
+        self.state = GateState(Settings(host, 'muenchen', 'muenchen-1'))
+        address = str(self.state.settings.gate_peers)
+        self.link = ClaimLink()
+        self.agent = Agent(self.link, store)
+        self.link.agent = self.agent
+        self.once = KeyedOnce(table_bytes)
+        self.outcomes = []
+        self.runs = 0
+        self.release = None
+        self.services = (
+            timer,
+            self.state,
+            self.link,
+            FakeHub(network, self.state.instance, address),
+            Named('lookup', set_hosts=lambda hosts: None),
+            Named('credits', note_answer=lambda message, answer: None),
+            Named('pipeline', run_forwarded=self.run_forwarded),
+            GateDirectory(),
+            PeerForwarder(),
+            Claims(),
+            self.once,
+            ForwardServer(),
+        )
+
+    async def start(self):
+        """Start all services."""
+        for service in self.services:
+            self.kernel.register(service)
+        for service in self.services[1:]:
+            await service.start(self.kernel)
+        self.state.adopt(view_of(small_deployment({'muenchen-1': ('muenchen', 2)})))
+        return self
+
+    async def hears(self, *gates):
+        """Make other gates known, and forget all others."""
+        await self.link.deliver(PeerUpdate(gates=[gate.state.info() for gate in gates]))
+
+    def request(self, key, body=b'', left_s=1.0, **fields):
+        """Make a non-idempotent request."""
+        return SteeredRequest(
+            request_id='r',
+            method=fields.pop('method', 'POST'),
+            path='/enrol',
+            query='',
+            headers={'idempotency-key': key},
+            body=body,
+            client_ip='127.0.0.1',
+            received_s=self.timer.now_s(),
+            deadline_s=self.timer.now_s() + left_s,
+            service=self.state.view.services['kursbuchung'],
+            route=None,
+            organisation=None,
+            key_hash='',
+            **fields,
+        )
+
+    async def run_forwarded(self, message):
+        """Run a request of another gate as its owner."""
+        request = self.request(
+            message.headers['idempotency-key'],
+            message.body,
+            claim_id=message.claim_id,
+        )
+        return await self.once.run(request, self.dispatch, is_forwarded=True)
+
+    async def dispatch(self, request):
+        """Count the run, unless the scripted outcome says that it did not run."""
+        if self.release is not None:
+            await self.release.wait()
+        outcome = self.outcomes.pop(0) if self.outcomes else None
+        if outcome is None:
+            outcome = SteeredAnswer(status=200, headers=[], body=b'booked')
+        if not isinstance(outcome, Failure) or outcome.run is not Run.NO:
+            self.runs += 1
+        return outcome
+
+    async def send(self, key, **fields):
+        """Send a request as a caller of this gate."""
+        return await self.once.run(self.request(key, **fields), self.dispatch)
+
+    def new_key(self):
+        """Return a key of this gate."""
+        return f'{self.once.issue_prefix("kursbuchung")}nonce'
+
+
+class World:
+    """Hold two gates and what they share."""
+
+    async def start(self):
+        """Start both gates."""
+        self.timer = ManualTimer()
+        self.network = FakeNetwork()
+        self.store = MemoryObjectStore()
+        self.owner = await self.gate('owner')
+        self.other = await self.gate('another')
+        await self.owner.hears(self.other)
+        await self.other.hears(self.owner)
+        return self
+
+    async def gate(self, host, **options):
+        """Start a gate."""
+        return await Gate(host, self.network, self.timer, self.store, **options).start()
+
+    @property
+    def runs(self):
+        """Count all executions."""
+        return self.owner.runs + self.other.runs
+
+
+def played(story):
+    """Run a test's coroutine with two gates."""
+
+    async def play():
+        await story(await World().start())
+
+    anyio.run(play)
+
+
+def run_of(answer):
+    """Return what the answer says about the run."""
+    return answer.run
+
+
+async def lose_request(world):
+    world.network.lose_requests = True
+
+
+async def lose_answer(world):
+    world.network.lose_answers = True
+
+
+async def duplicate(world):
+    world.network.duplicate = True
+
+
+async def forget_owner(world):
+    await world.other.hears()
+
+
+async def replace_owner(world):
+    world.owner = await world.gate('owner')
+
+
+async def nothing(world):
+    """Let the attempt pass."""
+
+
+FAULTS = (lose_request, lose_answer, duplicate, forget_owner, replace_owner, nothing)
+
+
+class TestFaultMatrix:
+    """Guard against a second run, and against a false `run=no`."""
+
+    @pytest.mark.parametrize('is_opaque', [False, True])
+    @pytest.mark.parametrize('second', FAULTS)
+    @pytest.mark.parametrize('first', FAULTS)
+    def test_repeat_through_another_gate(self, first, second, is_opaque):
+        """Each fault strikes the first attempt or its repeat."""
+
+        async def story(world):
+            key = 'opaque' if is_opaque else world.owner.new_key()
+            if is_opaque:
+                await world.owner.send(key)
+            earlier_owner = world.owner
+            for fault in (first, second):
+                for name in ('lose_requests', 'lose_answers', 'duplicate'):
+                    setattr(world.network, name, False)
+                await fault(world)
+                answer = await world.other.send(key)
+                runs = earlier_owner.runs + world.other.runs
+                assert runs <= 1
+                assert answer.run is not Run.NO
+                if isinstance(answer, SteeredAnswer):
+                    assert runs == 1
+            assert world.owner is earlier_owner or not world.owner.runs
+
+        played(story)
+
+    @pytest.mark.parametrize('kind', list(ErrorKind))
+    def test_every_kind_of_failure(self, kind):
+        """Only a failure that says `no` may leave the key usable."""
+
+        async def story(world):
+            key = world.owner.new_key()
+            world.owner.outcomes = [Failure(kind, 'scripted')]
+            first = await world.other.send(key)
+            assert first.run is ANSWERS[kind].run
+            again = await world.other.send(key)
+            if first.run is Run.NO:
+                assert again.body == b'booked'
+            else:
+                assert (again.kind, again.run) == (kind, first.run)
+            assert world.runs == 1
+
+        played(story)
+
+    @pytest.mark.parametrize('fault', ['is_away', 'loses_answer'])
+    def test_claim_without_an_answer(self, fault):
+        """A claim that took effect unseen must neither run nor block the key."""
+
+        async def story(world):
+            setattr(world.owner.agent, fault, True)
+            refused = await world.owner.send('opaque', left_s=0.05)
+            assert refused.kind is ErrorKind.CLAIM_UNAVAILABLE
+            assert (refused.run, world.runs) == (Run.NO, 0)
+            setattr(world.owner.agent, fault, False)
+            answer = await world.other.send('opaque')
+            assert answer.body == b'booked'
+            assert (await world.owner.send('opaque')).body == b'booked'
+            assert world.runs == 1
+
+        played(story)
+
+    def test_forgotten_claim_stays_unknown(self):
+        """A claim that fails after its record expired must not look unused."""
+
+        async def story(world):
+            await world.owner.send('opaque')
+            world.timer.jump(prefixes.REMEMBERED_S + 1)
+            world.owner.agent.is_away = True
+            await world.owner.send('opaque', left_s=0.05)
+            world.owner.agent.is_away = False
+            for gate in (world.owner, world.other):
+                assert run_of(await gate.send('opaque')) is Run.UNKNOWN
+            assert world.runs == 1
+
+        played(story)
+
+
+class TestKeys:
+    """Guard against keys that are taken for others or outlive their record."""
+
+    def test_repeats_at_the_same_time_wait(self):
+        """All callers of one key get the one answer, or learn that it is open."""
+
+        async def story(world):
+            key = world.owner.new_key()
+            world.owner.release = anyio.Event()
+            answers = []
+
+            async def send(gate, left_s):
+                answers.append(await gate.send(key, left_s=left_s))
+
+            async with anyio.create_task_group() as tasks:
+                for gate in (world.owner, world.owner, world.other):
+                    tasks.start_soon(send, gate, 30)
+                await anyio.wait_all_tasks_blocked()
+                await send(world.owner, 0.05)
+                assert answers[0].kind is ErrorKind.IDEMPOTENCY_IN_PROGRESS
+                world.owner.release.set()
+            assert {answer.body for answer in answers[1:]} == {b'booked'}
+            assert world.runs == 1
+
+        played(story)
+
+    @pytest.mark.parametrize('change', ['body', 'service', 'signature', 'prefix'])
+    def test_wrong_keys_are_refused(self, change):
+        """A key must not answer for a request that it was not made for."""
+
+        async def story(world):
+            key = world.owner.new_key()
+            await world.owner.send(key)
+            body = b''
+            if change == 'body':
+                body = b'other'
+            elif change == 'service':
+                key = f'{world.owner.once.issue_prefix("schulakten")}nonce'
+            elif change == 'signature':
+                parts = key.split('.')
+                key = '.'.join((*parts[:4], '0' * 32, 'nonce'))
+            else:
+                key = 'cd1.broken'
+            for gate in (world.owner, world.other):
+                answer = await gate.send(key, body=body)
+                assert answer.kind in {
+                    ErrorKind.IDEMPOTENCY_KEY_REUSED,
+                    ErrorKind.IDEMPOTENCY_KEY_INVALID,
+                }
+                assert answer.run is Run.NO
+            assert world.runs == 1
+
+        played(story)
+
+    @pytest.mark.parametrize(
+        ('age_s', 'unused', 'used'),
+        [
+            (prefixes.LIFETIME_S + 1, Run.NO, Run.YES),
+            (prefixes.REMEMBERED_S + 1, Run.UNKNOWN, Run.UNKNOWN),
+        ],
+    )
+    def test_expired_prefix(self, age_s, unused, used):
+        """An expired key must not be said to be unused once its record is gone."""
+
+        async def story(world):
+            used_key, unused_key = world.owner.new_key(), world.owner.new_key()
+            await world.owner.send(used_key)
+            world.timer.jump(age_s)
+            assert run_of(await world.other.send(unused_key)) is unused
+            assert run_of(await world.other.send(used_key)) is used
+            assert world.runs == 1
+
+        played(story)
+
+    def test_full_table_refuses_new_keys_only(self):
+        """Room for a new key must not come from forgetting a used one."""
+
+        async def story(world):
+            gate = await world.gate('small', table_bytes=2048)
+            keys = [gate.new_key() for _ in range(3)]
+            answers = [await gate.send(key) for key in keys]
+            assert answers[2].kind is ErrorKind.IDEMPOTENCY_TABLE_FULL
+            assert answers[2].run is Run.NO
+            assert (await gate.send(keys[0])).run is Run.YES
+            assert gate.runs == 2
+
+        played(story)
