Check only source folders that exist

Cause: make test failed in a fresh tree, because the linter was given folders that no commit has created yet. Change: the Makefile lists those that are there.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
-SOURCES := cicadadoor tests examples measure
+SOURCES := $(wildcard cicadadoor tests examples measure)
 
 .PHONY: install test codestyle format demo measure clean
 
