--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,76 @@
+"""Run the operators' example programs."""
+
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from cicadadoor.config import canonical, checks
+from tests.utils.processes import program
+
+EXAMPLES = Path(__file__).parent.parent / 'examples'
+# Service: workers, slots, connections, as in section 2 of docs/design.md.
+SIZES = {
+    'knetwerk': {'kursbuchung': (12, 8, 330), 'schulakten': (14, 9, 330)},
+    'giratoires': {'sponsor-desk': (16, 6, 390), 'proof-room': (18, 6, 390)},
+}
+
+
+@pytest.mark.parametrize('name', sorted(SIZES))
+class TestExamples:
+    """Guard against examples that no longer work or drift from the sizes of today."""
+
+    def test_output_is_valid(self, name, tmp_path):
+        """An operator starts from an example, so it has to be accepted as it is."""
+        printed = tmp_path / 'configuration.json'
+        printed.write_bytes(_run(name, '0'))
+        checked = subprocess.run(
+            program('cicadadoor', 'validate', str(printed)),
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        assert checked.returncode == 0, checked.stderr
+        assert checked.stdout.startswith('valid, digest ')
+
+    def test_output_has_the_sizes_of_today(self, name):
+        """Scenarios and measurements use these sizes."""
+        configuration = canonical.parse(_run(name, '0'))
+        assert not checks.find_faults(configuration)
+        domains = Counter(
+            domain.region for domain in configuration.topology.failure_domains
+        )
+        assert sorted(domains.values()) == [2, 2, 2]
+        assert len(configuration.limits.organisations) == 8
+        found = {
+            service.name: (
+                len(service.backend_servers),
+                service.backend_servers[0].slots,
+                service.backend_servers[0].connections,
+            )
+            for service in configuration.services
+        }
+        assert found == SIZES[name]
+        for service in configuration.services:
+            spread = Counter(
+                server.failure_domain for server in service.backend_servers
+            )
+            assert len(spread) == 6
+            assert max(spread.values()) - min(spread.values()) <= 1
+
+    def test_printing_is_deterministic(self, name):
+        """A review compares digests, so the same program has to print the same."""
+        assert _run(name, '1') == _run(name, '2')
+
+
+def _run(name: str, hash_seed: str) -> bytes:
+    finished = subprocess.run(
+        [sys.executable, str(EXAMPLES / f'{name}.py')],
+        env={'PYTHONHASHSEED': hash_seed},
+        capture_output=True,
+        check=False,
+    )
+    assert finished.returncode == 0, finished.stderr
+    return finished.stdout
