--- a/cicadadoor/core.py
+++ b/cicadadoor/core.py
@@ -30,7 +30,11 @@
         return ExitStatus.USAGE
     logs.configure(settings.log_level)
     tracing.configure(program, settings.trace_sample_ratio)
-    return anyio.run(_run, program, settings, build)
+    try:
+        return anyio.run(_run, program, settings, build)
+    except Exception:
+        log.exception('ended_by_fault', program=program)
+        raise
 
 
 async def _run(program: str, settings: Settings, build: BuildKernel) -> ExitStatus:
@@ -38,12 +42,13 @@
     log.info('started', program=program, host=settings.host, pid=os.getpid())
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
 
-        async def wait_for_stop() -> float:
-            async for _ in signals:
-                break
-            log.info('stopping', program=program, grace_s=settings.grace_s)
-            return settings.grace_s
+        async def wait_for_signal() -> None:
+            received = await anext(signals)
+            log.info('stopping', program=program, signal=received.name)
 
-        await kernel.run(wait_for_stop)
+        left = await kernel.run(wait_for_signal, settings.grace_s)
+    if left:
+        log.warning('stopped_with_work_left', program=program, left=left)
+        return ExitStatus.STOPPED_WITH_WORK_LEFT
     log.info('stopped', program=program)
     return ExitStatus.SUCCESS
