--- a/cicadadoor/agent/daemon.py
+++ b/cicadadoor/agent/daemon.py
@@ -5,6 +5,7 @@
 from cicadadoor import core
 from cicadadoor.agent.claims import ClaimKeeper
 from cicadadoor.agent.config_sender import ConfigSender
+from cicadadoor.agent.gate_watch import GateWatch
 from cicadadoor.agent.isolation import Isolation
 from cicadadoor.agent.membership import Membership
 from cicadadoor.agent.operator_api import OperatorApi
@@ -46,6 +47,7 @@
         WithdrawalRecords(),
         Relay(),
         Isolation(),
+        GateWatch(),
     )
     for service in services:
         kernel.register(service)
--- a/cicadadoor/gate/app.py
+++ b/cicadadoor/gate/app.py
@@ -2,24 +2,25 @@
 
 import time
 from http import HTTPStatus
+from typing import Any
 from urllib.parse import parse_qs
 
 import anyio
 import msgspec
 
 from cicadadoor.errors import ANSWERS, ErrorKind, Failure, Run
+from cicadadoor.gate.caller_answers import send_answer, watch_caller
 from cicadadoor.gate.lookup import Lookup
 from cicadadoor.gate.pipeline import Pipeline, RawRequest
-from cicadadoor.gate.request import SteeredAnswer
 from cicadadoor.gate.state import GateState
 from cicadadoor.http_server import (
     JSON_HEADER,
+    HttpServer,
     Receive,
     Scope,
     Send,
     answer_lifespan,
     send_whole,
-    serve_forever,
 )
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.telemetry import logs, metrics, tracing
@@ -28,7 +29,6 @@
 log = logs.logger('gate')
 
 MAX_REQUEST_BYTES = 16_777_216
-_STREAM_CHECK_S = 0.25
 _RESERVED_PREFIX = '/cicadadoor/v1/'
 _SERVICE_PREFIX = '/s/'
 _encoder = msgspec.json.Encoder()
@@ -54,6 +54,8 @@
         self._lookup: Lookup
         self._pipeline: Pipeline
         self._timer: TimerService
+        self._server: HttpServer
+        self._open_requests = 0
 
     async def start(self, kernel: Kernel) -> None:
         """Listen at the callers' address."""
@@ -62,13 +64,21 @@
         self._pipeline = kernel.find('pipeline')
         self._timer = kernel.find('timer')
         settings = self._state.settings
-        kernel.spawn(
-            serve_forever,
+        self._server = HttpServer(
             self.handle,
             str(settings.callers),
             settings.tls_certificate_file,
             settings.tls_key_file,
         )
+        kernel.spawn(self._server.serve)
+
+    def work_left(self) -> int:
+        """Return how many requests have no whole answer yet."""
+        return self._open_requests
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop listening and end the connections."""
+        await self._server.close()
 
     async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one HTTP request."""
@@ -77,6 +87,23 @@
             return
         if scope['type'] != 'http':
             return
+        self._open_requests += 1
+        try:
+            await self._answer(scope, receive, self._closing_send(send))
+        finally:
+            self._open_requests -= 1
+
+    def _closing_send(self, send: Send) -> Send:
+        # A caller that keeps the connection would find it closed under its next
+        # request, and could not tell whether that request ran.
+        async def send_and_close(event: dict[str, Any]) -> None:
+            if event['type'] == 'http.response.start' and self._state.is_stopping:
+                event['headers'] = [*event['headers'], (b'connection', b'close')]
+            await send(event)
+
+        return send_and_close
+
+    async def _answer(self, scope: Scope, receive: Receive, send: Send) -> None:
         path: str = scope['path']
         if path.startswith(_SERVICE_PREFIX):
             await self._steer(scope, receive, send)
@@ -102,7 +129,7 @@
         await send_whole(send, HTTPStatus.OK, [JSON_HEADER], _encoder.encode(found))
 
     async def _answer_health(self, send: Send) -> None:
-        is_ready = self._state.view is not None and not self._state.is_stopping
+        is_ready = self._state.view is not None and not self._state.is_leaving
         status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
         await send_whole(
             send, status, [JSON_HEADER], _encoder.encode({'ready': is_ready})
@@ -129,7 +156,7 @@
             client_ip=_client_ip(scope),
         )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_watch_caller, receive, tasks.cancel_scope)
+            tasks.start_soon(watch_caller, receive, tasks.cancel_scope)
             await self._answer_steered(raw, headers, send)
             tasks.cancel_scope.cancel()
         metrics.REQUEST_SECONDS.labels('all').observe(time.perf_counter() - started_s)
@@ -151,7 +178,7 @@
         if isinstance(answer, Failure):
             await self._send_failure(send, answer)
         else:
-            await _send_answer(send, answer, self._timer)
+            await send_answer(send, answer, self._timer)
 
     async def _send_failure(self, send: Send, failure: Failure) -> None:
         answer = ANSWERS[failure.kind]
@@ -169,77 +196,6 @@
         await send_whole(send, answer.status, headers, _encoder.encode(body))
 
 
-async def _watch_caller(receive: Receive, scope: anyio.CancelScope) -> None:
-    while (await receive())['type'] != 'http.disconnect':
-        pass
-    scope.cancel()
-
-
-async def _send_answer(
-    send: Send,
-    answer: SteeredAnswer,
-    timer: TimerService,
-) -> None:
-    headers = [
-        (name.encode('latin-1'), content.encode('latin-1'))
-        for name, content in answer.headers
-    ]
-    headers.append((b'x-cicadadoor-run', answer.run.value.encode()))
-    if answer.stream is not None:
-        await _send_stream(send, answer, headers, timer)
-        return
-    # An answer without a body keeps the length that it declares, as to HEAD.
-    is_declared = any(name == b'content-length' for name, _ in headers)
-    if not is_declared and answer.status != HTTPStatus.NO_CONTENT:
-        headers.append((b'content-length', str(len(answer.body)).encode()))
-    await send(_start_event(answer, headers))
-    await send({'type': 'http.response.body', 'body': answer.body})
-
-
-async def _send_stream(
-    send: Send,
-    answer: SteeredAnswer,
-    headers: list[tuple[bytes, bytes]],
-    timer: TimerService,
-) -> None:
-    # An error here ends the connection without the last chunk, so that a truncated
-    # body can't be taken for a whole one.
-    try:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_watch_stream, answer, timer, tasks.cancel_scope)
-            await send(_start_event(answer, headers))
-            async for chunk in answer.stream:
-                await send(
-                    {'type': 'http.response.body', 'body': chunk, 'more_body': True}
-                )
-            await send({'type': 'http.response.body', 'body': b''})
-            tasks.cancel_scope.cancel()
-    finally:
-        with anyio.CancelScope(shield=True):
-            await answer.close()
-
-
-async def _watch_stream(
-    answer: SteeredAnswer,
-    timer: TimerService,
-    scope: anyio.CancelScope,
-) -> None:
-    while timer.now_s() < answer.deadline_s and not answer.must_stop():
-        await timer.sleep(_STREAM_CHECK_S)
-    scope.cancel()
-
-
-def _start_event(
-    answer: SteeredAnswer,
-    headers: list[tuple[bytes, bytes]],
-) -> dict[str, object]:
-    return {
-        'type': 'http.response.start',
-        'status': answer.status,
-        'headers': headers,
-    }
-
-
 async def _read_body(headers: dict[str, str], receive: Receive) -> bytes | Failure:
     parts: list[bytes] = []
     size_bytes = 0
--- a/cicadadoor/gate/attempts.py
+++ b/cicadadoor/gate/attempts.py
@@ -1,5 +1,6 @@
 """Send a request to targets until one answers or another attempt is not allowed."""
 
+from collections.abc import Callable
 from functools import partial
 
 from cicadadoor.decisions.retries import MAX_ATTEMPTS, RetryBudget, is_repeatable
@@ -184,7 +185,11 @@
                 has_died = await self._examine(target, answer)
             elif answer.stream is not None:
                 left_s = request.deadline_s - self._timer.now_s()
-                release = partial(self._finish, request, target, answer, started_s)
+                self._state.in_flight += 1
+                release = partial(
+                    self._finish_held,
+                    partial(self._finish, request, target, answer, started_s),
+                )
                 answer = hold(self._kernel, request, answer, release, left_s)
                 is_held = True
                 self._keys.guard(request, answer)
@@ -223,6 +228,10 @@
             self._quarantine.ended(request, target.server)
         self._queue.release(target, answer, self._timer.now_s() - started_s)
 
+    def _finish_held(self, finish: Callable[[], None]) -> None:
+        self._state.in_flight -= 1
+        finish()
+
     def _count(self, request: SteeredRequest, target: Target) -> None:
         region = target.gate.region if target.gate else self._state.settings.region
         self._state.count_steered(request.organisation_name, region)
--- /dev/null
+++ b/cicadadoor/gate/caller_answers.py
@@ -0,0 +1,84 @@
+"""Send the answers of backend servers to callers."""
+
+from http import HTTPStatus
+
+import anyio
+
+from cicadadoor.gate.request import SteeredAnswer
+from cicadadoor.http_server import Receive, Send
+from cicadadoor.timer import TimerService
+
+_STREAM_CHECK_S = 0.25
+
+
+async def watch_caller(receive: Receive, scope: anyio.CancelScope) -> None:
+    """Cancel the scope when the caller goes away."""
+    while (await receive())['type'] != 'http.disconnect':
+        pass
+    scope.cancel()
+
+
+async def send_answer(
+    send: Send,
+    answer: SteeredAnswer,
+    timer: TimerService,
+) -> None:
+    """Send a whole answer, or a stream until it ends or has to be cut."""
+    headers = [
+        (name.encode('latin-1'), content.encode('latin-1'))
+        for name, content in answer.headers
+    ]
+    headers.append((b'x-cicadadoor-run', answer.run.value.encode()))
+    if answer.stream is not None:
+        await _send_stream(send, answer, headers, timer)
+        return
+    # An answer without a body keeps the length that it declares, as to HEAD.
+    is_declared = any(name == b'content-length' for name, _ in headers)
+    if not is_declared and answer.status != HTTPStatus.NO_CONTENT:
+        headers.append((b'content-length', str(len(answer.body)).encode()))
+    await send(_start_event(answer, headers))
+    await send({'type': 'http.response.body', 'body': answer.body})
+
+
+async def _send_stream(
+    send: Send,
+    answer: SteeredAnswer,
+    headers: list[tuple[bytes, bytes]],
+    timer: TimerService,
+) -> None:
+    # An error here ends the connection without the last chunk, so that a truncated
+    # body can't be taken for a whole one.
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_watch_stream, answer, timer, tasks.cancel_scope)
+            await send(_start_event(answer, headers))
+            async for chunk in answer.stream:
+                await send(
+                    {'type': 'http.response.body', 'body': chunk, 'more_body': True}
+                )
+            await send({'type': 'http.response.body', 'body': b''})
+            tasks.cancel_scope.cancel()
+    finally:
+        with anyio.CancelScope(shield=True):
+            await answer.close()
+
+
+async def _watch_stream(
+    answer: SteeredAnswer,
+    timer: TimerService,
+    scope: anyio.CancelScope,
+) -> None:
+    while timer.now_s() < answer.deadline_s and not answer.must_stop():
+        await timer.sleep(_STREAM_CHECK_S)
+    scope.cancel()
+
+
+def _start_event(
+    answer: SteeredAnswer,
+    headers: list[tuple[bytes, bytes]],
+) -> dict[str, object]:
+    return {
+        'type': 'http.response.start',
+        'status': answer.status,
+        'headers': headers,
+    }
--- a/cicadadoor/gate/config_receiver.py
+++ b/cicadadoor/gate/config_receiver.py
@@ -40,7 +40,7 @@
         self._link.on(WithdrawalUpdate, self._withdraw)
         self._link.on(ConfigUpdate, self._apply)
         timer: TimerService = kernel.find('timer')
-        timer.subscribe('gate_report', _REPORT_PERIOD_S, self._report)
+        timer.subscribe('gate_report', _REPORT_PERIOD_S, self.report)
 
     async def _withdraw(self, update: WithdrawalUpdate) -> None:
         state = self._state
@@ -81,9 +81,10 @@
             return
         if self._state.adopt(view):
             self._section_digests = complete.section_digests
-            await self._report()
+            await self.report()
 
-    async def _report(self) -> None:
+    async def report(self) -> None:
+        """Tell the agent what is in use."""
         view = self._state.view
         report = GateReport(
             gate=self._state.info(),
--- a/cicadadoor/gate/daemon.py
+++ b/cicadadoor/gate/daemon.py
@@ -7,6 +7,7 @@
 from cicadadoor.gate.app import CallerServer
 from cicadadoor.gate.config_receiver import ConfigReceiver
 from cicadadoor.gate.credits import CreditDesk
+from cicadadoor.gate.departure import Departure
 from cicadadoor.gate.directory import GateDirectory
 from cicadadoor.gate.keys import KeyCheck
 from cicadadoor.gate.link_budgets import LinkBudgets
@@ -48,6 +49,7 @@
         GateDirectory(),
         Prober(),
         ConfigReceiver(),
+        Departure(),
         *request_services(),
     )
     for service in services:
--- a/cicadadoor/gate/peer_forwarding.py
+++ b/cicadadoor/gate/peer_forwarding.py
@@ -1,6 +1,7 @@
 """Hand a request to the gate of another host."""
 
 from collections.abc import AsyncIterator
+from contextlib import suppress
 
 from cicadadoor.errors import ErrorKind, Failure, Run
 from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
@@ -178,7 +179,9 @@
         )
 
     def _cancel(self, gate: GateInfo, message: ForwardCancel) -> None:
-        self._kernel.spawn(self._send_cancel, gate, message)
+        # While the kernel ends, nothing can be sent any more.
+        with suppress(RuntimeError):
+            self._kernel.spawn(self._send_cancel, gate, message)
 
     async def _send_cancel(self, gate: GateInfo, message: ForwardCancel) -> None:
         await self._peers.ask(gate.peer_address, message, _CANCEL_TIMEOUT_S)
--- a/cicadadoor/gate/pipeline.py
+++ b/cicadadoor/gate/pipeline.py
@@ -167,7 +167,7 @@
                 ),
             )
         if self._state.is_stopping:
-            return Failure(ErrorKind.DRAINING, 'this host is stopping')
+            return _draining()
         refusal = self._credits.redeem(message)
         if refusal is not None:
             return refusal
@@ -210,7 +210,7 @@
         # After the look at the key: a repeat gets its answer also while this host
         # stops, and when its organisation is over its rate.
         if self._state.is_stopping:
-            return Failure(ErrorKind.DRAINING, 'this host is stopping; use another')
+            return _draining()
         refusal = self._quarantine.check(request)
         if refusal is not None:
             return refusal
@@ -234,6 +234,10 @@
     return max(matching, key=lambda route: len(route.path_prefix), default=None)
 
 
+def _draining() -> Failure:
+    return Failure(ErrorKind.DRAINING, 'this host is stopping; use another')
+
+
 def _deadline_ms(headers: dict[str, str], longest_ms: int) -> int | Failure:
     wanted = headers.get('x-deadline-ms')
     if wanted is None:
--- a/cicadadoor/links/transport.py
+++ b/cicadadoor/links/transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from pathlib import Path
 
 import anyio
@@ -106,7 +107,6 @@
         self._handlers = handlers
         self._security = security
         self._socket: pynng.Rep0 | None = None
-        self._contexts: list[pynng.Context] = []
 
     def start(self, kernel: Kernel, address: Address) -> None:
         """Listen and answer until closed; raise pynng.NNGException if in use."""
@@ -116,20 +116,23 @@
         socket.listen(self._security.url(address))
         self._socket = socket
         for _ in range(_SERVER_CONTEXTS):
-            self._contexts.append(socket.new_context())
-            kernel.spawn(self._serve, self._contexts[-1])
+            kernel.spawn(self._serve, socket.new_context())
 
     def close(self) -> None:
         """Stop listening."""
-        # A context that outlives its socket logs an error when it is collected.
-        for context in self._contexts:
-            context.close()
-        self._contexts.clear()
         if self._socket is not None:
             self._socket.close()
             self._socket = None
 
     async def _serve(self, context: pynng.Context) -> None:
+        try:
+            await self._serve_requests(context)
+        finally:
+            # The context of a closed socket can't be closed again.
+            with suppress(pynng.NNGException):
+                context.close()
+
+    async def _serve_requests(self, context: pynng.Context) -> None:
         while True:
             try:
                 encoded = await context.arecv()
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -24,7 +24,8 @@
     async def never(message):
         await anyio.sleep_forever()
 
-    async def wait_for_stop():
+    async with anyio.create_task_group() as tasks:
+        kernel._tasks = tasks
         server = PeerServer(MessageStamp('server'), {Ack: never}, PeerSecurity())
         server.start(kernel, address)
         client = PeerClient(
@@ -36,9 +37,7 @@
         await use(kernel, client)
         client.close()
         server.close()
-        return 0
-
-    await kernel.run(wait_for_stop)
+        tasks.cancel_scope.cancel()
 
 
 class TestSilentPeer:
