Prove attempts, held streams and runs alone on fakes

tests/test_attempts.py: each ErrorKind of a first attempt, for GET and POST; a refusal after an open outcome; slot and in-flight count of a long answer; a suspect that runs alone, and one that another gate does not agree to.

--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,231 @@
+"""Choose, repeat and hold attempts at backend servers on fakes."""
+
+import anyio
+import pytest
+
+from cicadadoor.decisions.retries import MAX_ATTEMPTS
+from cicadadoor.errors import ANSWERS, ErrorKind, Failure, Run
+from cicadadoor.gate.attempts import Attempts
+from cicadadoor.gate.quarantine import Quarantine
+from cicadadoor.gate.request import SteeredAnswer
+from cicadadoor.gate.routing import Target
+from cicadadoor.gate.state import GateState
+from cicadadoor.links.messages import Ack
+from tests.test_forwarding import steered
+from tests.test_keyed_once import Named
+from tests.utils.deployments import small_deployment
+from tests.utils.gates import FakeKernel, FakeLink, Settings, view_of
+from tests.utils.manual_timer import ManualTimer
+
+DOMAIN = 'muenchen-1'
+
+
+class Script:
+    """Answer attempts in turn and note where they went."""
+
+    def __init__(self, *answers) -> None:
+        self.answers = list(answers)
+        self.servers = []
+        self.taken = 0
+
+    async def acquire(self, request, avoid, *, is_local_only=False):
+        """Give the first server that is not avoided."""
+        for server in request.service.backend_servers:
+            if server.name not in avoid:
+                self.taken += 1
+                return Target(server=server)
+        return Failure(ErrorKind.NO_BACKEND_SERVER, 'none is left')
+
+    def release(self, target, answer, took_s):
+        """Count the release."""
+        self.taken -= 1
+
+    async def forward(self, request, server):
+        """Answer as scripted."""
+        self.servers.append(server.name)
+        return self.answers.pop(0)
+
+
+class Rig:
+    """Run attempts over a script."""
+
+    def __init__(self, *answers) -> None:
+        self.script = Script(*answers)
+        self.timer = ManualTimer()
+        self.kernel = FakeKernel()
+        self.state = GateState(Settings('host', 'muenchen', DOMAIN))
+        self.quarantine = Quarantine()
+        self.attempts = Attempts()
+        deployment = small_deployment({DOMAIN: ('muenchen', 1)})
+        for number in range(4):
+            deployment.backend_server(
+                'kursbuchung',
+                f'kb-{number}',
+                url='http://127.0.0.1:9',
+                failure_domain=DOMAIN,
+                slots=1,
+                connections=1,
+            )
+        self.service = view_of(deployment).services['kursbuchung']
+
+    async def start(self):
+        """Start the services under test."""
+        script = self.script
+        services = (
+            self.timer,
+            self.state,
+            FakeLink(),
+            Named('peers', on=lambda *types: None),
+            Named('directory', in_domain=lambda name: []),
+            Named(
+                'keys',
+                is_withdrawn=lambda key: False,
+                guard=lambda request, answer: None,
+            ),
+            Named('queue', acquire=script.acquire, release=script.release),
+            Named('forwarder', forward=script.forward),
+            Named('peer_forwarder'),
+            self.quarantine,
+            self.attempts,
+        )
+        for service in services:
+            self.kernel.register(service)
+        await self.quarantine.start(self.kernel)
+        await self.attempts.start(self.kernel)
+        return self
+
+    def request(self, method='POST'):
+        """Make a request with a deadline on the manual clock."""
+        request = steered(method)
+        request.service = self.service
+        request.deadline_s = self.timer.now_s() + 10
+        return request
+
+
+def whole():
+    """Return a whole answer."""
+    return SteeredAnswer(status=200, headers=[], body=b'booked')
+
+
+class TestRepeats:
+    """Guard against a second run, and a refusal that hides a first one."""
+
+    @pytest.mark.parametrize('method', ['GET', 'POST'])
+    @pytest.mark.parametrize('kind', list(ErrorKind))
+    def test_after_each_kind(self, kind, method):
+        """The second attempt goes elsewhere, or there is none."""
+
+        async def play():
+            rig = await Rig(Failure(kind, 'scripted'), whole()).start()
+            answer = await rig.attempts.run(rig.request(method))
+            if isinstance(answer, Failure):
+                assert (answer.kind, rig.script.servers) == (kind, ['kb-0'])
+            else:
+                assert rig.script.servers == ['kb-0', 'kb-1']
+                assert method == 'GET' or ANSWERS[kind].run is Run.NO
+            assert rig.script.taken == 0
+
+        anyio.run(play)
+
+    def test_refusal_does_not_hide_an_open_outcome(self):
+        """`no` after `unknown` would deny the first attempt."""
+
+        async def play():
+            failures = [Failure(ErrorKind.OUTCOME_UNKNOWN, 'broken')]
+            shed = Failure(ErrorKind.BACKEND_SHED, 'shed')
+            failures.extend(shed for _ in range(MAX_ATTEMPTS))
+            rig = await Rig(*failures).start()
+            answer = await rig.attempts.run(rig.request('GET'))
+            assert answer.run is Run.UNKNOWN
+            assert len(rig.script.servers) == MAX_ATTEMPTS
+
+        anyio.run(play)
+
+
+class TestHeldStreams:
+    """Guard against a slot that is given back while its answer still comes."""
+
+    @pytest.mark.parametrize(('method', 'reads'), [('GET', []), ('POST', [0, 1, 2])])
+    def test_slot_is_held_until_the_end(self, method, reads):
+        """The taker of a non-idempotent answer may go; the answer is read on."""
+
+        async def play():
+            read = []
+
+            async def stream():
+                for number in range(3):
+                    read.append(number)
+                    yield b'x'
+
+            long = SteeredAnswer(status=200, headers=[], stream=stream())
+            rig = await Rig(long).start()
+            answer = await rig.attempts.run(rig.request(method))
+            assert (rig.script.taken, rig.state.in_flight) == (1, 1)
+            await answer.close()
+            await answer.close()
+            await rig.kernel.run_spawned()
+            assert (rig.script.taken, rig.state.in_flight) == (0, 0)
+            assert read == reads
+
+        anyio.run(play)
+
+
+class TestSuspects:
+    """Guard against a conviction without a run alone, and a third victim."""
+
+    @pytest.mark.parametrize('is_guilty', [False, True])
+    def test_suspect_runs_alone(self, is_guilty, monkeypatch):
+        """Two shared deaths make a suspect; the run alone decides."""
+        broken = Failure(ErrorKind.OUTCOME_UNKNOWN, 'broken')
+
+        async def died(server):
+            return True
+
+        monkeypatch.setattr('cicadadoor.gate.quarantine._has_died', died)
+
+        async def play():
+            last = broken if is_guilty else whole()
+            rig = await Rig(broken, broken, last, whole()).start()
+            answers = [await rig.attempts.run(rig.request('GET'))]
+            assert rig.script.servers == ['kb-0', 'kb-1']
+            rig.timer.jump(3)
+            answers.append(await rig.attempts.run(rig.request('GET')))
+            answers.append(await rig.attempts.run(rig.request('GET')))
+            assert not rig.quarantine.reserved()
+            if is_guilty:
+                assert answers[1].run is Run.UNKNOWN
+                assert answers[2].kind is ErrorKind.QUARANTINED
+                assert len(rig.script.servers) == 3
+            else:
+                assert answers[1].body == answers[2].body == b'booked'
+
+        anyio.run(play)
+
+    def test_suspect_waits_for_all_gates(self, monkeypatch):
+        """Another gate's request on the server could be the one that ends it."""
+        broken = Failure(ErrorKind.OUTCOME_UNKNOWN, 'broken')
+
+        async def died(server):
+            return True
+
+        monkeypatch.setattr('cicadadoor.gate.quarantine._has_died', died)
+
+        async def play():
+            rig = await Rig(broken, broken, whole()).start()
+            await rig.attempts.run(rig.request('GET'))
+            rig.timer.jump(3)
+            other = Named('other', instance='other', peer_address='other')
+            rig.kernel.find('directory').in_domain = lambda name: [other]
+            answers = [Failure(ErrorKind.PEER_UNREACHABLE, 'away'), Ack()]
+
+            async def ask(address, message, timeout_s):
+                return answers.pop(0) if message.hold_s else Ack()
+
+            rig.kernel.find('peers').ask = ask
+            refused = await rig.attempts.run(rig.request('GET'))
+            assert refused.kind is ErrorKind.QUARANTINED
+            assert refused.run is Run.NO
+            assert len(rig.script.servers) == 2
+            assert (await rig.attempts.run(rig.request('GET'))).body == b'booked'
+
+        anyio.run(play)
