Limit rate and burst over all hosts by seats, leases and tokens

Cause: each gate took an equal part of every organisation's rate by the configured seat count alone, without holding a seat, so two gates of one host, or more gates than seats, exceeded the rate; skewed demand was refused wrongly.

Change: seat_table and floating_share objects, the agent services that claim and lease them, the bucket of shares in the gate, and the exchange of tokens between gates. The callers' address is bound before the gate asks for a seat, so that a new process proves that its predecessor is gone.

Ruled out: a bucket that may go into debt (N gates exceed the burst by N), and tokens passed without a reservation at the receiver (a full giver and a full receiver exceed the burst by what is on its way).

--- a/cicadadoor/agent/daemon.py
+++ b/cicadadoor/agent/daemon.py
@@ -4,8 +4,13 @@
 
 from cicadadoor import core
 from cicadadoor.agent.config_sender import ConfigSender
+from cicadadoor.agent.limits_view import LimitsView
 from cicadadoor.agent.membership import Membership
 from cicadadoor.agent.operator_api import OperatorApi
+from cicadadoor.agent.seat_reclaim import SeatReclaimer
+from cicadadoor.agent.seat_witness import SeatWitness
+from cicadadoor.agent.seats import SeatKeeper
+from cicadadoor.agent.shares import FloatingShares
 from cicadadoor.agent.state import AgentState
 from cicadadoor.agent.sync import ConfigSync
 from cicadadoor.kernel import Kernel, Service
@@ -30,6 +35,11 @@
         ConfigSync(),
         ConfigSender(),
         Membership(),
+        LimitsView(),
+        SeatWitness(),
+        SeatKeeper(),
+        SeatReclaimer(),
+        FloatingShares(),
     )
     for service in services:
         kernel.register(service)
--- /dev/null
+++ b/cicadadoor/agent/seat_reclaim.py
@@ -0,0 +1,126 @@
+"""Free the seats of a host of this domain that is gone for good."""
+
+import msgspec
+
+from cicadadoor.agent.seat_witness import ROUND_S, SEAT_KIND, SeatWitness
+from cicadadoor.agent.seats import decode_table
+from cicadadoor.agent.state import AgentState
+from cicadadoor.decisions import seats
+from cicadadoor.errors import Failure
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.object_store.base import StoredObject
+from cicadadoor.object_store.writes import ObjectWriter
+from cicadadoor.telemetry import logs
+from cicadadoor.timer import TimerService
+
+log = logs.logger('seats')
+
+HOST_KIND = 'host'
+_LONGEST_GAP_S = 3 * ROUND_S
+
+
+class SeatReclaimer(Service):
+    """Announce a reclaim in the table, wait with evidence, and free the seats."""
+
+    name = 'seat_reclaimer'
+
+    def __init__(self) -> None:
+        self._state: AgentState
+        self._timer: TimerService
+        self._witness: SeatWitness
+        self._writer: ObjectWriter
+        self._watches: dict[str, seats.ReclaimWatch] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        """Look for absent holders periodically."""
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._witness = kernel.find('seat_witness')
+        self._writer = ObjectWriter(self._state.store, self._state.instance)
+        self._timer.subscribe('seat_reclaim', ROUND_S, self.look)
+
+    async def look(self) -> None:
+        """Take one observation of each holder that is not heard."""
+        domain = self._state.settings.failure_domain
+        present = await self._state.store.get(SEAT_KIND, domain)
+        table = decode_table(present)
+        if table is None or isinstance(present, Failure):
+            return
+        own = self._state.settings.host
+        holders = set(seats.seat_counts(table)) - {own}
+        absent = {host for host in holders if not self._witness.is_heard(host)}
+        for host in set(self._watches) - absent:
+            self._watches.pop(host)
+        own_marked = {
+            host
+            for host in holders - absent
+            if self._state.instance in seats.marks_of(table, host)
+        }
+        if not absent and not own_marked:
+            return
+        listed = await self._state.store.list(HOST_KIND)
+        if isinstance(listed, Failure):
+            return
+        names = {stored.name for stored in listed.objects}
+        # One host is dealt with per observation, because each write moves the version.
+        for host in sorted(absent | own_marked):
+            signs = self._signs(host, holders, names)
+            if await self._act(host, signs, present, table):
+                return
+
+    def _signs(
+        self,
+        host: str,
+        holders: set[str],
+        listed: set[str],
+    ) -> seats.ReclaimSigns:
+        own = self._state.settings.host
+        others = holders - {host}
+        heard_here = {other for other in others if self._witness.is_heard_here(other)}
+        # The first of the hosts that hear each other acts, so that marks of two
+        # reclaimers do not replace each other.
+        is_first = all(own < other for other in heard_here)
+        return seats.ReclaimSigns(
+            reclaimer_holds_seat=bool(self._witness.own_seats) and is_first,
+            is_list_trusted=own in listed,
+            is_listed=host in listed,
+            is_heard=self._witness.is_heard(host),
+            all_others_heard=others & listed <= heard_here,
+            other_domains=self._witness.other_domains(),
+            domains_heard=self._witness.domains_heard(),
+        )
+
+    async def _act(
+        self,
+        host: str,
+        signs: seats.ReclaimSigns,
+        present: StoredObject,
+        table: seats.SeatTable,
+    ) -> bool:
+        mark = self._state.instance
+        marks = seats.marks_of(table, host)
+        watch = self._watches.get(host)
+        if watch is None:
+            watch = seats.ReclaimWatch(
+                self._state.settings.seat_reclaim_s, _LONGEST_GAP_S
+            )
+            self._watches[host] = watch
+        is_due = watch.is_due(
+            are_signs_met=signs.are_met(),
+            is_marked=marks == {mark},
+            now_s=self._timer.now_s(),
+        )
+        wanted = table
+        if is_due:
+            log.warning('seat_reclaimed', host=host)
+            wanted = seats.remove_marked(table, host, mark)
+        elif signs.are_met():
+            wanted = seats.set_mark(table, host, mark)
+        elif mark in marks:
+            wanted = seats.set_mark(table, host, '')
+        if wanted == table:
+            return False
+        written = await self._writer.update(present, msgspec.json.encode(wanted))
+        if isinstance(written, Failure):
+            log.info('seat_table_not_written', reason=written.reason)
+        return True
--- /dev/null
+++ b/cicadadoor/agent/seat_witness.py
@@ -0,0 +1,186 @@
+"""Exchange with other agents what bears on who may hold a seat."""
+
+import random
+
+import anyio
+
+from cicadadoor.agent.limits_view import LimitsView
+from cicadadoor.agent.membership import Membership
+from cicadadoor.agent.state import AgentState
+from cicadadoor.decisions.seats import HolderEvidence
+from cicadadoor.errors import Failure
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.messages import Heartbeat, Message
+from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.links.share_messages import SeatStatus, SeatStatusRequest
+from cicadadoor.timer import TimerService
+
+SEAT_KIND = 'seat_table'
+ROUND_S = 30.0
+# A host not heard in three rounds is taken as not heard.
+HEARD_S = 3 * ROUND_S
+# Never in contact; finite because it travels in messages.
+NO_CONTACT_S = 1e9
+_ASK_TIMEOUT_S = 2.0
+_READ_TIMEOUT_S = 5.0
+_READ_PEERS = 2
+_READ_CONTACT_S = 60.0
+
+
+class SeatWitness(Service):
+    """Ask peers in rounds, answer them, and gather the evidence of this holder."""
+
+    name = 'seat_witness'
+
+    def __init__(self) -> None:
+        self._state: AgentState
+        self._timer: TimerService
+        self._membership: Membership
+        self._peers: PeerHub
+        self._limits: LimitsView
+        self._contact_s = -NO_CONTACT_S
+        self._peer_contact_s = -NO_CONTACT_S
+        self._heard_s: dict[str, float] = {}
+        self._domain_heard_s: dict[str, float] = {}
+        self._peer_heard_s: dict[str, float] = {}
+        self.own_seats: tuple[int, ...] = ()
+        self.evidence: HolderEvidence
+
+    async def start(self, kernel: Kernel) -> None:
+        """Subscribe to questions and ask periodically."""
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._membership = kernel.find('membership')
+        self._peers = kernel.find('peers')
+        self._limits = kernel.find('limits_view')
+        self.evidence = HolderEvidence(self._state.settings.seat_isolation_s)
+        self._peers.on(SeatStatusRequest, self.answer, SeatStatus)
+        self._timer.subscribe('seat_witness', ROUND_S, self.ask_round)
+
+    def note_contact(self) -> None:
+        """Note that the platform has just answered this host."""
+        self._contact_s = self._timer.now_s()
+
+    def is_heard(self, host: str) -> bool:
+        """Tell whether this host or a member of its domain heard the host lately."""
+        heard_s = max(
+            self._heard_s.get(host, -NO_CONTACT_S),
+            self._peer_heard_s.get(host, -NO_CONTACT_S),
+        )
+        return self._timer.now_s() - heard_s < HEARD_S or self._is_member(host)
+
+    def is_heard_here(self, host: str) -> bool:
+        """Tell whether this host itself heard the other one lately."""
+        age_s = self._timer.now_s() - self._heard_s.get(host, -NO_CONTACT_S)
+        return age_s < HEARD_S or self._is_member(host)
+
+    def domains_heard(self) -> int:
+        """Return how many other failure domains were heard lately."""
+        oldest_s = self._timer.now_s() - HEARD_S
+        return sum(1 for heard_s in self._domain_heard_s.values() if heard_s > oldest_s)
+
+    def other_domains(self) -> int:
+        """Return how many other failure domains are configured."""
+        own = self._state.settings.failure_domain
+        return len(set(self._limits.domain_seats) - {own})
+
+    async def ask_round(self) -> None:
+        """Ask all members of this domain and one host of each other domain."""
+        asked_s = self._timer.now_s()
+        answers: list[SeatStatus] = []
+        async with anyio.create_task_group() as tasks:
+            for beat in self._to_ask():
+                tasks.start_soon(self._ask, beat, answers)
+        own_domain = self._state.settings.failure_domain
+        answered: dict[int, float] = {}
+        ages_s: dict[str, float] = {}
+        for status in answers:
+            if status.failure_domain == own_domain:
+                answered.update(dict.fromkeys(status.seats, asked_s))
+            else:
+                ages_s[status.failure_domain] = status.platform_age_s
+        seats = self._limits.domain_seats.get(own_domain, 0)
+        self.evidence.note_domain(set(self.own_seats), seats, answered)
+        self.evidence.note_alone(set(self.own_seats), seats, asked_s)
+        self.evidence.note_domains(self.other_domains(), ages_s, asked_s)
+
+    async def read_table(self) -> bytes:
+        """Return this domain's seat table as a peer reads it now, or nothing."""
+        beats = self._membership.heard()
+        for beat in random.sample(beats, min(_READ_PEERS, len(beats))):
+            question = self._question(self._state.settings.failure_domain)
+            answer = await self._peers.ask(beat.peer_address, question, _READ_TIMEOUT_S)
+            if isinstance(answer, SeatStatus) and answer.table:
+                return answer.table
+        return b''
+
+    async def answer(self, question: Message) -> Message:
+        """Tell a peer what is heard here, and read a table for it if wanted."""
+        self._note_peer(question.host, question.failure_domain, question.platform_age_s)
+        table = b''
+        age_s = self._timer.now_s() - self._contact_s
+        if question.read_domain and age_s < _READ_CONTACT_S:
+            stored = await self._state.store.get(SEAT_KIND, question.read_domain)
+            table = b'' if isinstance(stored, Failure) else stored.body
+        now_s = self._timer.now_s()
+        ages_s = {host: now_s - heard_s for host, heard_s in self._heard_s.items()}
+        for beat in self._membership.heard():
+            ages_s[beat.host] = 0.0
+        settings = self._state.settings
+        return SeatStatus(
+            host=settings.host,
+            failure_domain=settings.failure_domain,
+            seats=self.own_seats,
+            heard_age_s=ages_s,
+            platform_age_s=self._platform_age_s(),
+            table=table,
+        )
+
+    async def _ask(self, beat: Heartbeat, answers: list[SeatStatus]) -> None:
+        answer = await self._peers.ask(
+            beat.peer_address, self._question(), _ASK_TIMEOUT_S
+        )
+        if not isinstance(answer, SeatStatus):
+            return
+        self._note_peer(answer.host, answer.failure_domain, answer.platform_age_s)
+        if answer.failure_domain == self._state.settings.failure_domain:
+            now_s = self._timer.now_s()
+            for host, age_s in answer.heard_age_s.items():
+                known_s = self._peer_heard_s.get(host, -NO_CONTACT_S)
+                self._peer_heard_s[host] = max(known_s, now_s - age_s)
+        answers.append(answer)
+
+    def _to_ask(self) -> list[Heartbeat]:
+        own_domain = self._state.settings.failure_domain
+        asked: list[Heartbeat] = []
+        by_domain: dict[str, list[Heartbeat]] = {}
+        for beat in self._membership.heard():
+            if beat.failure_domain == own_domain:
+                asked.append(beat)
+            else:
+                by_domain.setdefault(beat.failure_domain, []).append(beat)
+        asked.extend(random.choice(beats) for beats in by_domain.values())
+        return asked
+
+    def _question(self, read_domain: str = '') -> SeatStatusRequest:
+        settings = self._state.settings
+        return SeatStatusRequest(
+            host=settings.host,
+            failure_domain=settings.failure_domain,
+            platform_age_s=self._platform_age_s(),
+            read_domain=read_domain,
+        )
+
+    def _note_peer(self, host: str, domain: str, platform_age_s: float) -> None:
+        now_s = self._timer.now_s()
+        self._heard_s[host] = now_s
+        if domain != self._state.settings.failure_domain:
+            self._domain_heard_s[domain] = now_s
+        self._peer_contact_s = max(self._peer_contact_s, now_s - platform_age_s)
+
+    def _platform_age_s(self) -> float:
+        contact_s = max(self._contact_s, self._peer_contact_s)
+        return min(NO_CONTACT_S, self._timer.now_s() - contact_s)
+
+    def _is_member(self, host: str) -> bool:
+        return any(beat.host == host for beat in self._membership.heard())
--- /dev/null
+++ b/cicadadoor/agent/seats.py
@@ -0,0 +1,297 @@
+"""Claim, keep and release the seats of this host."""
+
+import math
+
+import msgspec
+
+from cicadadoor.agent.limits_view import LimitsView
+from cicadadoor.agent.seat_witness import ROUND_S, SEAT_KIND, SeatWitness
+from cicadadoor.agent.state import AgentState
+from cicadadoor.decisions import seats
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.ids import new_nonce
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.daemon_link import DaemonLink
+from cicadadoor.links.share_messages import SeatGrant, SeatReturn, ShareDemand
+from cicadadoor.object_store.base import StoredObject
+from cicadadoor.object_store.writes import ObjectWriter
+from cicadadoor.telemetry import logs
+from cicadadoor.timer import TimerService
+
+log = logs.logger('seats')
+
+_TICK_S = 1.0
+_RETRY_S = 5.0
+_DEMAND_STALE_S = 3.0
+# A free seat is left this long to hosts that are starting.
+_SPARE_AFTER_S = 60.0
+_RELEASE_TRIES = 5
+_US_PER_S = 1_000_000
+
+
+class SeatKeeper(Service):
+    """Hold seats for the gate of this host and grant them with the time they last."""
+
+    name = 'seats'
+
+    def __init__(self) -> None:
+        self._state: AgentState
+        self._timer: TimerService
+        self._link: DaemonLink
+        self._limits: LimitsView
+        self._witness: SeatWitness
+        self._writer: ObjectWriter
+        self._demand: ShareDemand | None = None
+        self._demand_s = -math.inf
+        self._ended_gate = ''
+        self._table = seats.EMPTY_TABLE
+        self._granted: dict[int, str] = {}
+        self._is_known = False
+        self._returning: set[str] = set()
+        self._serial = 0
+        self._read_due_s = 0.0
+        self._free_since_s = math.inf
+
+    async def start(self, kernel: Kernel) -> None:
+        """Subscribe to the gate and keep its seats."""
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._link = kernel.find('daemon_link')
+        self._limits = kernel.find('limits_view')
+        self._witness = kernel.find('seat_witness')
+        self._writer = ObjectWriter(self._state.store, self._state.instance)
+        self._link.on(ShareDemand, self.take_demand)
+        self._link.on(SeatReturn, self.take_return)
+        self._timer.subscribe('seats', _TICK_S, self.tick)
+
+    async def take_demand(self, demand: ShareDemand) -> None:
+        """Note the gate process that has bound the callers' address."""
+        present = self._demand
+        if present is None or present.sender_instance != demand.sender_instance:
+            self._granted = {}
+            self._is_known = False
+            self._returning.clear()
+            self._read_due_s = 0
+        self._demand = demand
+        self._demand_s = self._timer.now_s()
+
+    async def take_return(self, returned: SeatReturn) -> None:
+        """Release the seats of a gate that has ended its work."""
+        self._ended_gate = returned.sender_instance
+        self._set_granted({})
+        for _ in range(_RELEASE_TRIES):
+            if await self._release_ended():
+                return
+        log.warning('seat_not_released', gate=returned.sender_instance)
+
+    async def tick(self) -> None:
+        """Look after the seats, if a gate is there, and renew its grant."""
+        now_s = self._timer.now_s()
+        holder = self._holder()
+        if holder is None or now_s - self._demand_s > _DEMAND_STALE_S:
+            return
+        if holder.gate_instance == self._ended_gate or self._seat_count() == 0:
+            return
+        is_confirmed = self._returning and self._demand.seat_serial >= self._serial
+        if now_s >= self._read_due_s or is_confirmed:
+            await self._refresh(holder)
+        await self._send_grant(holder)
+
+    def _holder(self) -> seats.Holder | None:
+        demand = self._demand
+        if demand is None:
+            return None
+        return seats.Holder(
+            host=self._state.settings.host,
+            callers=demand.callers,
+            gate_instance=demand.sender_instance,
+        )
+
+    def _seat_count(self) -> int:
+        domain = self._state.settings.failure_domain
+        return self._limits.domain_seats.get(domain, 0)
+
+    async def _refresh(self, holder: seats.Holder) -> None:
+        asked_s = self._timer.now_s()
+        self._read_due_s = asked_s + _RETRY_S
+        domain = self._state.settings.failure_domain
+        present = await self._state.store.get(SEAT_KIND, domain)
+        table = decode_table(present)
+        if table is None:
+            await self._refresh_without_platform(holder, asked_s)
+            return
+        self._witness.note_contact()
+        if self._is_replaced(holder):
+            return
+        wanted = self._wanted(table, holder)
+        if wanted is not None and wanted != table:
+            if not await self._write(present, wanted):
+                return
+            table = wanted
+        self._use_table(table, holder, asked_s)
+        if self._granted:
+            self._read_due_s = asked_s + ROUND_S
+
+    def _is_replaced(self, holder: seats.Holder) -> bool:
+        # The gate may have been replaced while the platform answered.
+        return self._holder() != holder
+
+    def _wanted(
+        self,
+        table: seats.SeatTable,
+        holder: seats.Holder,
+    ) -> seats.SeatTable | None:
+        seat_count = self._seat_count()
+        own = seats.claims_of(table, holder)
+        self._note_free(table, seat_count)
+        if not own:
+            self._returning.clear()
+            return seats.claim_first(table, seat_count, holder, new_nonce())
+        # A seat given back stays so until the table shows it as free: the write may
+        # take effect late, after its answer was lost.
+        self._returning &= {claim.claim_id for claim in own.values()}
+        if self._returning:
+            if self._demand.seat_serial < self._serial:
+                return None
+            return seats.release(table, self._returning)
+        if any(claim.mark for claim in own.values()):
+            return seats.set_mark(table, holder.host, '')
+        spare = seats.seat_to_return(table, seat_count, holder)
+        if spare is not None:
+            # The gate stops using the seat before the table says that it is free.
+            self._returning = {own[spare].claim_id}
+            self._read_due_s = 0
+            return None
+        if self._timer.now_s() - self._free_since_s >= _SPARE_AFTER_S:
+            return seats.claim_spare(table, seat_count, holder, new_nonce())
+        return None
+
+    def _note_free(self, table: seats.SeatTable, seat_count: int) -> None:
+        now_s = self._timer.now_s()
+        if not seats.free_seats(table, seat_count):
+            self._free_since_s = math.inf
+        elif self._free_since_s == math.inf:
+            self._free_since_s = now_s
+
+    def _use_table(
+        self,
+        table: seats.SeatTable,
+        holder: seats.Holder,
+        asked_s: float,
+    ) -> None:
+        self._table = table
+        self._is_known = True
+        own = seats.claims_of(table, holder)
+        if not any(claim.mark for claim in own.values()):
+            self._witness.evidence.note_read(asked_s)
+        self._set_granted(
+            {
+                seat: claim.claim_id
+                for seat, claim in own.items()
+                if claim.claim_id not in self._returning
+            }
+        )
+
+    async def _refresh_without_platform(
+        self,
+        holder: seats.Holder,
+        asked_s: float,
+    ) -> None:
+        encoded = await self._witness.read_table()
+        if self._is_replaced(holder):
+            return
+        table = _decode_body(encoded) if encoded else None
+        if table is not None:
+            self._table = table
+            if seats.claims_of(table, holder) or not self._claims_here(holder):
+                self._use_table(table, holder, asked_s)
+                return
+        if self._granted:
+            return
+        # A restarted agent learns from the gate which claims it holds.
+        self._set_granted(self._demand.claims or self._claims_here(holder))
+        self._is_known = bool(self._granted)
+
+    def _claims_here(self, holder: seats.Holder) -> dict[int, str]:
+        # Without the platform the seats of this host's earlier gate pass to its new
+        # one, as the callers' address proves that the earlier one is gone.
+        return {
+            seat: f'{claim.claim_id}/{holder.gate_instance}'
+            for seat, claim in self._table.claims.items()
+            if claim.host == holder.host and claim.callers == holder.callers
+        }
+
+    async def _write(
+        self,
+        present: StoredObject | Failure,
+        wanted: seats.SeatTable,
+    ) -> bool:
+        body = msgspec.json.encode(wanted)
+        domain = self._state.settings.failure_domain
+        if isinstance(present, Failure):
+            written = await self._writer.create(SEAT_KIND, domain, body)
+        else:
+            written = await self._writer.update(present, body)
+        if isinstance(written, Failure):
+            log.info('seat_table_not_written', reason=written.reason)
+            self._read_due_s = 0
+            return False
+        return True
+
+    async def _release_ended(self) -> bool:
+        domain = self._state.settings.failure_domain
+        present = await self._state.store.get(SEAT_KIND, domain)
+        table = decode_table(present)
+        if table is None:
+            return False
+        holder = seats.Holder(
+            host=self._state.settings.host,
+            callers='',
+            gate_instance=self._ended_gate,
+        )
+        own = seats.claims_of(table, holder)
+        ended = {claim.claim_id for claim in own.values()}
+        return not ended or await self._write(present, seats.release(table, ended))
+
+    def _set_granted(self, granted: dict[int, str]) -> None:
+        if granted != self._granted:
+            log.info('seats_granted', seats=','.join(map(str, sorted(granted))))
+            # Serials of a restarted agent go on above those of its predecessor.
+            now_us = int(self._timer.now_s() * _US_PER_S)
+            self._serial = max(self._serial + 1, now_us)
+        self._granted = granted
+
+    async def _send_grant(self, holder: seats.Holder) -> None:
+        if not self._is_known:
+            return
+        keeps_until_s = self._witness.evidence.keeps_until_s()
+        if self._granted and keeps_until_s <= self._timer.now_s():
+            # The gate suspends itself at the time it was given.
+            self._witness.own_seats = ()
+            return
+        self._witness.own_seats = tuple(self._granted)
+        await self._link.send(
+            SeatGrant(
+                gate_instance=holder.gate_instance,
+                claims=self._granted,
+                keeps_until_s=max(keeps_until_s, 0),
+                serial=self._serial,
+            )
+        )
+
+
+def decode_table(present: StoredObject | Failure) -> seats.SeatTable | None:
+    """Return the table, an empty one if there is none, or None if it is not known."""
+    if isinstance(present, StoredObject):
+        return _decode_body(present.body)
+    if present.kind is ErrorKind.STORE_NOT_FOUND:
+        return seats.EMPTY_TABLE
+    return None
+
+
+def _decode_body(body: bytes) -> seats.SeatTable | None:
+    try:
+        return msgspec.json.decode(body, type=seats.SeatTable)
+    except msgspec.MsgspecError as error:
+        log.warning('seat_table_malformed', reason=str(error))
+        return None
--- a/cicadadoor/decisions/buckets.py
+++ b/cicadadoor/decisions/buckets.py
@@ -2,51 +2,194 @@
 
 import math
 
+# Shares are sums of fractions; the rounding of such a sum must not cost a token.
+_ROUNDING = 1e-9
+
 
 class TokenBucket:
-    """Hold tokens; an empty start, because a predecessor may have spent the burst."""
+    """Hold tokens that come at a fixed rate."""
 
     __slots__ = ('_refilled_s', 'burst', 'rate_per_s', 'tokens')
 
-    def __init__(self, rate_per_s: float, burst: float, now_s: float) -> None:
+    def __init__(
+        self,
+        rate_per_s: float,
+        burst: float,
+        now_s: float,
+        tokens: float = 0,
+    ) -> None:
         self.rate_per_s = rate_per_s
         self.burst = burst
-        self.tokens = 0.0
+        self.tokens = tokens
         self._refilled_s = now_s
 
     def take(self, now_s: float, wanted: float = 1) -> bool:
         """Take tokens if there are enough; tell whether they were taken."""
-        self._refill(now_s)
-        if self.tokens < wanted:
+        elapsed_s = max(0, now_s - self._refilled_s)
+        self._refilled_s = max(self._refilled_s, now_s)
+        self.tokens = min(self.burst, self.tokens + elapsed_s * self.rate_per_s)
+        if self.tokens < wanted - _ROUNDING:
             return False
         self.tokens -= wanted
         return True
 
-    def put(self, now_s: float, tokens: float) -> None:
-        """Add tokens received from elsewhere; what exceeds the burst is lost."""
-        self._refill(now_s)
-        self.tokens = min(self.burst, self.tokens + tokens)
 
-    def resize(self, rate_per_s: float, burst: float, now_s: float) -> None:
-        """Change rate and burst from now on."""
-        if rate_per_s == self.rate_per_s and burst == self.burst:
-            return
-        self._refill(now_s)
+class TimedShare:
+    """Hold a fraction of an organisation's limits that counts until a deadline."""
+
+    __slots__ = ('deadline_s', 'fraction')
+
+    def __init__(self, fraction: float, deadline_s: float) -> None:
+        self.fraction = fraction
+        self.deadline_s = deadline_s
+
+
+class ShareBucket:
+    """Hold the tokens of one organisation at one gate.
+
+    The gate owns a fraction of the organisation's rate and burst: its floor, plus a
+    lease and borrowed shares until their deadlines, minus lent shares until theirs.
+    Three rules bound every window of T seconds over all gates by rate x T + burst:
+    the fractions of all gates sum up to at most 1 at any time; a bucket and the
+    tokens on their way to it never hold more than its fraction of the burst; and a
+    new or growing share brings no tokens, because its last owner may have just
+    spent them.
+    """
+
+    __slots__ = (
+        '_borrowed',
+        '_lease',
+        '_lent',
+        '_refilled_s',
+        '_reserved',
+        'burst',
+        'floor',
+        'rate_per_s',
+        'tokens',
+    )
+
+    def __init__(self, rate_per_s: float, burst: float, now_s: float) -> None:
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.floor = 0.0
+        self.tokens = 0.0
+        self._lease = TimedShare(0, now_s)
+        self._borrowed: list[TimedShare] = []
+        self._lent: list[TimedShare] = []
+        self._refilled_s = now_s
+        self._reserved = 0.0
+
+    def set_limits(self, rate_per_s: float, burst: float, now_s: float) -> None:
+        """Change the organisation's own rate and burst from now on."""
+        self.refill(now_s)
         self.rate_per_s = rate_per_s
         self.burst = burst
-        self.tokens = min(self.tokens, burst)
+        self._clip()
+
+    def set_floor(self, fraction: float, now_s: float) -> None:
+        """Change the fraction that needs no lease from now on."""
+        self.refill(now_s)
+        self.floor = fraction
+        self._clip()
+
+    def set_lease(self, fraction: float, deadline_s: float, now_s: float) -> None:
+        """Replace the leased fraction from now on."""
+        self.refill(now_s)
+        self._lease = TimedShare(fraction, deadline_s)
+        self._drop_lapsed()
+
+    def room(self, now_s: float) -> float:
+        """Return how many tokens may still be requested from other gates."""
+        self.refill(now_s)
+        return max(0, self._capacity() - self.tokens)
+
+    def reserve(self, tokens: float, now_s: float) -> None:
+        """Keep room for tokens before another gate is asked for them.
+
+        Without it this bucket could be full while the tokens are on their way, and
+        the giver could be full again, which exceeds the burst.
+        """
+        self.refill(now_s)
+        self._reserved += tokens
+        self._clip()
+
+    def settle(
+        self,
+        reserved: float,
+        tokens: float,
+        loan: TimedShare,
+        now_s: float,
+    ) -> None:
+        """End a reservation with the tokens and the share that came, if any."""
+        self.refill(now_s)
+        self._reserved = max(0, self._reserved - reserved)
+        if loan.fraction > 0 and loan.deadline_s > now_s:
+            self._borrowed.append(loan)
+        self.tokens += tokens
+        self._clip()
+
+    def lend(self, tokens: float, loan: TimedShare, now_s: float) -> None:
+        """Subtract tokens and a share before another gate is told to add them."""
+        self.refill(now_s)
+        self.tokens -= tokens
+        if loan.fraction > 0:
+            self._lent.append(loan)
+        self._clip()
+
+    def take(self, now_s: float, wanted: float = 1) -> bool:
+        """Take tokens if there are enough; tell whether they were taken."""
+        self.refill(now_s)
+        if self.tokens < wanted - _ROUNDING:
+            return False
+        self.tokens = max(0, self.tokens - wanted)
+        return True
+
+    def share(self) -> float:
+        """Return the fraction owned at the time of the last refill."""
+        lent = sum(part.fraction for part in self._lent)
+        borrowed = sum(part.fraction for part in self._borrowed)
+        return max(0, self.floor + self._lease.fraction + borrowed - lent)
+
+    def floor_left(self) -> float:
+        """Return the part of the floor that is not lent."""
+        return max(0, self.floor - sum(part.fraction for part in self._lent))
 
     def wait_s(self, now_s: float, wanted: float = 1) -> float:
         """Return the time until enough tokens are there, or infinity."""
-        self._refill(now_s)
+        self.refill(now_s)
         missing = wanted - self.tokens
         if missing <= 0:
             return 0
-        if self.rate_per_s <= 0 or wanted > self.burst:
+        share = self.share()
+        if share * self.burst < wanted - _ROUNDING:
             return math.inf
-        return missing / self.rate_per_s
+        return missing / (share * self.rate_per_s)
 
-    def _refill(self, now_s: float) -> None:
-        elapsed_s = max(0, now_s - self._refilled_s)
-        self._refilled_s = max(self._refilled_s, now_s)
-        self.tokens = min(self.burst, self.tokens + elapsed_s * self.rate_per_s)
+    def refill(self, now_s: float) -> None:
+        """Add what came since the last call, each part of it until its deadline."""
+        while self._refilled_s < now_s:
+            until_s = min(now_s, self._next_deadline_s())
+            gained = (until_s - self._refilled_s) * self.share() * self.rate_per_s
+            self.tokens += gained
+            self._clip()
+            self._refilled_s = until_s
+            self._drop_lapsed()
+
+    def _next_deadline_s(self) -> float:
+        parts = [self._lease, *self._borrowed, *self._lent]
+        later = [part.deadline_s for part in parts if part.fraction > 0]
+        return max(self._refilled_s, min(later, default=math.inf))
+
+    def _drop_lapsed(self) -> None:
+        now_s = self._refilled_s
+        if self._lease.deadline_s <= now_s:
+            self._lease = TimedShare(0, now_s)
+        self._borrowed = [part for part in self._borrowed if part.deadline_s > now_s]
+        self._lent = [part for part in self._lent if part.deadline_s > now_s]
+        self._clip()
+
+    def _capacity(self) -> float:
+        return max(0, self.share() * self.burst - self._reserved)
+
+    def _clip(self) -> None:
+        self.tokens = min(self.tokens, self._capacity())
--- /dev/null
+++ b/cicadadoor/decisions/token_trade.py
@@ -0,0 +1,108 @@
+"""Decide what a gate asks of other gates, and what it gives them."""
+
+from cicadadoor.decisions.buckets import TimedShare
+from cicadadoor.decisions.gate_limits import (
+    LOAN_MARGIN_S,
+    LOAN_S,
+    Account,
+    GateLimits,
+)
+from cicadadoor.ids import digest_of
+from cicadadoor.links.share_messages import TokenWish
+
+# A gate asks for tokens when it has less than it needs for this long, and keeps as
+# much for itself when it is asked.
+RESERVE_S = 0.5
+
+
+class TokenTrade:
+    """Pass tokens between buckets so that a lost message only loses tokens."""
+
+    __slots__ = ('_instance', '_limits')
+
+    def __init__(self, instance: str, limits: GateLimits) -> None:
+        self._instance = instance
+        self._limits = limits
+
+    def wishes(self, now_s: float) -> tuple[TokenWish, ...]:
+        """Reserve room for what is missing, and return what to ask for."""
+        if not self._limits.has_seat(now_s):
+            return ()
+        wished: list[TokenWish] = []
+        for name, account in self._limits.active(now_s):
+            wish = self._wish(name, account, now_s)
+            if wish is not None:
+                account.bucket.reserve(wish.tokens, now_s)
+                wished.append(wish)
+        return tuple(wished)
+
+    def give(self, wish: TokenWish, asker: str, now_s: float) -> TokenWish | None:
+        """Subtract what this gate can spare for the asking instance; return it."""
+        account = self._limits.account(wish.organisation, now_s)
+        if account is None or not self._limits.has_seat(now_s):
+            return None
+        bucket = account.bucket
+        bucket.refill(now_s)
+        yields = self._yields(wish.organisation, account, asker)
+        reserve = 0 if yields else account.wanted_per_s * RESERVE_S
+        fraction = min(wish.fraction, bucket.floor_left()) if yields else 0
+        # Tokens above the asker's reservation travel in the share that is lent.
+        most = wish.tokens + fraction * bucket.burst
+        tokens = max(0, min(most, bucket.tokens - reserve))
+        if tokens <= 0 and fraction <= 0:
+            return None
+        until_s = now_s + LOAN_S + LOAN_MARGIN_S
+        bucket.lend(tokens, TimedShare(fraction, until_s), now_s)
+        return TokenWish(
+            organisation=wish.organisation, tokens=tokens, fraction=fraction
+        )
+
+    def settle(
+        self,
+        wish: TokenWish,
+        given: TokenWish | None,
+        asked_s: float,
+        now_s: float,
+    ) -> None:
+        """End the reservation of a wish with what came, or with nothing.
+
+        A borrowed share counts from before the question was sent, and a lent one
+        from after it arrived, so the borrower's deadline is the earlier one.
+        """
+        account = self._limits.account(wish.organisation, now_s)
+        if account is None:
+            return
+        tokens = given.tokens if given else 0
+        fraction = given.fraction if given else 0
+        loan = TimedShare(fraction, asked_s + LOAN_S)
+        if loan.deadline_s <= now_s:
+            # Only what the reservation has kept room for is still covered.
+            tokens = min(tokens, wish.tokens)
+        account.bucket.settle(wish.tokens, tokens, loan, now_s)
+
+    def _wish(self, name: str, account: Account, now_s: float) -> TokenWish | None:
+        bucket = account.bucket
+        room = bucket.room(now_s)
+        missing = max(1, account.wanted_per_s * RESERVE_S) - bucket.tokens
+        fraction = 0.0
+        if self._limits.lends(name):
+            fraction = max(0, 1 / bucket.burst - bucket.share())
+        if missing <= 0 or max(room, fraction) <= 0:
+            return None
+        return TokenWish(
+            organisation=name, tokens=min(room, missing), fraction=fraction
+        )
+
+    def _yields(self, name: str, account: Account, asker: str) -> bool:
+        # Of several gates that all hold less than a whole token, those of lower
+        # rank lend to the others; else each would keep a part that serves nobody.
+        if not self._limits.lends(name):
+            return False
+        if not account.is_active():
+            return True
+        holds_whole = account.bucket.share() * account.bucket.burst >= 1
+        return not holds_whole and _rank(name, asker) > _rank(name, self._instance)
+
+
+def _rank(name: str, instance: str) -> str:
+    return digest_of(f'{name}/{instance}'.encode())
--- a/cicadadoor/gate/admission.py
+++ b/cicadadoor/gate/admission.py
@@ -1,15 +1,17 @@
 """Admit requests within each organisation's rate and burst."""
 
 import abc
+import math
 
 from cicadadoor.config.model import Organisation
-from cicadadoor.decisions.buckets import TokenBucket
+from cicadadoor.decisions.gate_limits import Verdict
 from cicadadoor.errors import ErrorKind, Failure
-from cicadadoor.gate.state import GateState
+from cicadadoor.gate.shares import GateShares
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.timer import TimerService
 
 _MS_PER_S = 1000
+_MAX_WAIT_S = 60
 
 
 class Admission(Service):
@@ -22,40 +24,38 @@
         """Take one token; RATE_EXCEEDED tells when the next one is there."""
 
 
-class FloorAdmission(Admission):
-    """Admit within this gate's equal part of each organisation's floor."""
+class SeatAdmission(Admission):
+    """Admit within the floor of this gate's seats and its floating shares."""
 
     def __init__(self) -> None:
-        self._state: GateState
+        self._shares: GateShares
         self._timer: TimerService
-        self._buckets: dict[str, TokenBucket] = {}
 
     async def start(self, kernel: Kernel) -> None:
-        """Find the state and the timer."""
-        self._state = kernel.find('state')
+        """Find the shares and the timer."""
+        self._shares = kernel.find('shares')
         self._timer = kernel.find('timer')
 
     def admit(self, organisation: Organisation) -> Failure | None:
-        """Take one token; RATE_EXCEEDED tells when the next one is there."""
+        """Take one token; RATE_EXCEEDED tells when the next one is there.
+
+        NOT_READY means that this gate holds no seat and admits nothing.
+        """
+        limits = self._shares.limits()
+        # Leases and seats are checked against the clock at the moment of use, so
+        # that a gate that was paused admits nothing on a lapsed one.
         now_s = self._timer.now_s()
-        bucket = self._bucket(organisation, now_s)
-        if bucket.take(now_s):
+        verdict = limits.admit(organisation.name, now_s)
+        if verdict is Verdict.ADMITTED:
             return None
-        wait_ms = int(bucket.wait_s(now_s) * _MS_PER_S) + 1
+        if verdict is Verdict.NO_SEAT:
+            return Failure(ErrorKind.NOT_READY, 'this host holds no seat; use another')
+        wait_s = limits.wait_s(organisation.name, now_s)
+        wait_ms = 0
+        if wait_s < math.inf:
+            wait_ms = int(min(wait_s, _MAX_WAIT_S) * _MS_PER_S) + 1
         return Failure(
             ErrorKind.RATE_EXCEEDED,
             f'organisation {organisation.name} is over its rate at this host',
             wait_ms,
         )
-
-    def _bucket(self, organisation: Organisation, now_s: float) -> TokenBucket:
-        view = self._state.view
-        parts = view.seat_count if view else 1
-        rate_per_s = organisation.rate_per_s / parts
-        burst = organisation.burst / parts
-        bucket = self._buckets.get(organisation.name)
-        if bucket is None:
-            bucket = TokenBucket(rate_per_s, burst, now_s)
-            self._buckets[organisation.name] = bucket
-        bucket.resize(rate_per_s, burst, now_s)
-        return bucket
--- a/cicadadoor/gate/app.py
+++ b/cicadadoor/gate/app.py
@@ -17,6 +17,7 @@
     Scope,
     Send,
     answer_lifespan,
+    listen,
     send_whole,
     serve_forever,
 )
@@ -60,10 +61,11 @@
         kernel.spawn(
             serve_forever,
             self.handle,
-            str(settings.callers),
+            listen(str(settings.callers)),
             settings.tls_certificate_file,
             settings.tls_key_file,
         )
+        self._state.is_bound = True
 
     async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one HTTP request."""
@@ -97,7 +99,7 @@
         await send_whole(send, HTTPStatus.OK, [JSON_HEADER], _encoder.encode(found))
 
     async def _answer_health(self, send: Send) -> None:
-        is_ready = self._state.view is not None and not self._state.is_stopping
+        is_ready = self._state.takes_callers
         status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
         await send_whole(
             send, status, [JSON_HEADER], _encoder.encode({'ready': is_ready})
--- a/cicadadoor/gate/daemon.py
+++ b/cicadadoor/gate/daemon.py
@@ -3,7 +3,7 @@
 import sys
 
 from cicadadoor import core
-from cicadadoor.gate.admission import FloorAdmission
+from cicadadoor.gate.admission import SeatAdmission
 from cicadadoor.gate.app import CallerServer
 from cicadadoor.gate.at_most_once import PassThrough
 from cicadadoor.gate.config_receiver import ConfigReceiver
@@ -16,7 +16,9 @@
 from cicadadoor.gate.quarantine import NoQuarantine
 from cicadadoor.gate.queueing import NoQueue
 from cicadadoor.gate.routing import TwoChoicesRouter
+from cicadadoor.gate.shares import GateShares, SeatReturner
 from cicadadoor.gate.state import GateState
+from cicadadoor.gate.token_exchange import TokenExchange
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.peer_hub import PeerHub
@@ -36,7 +38,8 @@
         BootTimer(),
         state,
         KeyCheck(),
-        FloorAdmission(),
+        GateShares(),
+        SeatAdmission(),
         PassThrough(),
         NoQuarantine(),
         TwoChoicesRouter(),
@@ -45,6 +48,7 @@
         PeerForwarder(),
         Lookup(),
         GateDirectory(),
+        TokenExchange(),
         ConfigReceiver(),
         Pipeline(),
     )
@@ -52,6 +56,7 @@
         kernel.register(service)
     # Links and listeners start last, when all services have subscribed.
     kernel.register(link)
+    kernel.register(SeatReturner())
     kernel.register(peers)
     kernel.register(CallerServer())
     return kernel
--- a/cicadadoor/gate/state.py
+++ b/cicadadoor/gate/state.py
@@ -21,6 +21,8 @@
         self.view: ConfigView | None = None
         self.withdrawn_keys: set[str] = set()
         self.is_stopping = False
+        self.is_bound = False
+        self.has_seat = False
         self.in_flight = 0
         self.counters = LoadCounters(by_region={}, by_link={}, by_organisation={})
 
@@ -33,6 +35,11 @@
         log.info('config_in_force', generation=view.generation, digest=view.digest)
         return True
 
+    @property
+    def takes_callers(self) -> bool:
+        """Tell whether callers may be sent to this gate."""
+        return self.view is not None and self.has_seat and not self.is_stopping
+
     def info(self) -> GateInfo:
         """Return where this gate takes callers and other gates."""
         settings = self.settings
@@ -43,7 +50,7 @@
             peer_address=str(settings.gate_peers),
             failure_domain=settings.failure_domain,
             region=settings.region,
-            takes_callers=self.view is not None and not self.is_stopping,
+            takes_callers=self.takes_callers,
         )
 
     def count_steered(self, organisation: str, region: str) -> None:
--- /dev/null
+++ b/cicadadoor/gate/token_exchange.py
@@ -0,0 +1,127 @@
+"""Pass tokens between the gates of hosts that reach each other."""
+
+import random
+from collections import OrderedDict
+
+from cicadadoor.decisions.token_trade import TokenTrade
+from cicadadoor.gate.directory import GateDirectory
+from cicadadoor.gate.shares import GateShares
+from cicadadoor.gate.state import GateState
+from cicadadoor.ids import new_nonce
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.messages import GateInfo, Message
+from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.links.share_messages import (
+    TokensGiven,
+    TokenWish,
+    TransferTokens,
+)
+from cicadadoor.timer import TimerService
+
+_PERIOD_S = 0.2
+_ASK_TIMEOUT_S = 0.5
+# After all peers of a round had nothing to give, they are left alone this long.
+_PAUSE_S = 1.0
+_PEERS_A_ROUND = 16
+_REMEMBERED_TRANSFERS = 1000
+
+
+class TokenExchange(Service):
+    """Ask one gate at a time for what all short organisations miss."""
+
+    name = 'token_exchange'
+
+    def __init__(self) -> None:
+        self._state: GateState
+        self._timer: TimerService
+        self._shares: GateShares
+        self._trade: TokenTrade
+        self._directory: GateDirectory
+        self._peers: PeerHub
+        self._round: list[GateInfo] = []
+        self._round_gave = True
+        self._resume_s = 0.0
+        self._answered: OrderedDict[str, None] = OrderedDict()
+
+    async def start(self, kernel: Kernel) -> None:
+        """Subscribe to questions and ask while tokens are missing."""
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._shares = kernel.find('shares')
+        self._trade = TokenTrade(self._state.instance, self._shares.limits())
+        self._directory = kernel.find('directory')
+        self._peers = kernel.find('peers')
+        self._peers.on(TransferTokens, self.give, TokensGiven)
+        self._timer.subscribe('token_exchange', _PERIOD_S, self.ask)
+
+    async def ask(self) -> None:
+        """Ask the next gate of the round for all that is missing."""
+        asked_s = self._timer.now_s()
+        if asked_s < self._resume_s:
+            return
+        gate = self._next_gate()
+        if gate is None:
+            return
+        self._shares.limits()
+        trade = self._trade
+        wishes = trade.wishes(asked_s)
+        if not wishes:
+            return
+        question = TransferTokens(transfer_id=new_nonce(), wishes=wishes)
+        given: dict[str, TokenWish] = {}
+        try:
+            given = await self._request(gate, question)
+        finally:
+            now_s = self._timer.now_s()
+            for wish in wishes:
+                part = given.get(wish.organisation)
+                trade.settle(wish, part, asked_s, now_s)
+        self._round_gave = self._round_gave or bool(given)
+
+    async def give(self, question: Message) -> Message:
+        """Subtract what can be spared; a repeated question gets nothing."""
+        now_s = self._timer.now_s()
+        given: list[TokenWish] = []
+        if question.transfer_id not in self._answered:
+            self._remember(question.transfer_id)
+            self._shares.limits()
+            for wish in question.wishes:
+                part = self._trade.give(wish, question.sender_instance, now_s)
+                if part is not None:
+                    given.append(part)
+        return TokensGiven(transfer_id=question.transfer_id, given=tuple(given))
+
+    async def _request(
+        self,
+        gate: GateInfo,
+        question: TransferTokens,
+    ) -> dict[str, TokenWish]:
+        answer = await self._peers.ask(gate.peer_address, question, _ASK_TIMEOUT_S)
+        if not isinstance(answer, TokensGiven):
+            return {}
+        if answer.transfer_id != question.transfer_id:
+            return {}
+        return {part.organisation: part for part in answer.given}
+
+    def _remember(self, transfer_id: str) -> None:
+        self._answered[transfer_id] = None
+        if len(self._answered) > _REMEMBERED_TRANSFERS:
+            self._answered.popitem(last=False)
+
+    def _next_gate(self) -> GateInfo | None:
+        if not self._round:
+            if not self._round_gave:
+                self._resume_s = self._timer.now_s() + _PAUSE_S
+                self._round_gave = True
+                return None
+            self._round_gave = False
+            self._round = self._new_round()
+        return self._round.pop() if self._round else None
+
+    def _new_round(self) -> list[GateInfo]:
+        own_domain = self._state.settings.failure_domain
+        gates = self._directory.all_gates()
+        random.shuffle(gates)
+        # The list is used from its end: gates of this domain come first.
+        gates.sort(key=lambda gate: gate.failure_domain == own_domain)
+        return gates[-_PEERS_A_ROUND:]
--- a/cicadadoor/http_server.py
+++ b/cicadadoor/http_server.py
@@ -1,5 +1,6 @@
 """Share the HTTP server plumbing of gate and agent."""
 
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -18,6 +19,22 @@
 App = Callable[[Scope, Receive, Send], Awaitable[None]]
 
 
+def listen(address: str) -> str:
+    """Listen at an address and return it in the form that `serve_forever` takes.
+
+    Raise OSError if another process, even a paused one, holds the address.
+    """
+    host_ip, _, port = address.rpartition(':')
+    host_ip = host_ip.strip('[]')
+    family = socket.AF_INET6 if ':' in host_ip else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    listener.bind((host_ip, int(port)))
+    listener.listen(_BACKLOG)
+    return f'fd://{listener.detach()}'
+
+
 async def serve_forever(
     app: App,
     address: str,
--- /dev/null
+++ b/cicadadoor/links/share_messages.py
@@ -0,0 +1,99 @@
+"""Define the messages about seats, rate shares and tokens."""
+
+import msgspec
+
+from cicadadoor.links.messages import Message
+
+
+class SeatGrant(Message, frozen=True, kw_only=True, tag=True):
+    """Let a gate instance admit work on seats until a boot-clock time.
+
+    `claims` names the seats by number; a seat whose claim id changes starts with
+    empty buckets. A lower serial than the last one is ignored.
+    """
+
+    gate_instance: str
+    claims: dict[int, str]
+    keeps_until_s: float
+    serial: int
+
+
+class ShareGrant(Message, frozen=True, kw_only=True, tag=True):
+    """Let a gate instance use a fraction of an organisation's limits until a time."""
+
+    gate_instance: str
+    organisation: str
+    fraction: float
+    deadline_s: float
+    serial: int
+
+
+class OrganisationDemand(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell what callers of one organisation wanted, and the grant in use."""
+
+    organisation: str
+    wanted_per_s: float
+    fraction: float
+    serial: int
+
+
+class ShareDemand(Message, frozen=True, kw_only=True, tag=True):
+    """Tell the agent, at a fixed period, what this gate needs and has applied."""
+
+    callers: str
+    seat_serial: int
+    claims: dict[int, str]
+    organisations: tuple[OrganisationDemand, ...]
+
+
+class SeatReturn(Message, frozen=True, kw_only=True, tag=True):
+    """Tell that this gate instance has ended its work and admits nothing again."""
+
+
+class TokenWish(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask for tokens, and for a share to hold them in."""
+
+    organisation: str
+    tokens: float
+    fraction: float
+
+
+class TransferTokens(Message, frozen=True, kw_only=True, tag=True):
+    """Ask another gate for tokens of several organisations at once."""
+
+    transfer_id: str
+    wishes: tuple[TokenWish, ...]
+
+
+class TokensGiven(Message, frozen=True, kw_only=True, tag=True):
+    """Tell what the giver has subtracted from its buckets."""
+
+    transfer_id: str
+    given: tuple[TokenWish, ...]
+
+
+class SeatStatusRequest(Message, frozen=True, kw_only=True, tag=True):
+    """Ask an agent what it hears and for the seat table of a domain, if it is read.
+
+    `read_domain` is empty or names the domain whose table is wanted.
+    """
+
+    host: str
+    failure_domain: str
+    platform_age_s: float
+    read_domain: str = ''
+
+
+class SeatStatus(Message, frozen=True, kw_only=True, tag=True):
+    """Tell who is heard, which seats are in use, and the last platform contact.
+
+    `table` is the encoded seat table read from the platform after the question
+    came, or empty.
+    """
+
+    host: str
+    failure_domain: str
+    seats: tuple[int, ...]
+    heard_age_s: dict[str, float]
+    platform_age_s: float
+    table: bytes = b''
--- a/cicadadoor/settings.py
+++ b/cicadadoor/settings.py
@@ -10,6 +10,7 @@
 
 _MAX_PORT = 65535
 _NAME_MAX_LENGTH = 63
+_LEAST_RECLAIM_RATIO = 1.5
 _LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 
 
@@ -51,6 +52,8 @@
         'peer_certificate_file',
         'platform_url',
         'region',
+        'seat_isolation_s',
+        'seat_reclaim_s',
         'seed_peers',
         'store_calls_per_s',
         'tls_certificate_file',
@@ -131,6 +134,19 @@
             settings.operators,
             'a loopback address, or tls_certificate_file set',
         )
+    return _check_seat_times(path, settings)
+
+
+def _check_seat_times(path: str, settings: Settings) -> Settings | Failure:
+    # The difference covers the rounds in which hosts hear of each other.
+    least_s = settings.seat_isolation_s * _LEAST_RECLAIM_RATIO
+    if settings.seat_reclaim_s < least_s:
+        return _fault(
+            path,
+            'seat_reclaim_s',
+            settings.seat_reclaim_s,
+            f'at least {_LEAST_RECLAIM_RATIO} times seat_isolation_s, here {least_s}',
+        )
     return settings
 
 
@@ -232,6 +248,16 @@
         'seconds from 0 to 3600',
         30,
     ),
+    'seat_isolation_s': FieldRule(
+        _number_between(1, 86_400),
+        'seconds from 1 to 86400',
+        1800,
+    ),
+    'seat_reclaim_s': FieldRule(
+        _number_between(1, 172_800),
+        'seconds from 1 to 172800',
+        3600,
+    ),
     'store_calls_per_s': FieldRule(
         _number_between(0.1, 1000),
         'calls per second from 0.1 to 1000',
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measure and compare: `make measure`."""
