--- a/cicadadoor/agent/daemon.py
+++ b/cicadadoor/agent/daemon.py
@@ -4,15 +4,21 @@
 
 from cicadadoor import core
 from cicadadoor.agent.config_sender import ConfigSender
+from cicadadoor.agent.isolation import Isolation
 from cicadadoor.agent.limits_view import LimitsView
 from cicadadoor.agent.membership import Membership
 from cicadadoor.agent.operator_api import OperatorApi
+from cicadadoor.agent.peer_updates import PeerUpdates
+from cicadadoor.agent.relay import Relay
 from cicadadoor.agent.seat_reclaim import SeatReclaimer
 from cicadadoor.agent.seat_witness import SeatWitness
 from cicadadoor.agent.seats import SeatKeeper
 from cicadadoor.agent.shares import FloatingShares
 from cicadadoor.agent.state import AgentState
+from cicadadoor.agent.status import StatusBoard
 from cicadadoor.agent.sync import ConfigSync
+from cicadadoor.agent.withdrawal_records import WithdrawalRecords
+from cicadadoor.agent.withdrawals import Withdrawals
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.peer_hub import PeerHub
@@ -32,14 +38,20 @@
     services: tuple[Service, ...] = (
         BootTimer(),
         state,
+        Withdrawals(),
         ConfigSync(),
         ConfigSender(),
+        StatusBoard(),
         Membership(),
         LimitsView(),
         SeatWitness(),
         SeatKeeper(),
         SeatReclaimer(),
         FloatingShares(),
+        PeerUpdates(),
+        WithdrawalRecords(),
+        Relay(),
+        Isolation(),
     )
     for service in services:
         kernel.register(service)
--- a/cicadadoor/agent/limits_view.py
+++ b/cicadadoor/agent/limits_view.py
@@ -4,6 +4,7 @@
 from cicadadoor.config import chunks, model
 from cicadadoor.errors import Failure
 from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.config_messages import ConfigDelta
 from cicadadoor.links.config_parts import Generation
 from cicadadoor.telemetry import logs
 
@@ -26,7 +27,7 @@
         sync: ConfigSync = kernel.find('sync')
         sync.subscribe(self.apply)
 
-    async def apply(self, generation: Generation) -> None:
+    async def apply(self, generation: Generation, _: ConfigDelta | None) -> None:
         """Decode the two sections that matter here."""
         limits = chunks.decode('organisations', generation.contents['organisations'])
         topology = chunks.decode('topology', generation.contents['topology'])
--- a/cicadadoor/agent/seat_witness.py
+++ b/cicadadoor/agent/seat_witness.py
@@ -10,7 +10,8 @@
 from cicadadoor.decisions.seats import HolderEvidence
 from cicadadoor.errors import Failure
 from cicadadoor.kernel import Kernel, Service
-from cicadadoor.links.messages import Heartbeat, Message
+from cicadadoor.links.membership_messages import MemberRecord
+from cicadadoor.links.messages import Message
 from cicadadoor.links.peer_hub import PeerHub
 from cicadadoor.links.share_messages import SeatStatus, SeatStatusRequest
 from cicadadoor.timer import TimerService
@@ -89,8 +90,8 @@
         asked_s = self._timer.now_s()
         answers: list[SeatStatus] = []
         async with anyio.create_task_group() as tasks:
-            for beat in self._to_ask():
-                tasks.start_soon(self._ask, beat, answers)
+            for record in self._to_ask():
+                tasks.start_soon(self._ask, record, answers)
         own_domain = self._state.settings.failure_domain
         answered: dict[int, float] = {}
         ages_s: dict[str, float] = {}
@@ -106,10 +107,12 @@
 
     async def read_table(self) -> bytes:
         """Return this domain's seat table as a peer reads it now, or nothing."""
-        beats = self._membership.heard()
-        for beat in random.sample(beats, min(_READ_PEERS, len(beats))):
+        records = self._membership.heard()
+        for record in random.sample(records, min(_READ_PEERS, len(records))):
             question = self._question(self._state.settings.failure_domain)
-            answer = await self._peers.ask(beat.peer_address, question, _READ_TIMEOUT_S)
+            answer = await self._peers.ask(
+                record.peer_address, question, _READ_TIMEOUT_S
+            )
             if isinstance(answer, SeatStatus) and answer.table:
                 return answer.table
         return b''
@@ -124,8 +127,8 @@
             table = b'' if isinstance(stored, Failure) else stored.body
         now_s = self._timer.now_s()
         ages_s = {host: now_s - heard_s for host, heard_s in self._heard_s.items()}
-        for beat in self._membership.heard():
-            ages_s[beat.host] = 0.0
+        for record in self._membership.heard():
+            ages_s[record.host] = 0.0
         settings = self._state.settings
         return SeatStatus(
             host=settings.host,
@@ -136,9 +139,9 @@
             table=table,
         )
 
-    async def _ask(self, beat: Heartbeat, answers: list[SeatStatus]) -> None:
+    async def _ask(self, record: MemberRecord, answers: list[SeatStatus]) -> None:
         answer = await self._peers.ask(
-            beat.peer_address, self._question(), _ASK_TIMEOUT_S
+            record.peer_address, self._question(), _ASK_TIMEOUT_S
         )
         if not isinstance(answer, SeatStatus):
             return
@@ -150,16 +153,16 @@
                 self._peer_heard_s[host] = max(known_s, now_s - age_s)
         answers.append(answer)
 
-    def _to_ask(self) -> list[Heartbeat]:
+    def _to_ask(self) -> list[MemberRecord]:
         own_domain = self._state.settings.failure_domain
-        asked: list[Heartbeat] = []
-        by_domain: dict[str, list[Heartbeat]] = {}
-        for beat in self._membership.heard():
-            if beat.failure_domain == own_domain:
-                asked.append(beat)
+        asked: list[MemberRecord] = []
+        by_domain: dict[str, list[MemberRecord]] = {}
+        for record in self._membership.heard():
+            if record.failure_domain == own_domain:
+                asked.append(record)
             else:
-                by_domain.setdefault(beat.failure_domain, []).append(beat)
-        asked.extend(random.choice(beats) for beats in by_domain.values())
+                by_domain.setdefault(record.failure_domain, []).append(record)
+        asked.extend(random.choice(records) for records in by_domain.values())
         return asked
 
     def _question(self, read_domain: str = '') -> SeatStatusRequest:
@@ -183,4 +186,4 @@
         return min(NO_CONTACT_S, self._timer.now_s() - contact_s)
 
     def _is_member(self, host: str) -> bool:
-        return any(beat.host == host for beat in self._membership.heard())
+        return any(record.host == host for record in self._membership.heard())
--- a/cicadadoor/gate/daemon.py
+++ b/cicadadoor/gate/daemon.py
@@ -7,16 +7,21 @@
 from cicadadoor.gate.app import CallerServer
 from cicadadoor.gate.at_most_once import PassThrough
 from cicadadoor.gate.config_receiver import ConfigReceiver
+from cicadadoor.gate.credits import CreditDesk
 from cicadadoor.gate.directory import GateDirectory
 from cicadadoor.gate.forwarding import Forwarder
 from cicadadoor.gate.keys import KeyCheck
+from cicadadoor.gate.link_budgets import LinkBudgets
 from cicadadoor.gate.lookup import Lookup
 from cicadadoor.gate.peer_forwarding import PeerForwarder
 from cicadadoor.gate.pipeline import Pipeline
+from cicadadoor.gate.probing import Prober
 from cicadadoor.gate.quarantine import NoQuarantine
 from cicadadoor.gate.queueing import NoQueue
 from cicadadoor.gate.routing import TwoChoicesRouter
+from cicadadoor.gate.servers import BackendServers
 from cicadadoor.gate.shares import GateShares, SeatReturner
+from cicadadoor.gate.slot_share import HeldSeats
 from cicadadoor.gate.state import GateState
 from cicadadoor.gate.token_exchange import TokenExchange
 from cicadadoor.kernel import Kernel, Service
@@ -42,13 +47,18 @@
         SeatAdmission(),
         PassThrough(),
         NoQuarantine(),
+        HeldSeats(),
+        BackendServers(),
+        LinkBudgets(),
         TwoChoicesRouter(),
+        CreditDesk(),
         NoQueue(),
         Forwarder(),
         PeerForwarder(),
         Lookup(),
         GateDirectory(),
         TokenExchange(),
+        Prober(),
         ConfigReceiver(),
         Pipeline(),
     )
--- a/cicadadoor/gate/shares.py
+++ b/cicadadoor/gate/shares.py
@@ -77,7 +77,7 @@
         if not self.limits().seats.claims:
             return
         self._limits.return_seats(self._timer.now_s())
-        self._state.has_seat = False
+        self._state.seats = ()
         await self._link.send(SeatReturn())
 
     async def _apply_seats(self, grant: SeatGrant) -> None:
@@ -89,11 +89,12 @@
             await self.report()
 
     def _note_seat(self, now_s: float) -> bool:
-        had_seat = self._state.has_seat
-        self._state.has_seat = self._limits.has_seat(now_s)
-        if self._state.has_seat != had_seat:
-            log.info('seat_changed', has_seat=self._state.has_seat)
-        return self._state.has_seat != had_seat
+        before = self._state.seats
+        claims = self._limits.seats.claims if self._limits.has_seat(now_s) else {}
+        self._state.seats = tuple(sorted(claims))
+        if self._state.seats != before:
+            log.info('seats_changed', seats=','.join(map(str, self._state.seats)))
+        return self._state.seats != before
 
     async def _apply_share(self, grant: ShareGrant) -> None:
         if not self.limits().grant_lease(grant, self._timer.now_s()):
--- a/cicadadoor/gate/state.py
+++ b/cicadadoor/gate/state.py
@@ -20,9 +20,11 @@
         self.instance = new_instance_id()
         self.view: ConfigView | None = None
         self.withdrawn_keys: set[str] = set()
+        # The first whole set of withdrawn keys has to come before a configuration.
+        self.knows_withdrawals = False
         self.is_stopping = False
         self.is_bound = False
-        self.has_seat = False
+        self.seats: tuple[int, ...] = ()
         self.in_flight = 0
         self.counters = LoadCounters(by_region={}, by_link={}, by_organisation={})
 
@@ -38,7 +40,7 @@
     @property
     def takes_callers(self) -> bool:
         """Tell whether callers may be sent to this gate."""
-        return self.view is not None and self.has_seat and not self.is_stopping
+        return self.view is not None and bool(self.seats) and not self.is_stopping
 
     def info(self) -> GateInfo:
         """Return where this gate takes callers and other gates."""
--- a/measure/__init__.py
+++ b/measure/__init__.py
@@ -1,1 +1,1 @@
-"""Measure and compare: `make measure`."""
+"""Measure the decisions and the daemons; figures go to docs after a run."""
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -89,6 +89,7 @@
             folder,
         )
         self.backends: dict[str, BackendProcess] = {}
+        self.extra_processes: list[TestProcess] = []
         self.hosts: dict[str, EntryHostProcesses] = {}
         self._host_settings = host_settings
         wait_until(self._platform_answers, 'the platform stand-in answers')
@@ -143,7 +144,7 @@
 
     def grant_key(self, organisation: str) -> str:
         """Grant a key and return it."""
-        output = self.operate('key_grant', organisation, '--json')
+        output = self.operate('key', 'grant', organisation, '--json')
         return json.loads(output.splitlines()[-1])['key']
 
     def operate(self, *arguments: str, expect: int = 0) -> str:
@@ -165,7 +166,7 @@
 
     def close(self) -> None:
         """End all processes that this cluster started."""
-        processes = [self.platform]
+        processes = [self.platform, *self.extra_processes]
         processes.extend(backend.process for backend in self.backends.values())
         for host in self.hosts.values():
             processes.extend((host.agent, host.gate))
@@ -186,6 +187,7 @@
             for number in range(count):
                 name = f'{domain}-{number}'
                 all_settings[name] = self._settings(name, region, domain)
+                all_settings[name]['seat_index'] = number
         return all_settings
 
     def _settings(self, name: str, region: str, domain: str) -> dict:
--- a/tests/utils/fleet.py
+++ b/tests/utils/fleet.py
@@ -18,7 +18,8 @@
 from cicadadoor.gate.shares import GateShares
 from cicadadoor.gate.token_exchange import TokenExchange
 from cicadadoor.kernel import Kernel, Service
-from cicadadoor.links.messages import GateInfo, Heartbeat
+from cicadadoor.links.membership_messages import MemberRecord
+from cicadadoor.links.messages import GateInfo
 from cicadadoor.object_store.base import ObjectStore, StoredObject
 from cicadadoor.object_store.memory import MemoryObjectStore
 from cicadadoor.timer import TimerService
@@ -214,24 +215,26 @@
     def __init__(self, host) -> None:
         self._host = host
 
-    def heard(self) -> list[Heartbeat]:
+    def heard(self) -> list[MemberRecord]:
         """Return hosts whose agents answer now."""
         return [
-            Heartbeat(
+            MemberRecord(
                 host=other.name,
                 peer_address=f'agent/{other.name}',
                 failure_domain=other.domain,
                 region='r',
-                generation=1,
-                digest='',
+                instance=other.agent.state.instance,
+                incarnation=1,
             )
             for other in self._host.world.hosts.values()
-            if other is not self._host
-            and other.agent is not None
-            and not other.agent.is_paused
-            and not self._host.world.is_cut(self._host, other)
+            if self._hears(other)
         ]
 
+    def _hears(self, other) -> bool:
+        if other is self._host or other.agent is None or other.agent.is_paused:
+            return False
+        return not self._host.world.is_cut(self._host, other)
+
 
 class _Directory(Service):
     name = 'directory'
@@ -298,7 +301,7 @@
             seat_count=sum(world.domain_seats.values()),
         )
         self.is_bound = True
-        self.has_seat = False
+        self.seats = ()
 
 
 class Gate(Daemon):
@@ -421,15 +424,13 @@
         self.admitted_s: list[float] = []
         self.hosts: dict[str, FleetHost] = {}
         self._depth = 0
-        names = [
-            (f'{domain}-{number}', domain)
-            for domain, seats in domain_seats.items()
-            for number in range(seats)
-        ]
-        for place, (name, domain) in enumerate(names):
-            offset_s = offsets_s[place % len(offsets_s)]
-            rate = rates[place % len(rates)]
-            self.hosts[name] = FleetHost(self, name, domain, offset_s, rate)
+        for domain, seats in domain_seats.items():
+            for number in range(seats):
+                place = len(self.hosts)
+                offset_s = offsets_s[place % len(offsets_s)]
+                rate = rates[place % len(rates)]
+                name = f'{domain}-{number}'
+                self.hosts[name] = FleetHost(self, name, domain, offset_s, rate)
 
     async def start(self) -> None:
         """Start all hosts, and list them in the platform's host list."""
@@ -463,7 +464,7 @@
             host.is_off_platform = False
 
     def next_fault(self, what: str) -> str:
-        """Return the next fault of a kind of call; one nested in a slow call is whole."""
+        """Return the next fault of a kind of call; nested calls have none."""
         faults = getattr(self, f'{what}_faults')
         return faults.pop(0) if faults and self._depth < 2 else ''
 
@@ -535,11 +536,9 @@
             assert oracle.take(admitted_s, 1 - 1e-6), (number, admitted_s)
 
     def _next_due(self) -> list | None:
-        pending = [
-            entry
-            for host in self.hosts.values()
-            for daemon in (host.agent, host.gate)
-            if daemon is not None and not daemon.is_paused and not daemon.is_busy
-            for entry in daemon.clock.periodic
-        ]
+        pending: list[list] = []
+        for host in self.hosts.values():
+            for daemon in (host.agent, host.gate):
+                if daemon and not daemon.is_paused and not daemon.is_busy:
+                    pending.extend(daemon.clock.periodic)
         return min(pending, key=lambda entry: entry[0], default=None)
