--- a/cicadadoor/agent/daemon.py
+++ b/cicadadoor/agent/daemon.py
@@ -6,10 +6,15 @@
 from cicadadoor.agent.config_sender import ConfigSender
 from cicadadoor.agent.gate_watch import GateWatch
 from cicadadoor.agent.isolation import Isolation
+from cicadadoor.agent.limits_view import LimitsView
 from cicadadoor.agent.membership import Membership
 from cicadadoor.agent.operator_api import OperatorApi
 from cicadadoor.agent.peer_updates import PeerUpdates
 from cicadadoor.agent.relay import Relay
+from cicadadoor.agent.seat_reclaim import SeatReclaimer
+from cicadadoor.agent.seat_witness import SeatWitness
+from cicadadoor.agent.seats import SeatKeeper
+from cicadadoor.agent.shares import FloatingShares
 from cicadadoor.agent.state import AgentState
 from cicadadoor.agent.status import StatusBoard
 from cicadadoor.agent.sync import ConfigSync
@@ -39,6 +44,11 @@
         ConfigSender(),
         StatusBoard(),
         Membership(),
+        LimitsView(),
+        SeatWitness(),
+        SeatKeeper(),
+        SeatReclaimer(),
+        FloatingShares(),
         PeerUpdates(),
         WithdrawalRecords(),
         Relay(),
