--- a/cicadadoor/decisions/retries.py
+++ b/cicadadoor/decisions/retries.py
@@ -1,6 +1,5 @@
 """Decide whether a failed attempt may be followed by another one."""
 
-from cicadadoor.decisions.buckets import TokenBucket
 from cicadadoor.errors import ErrorKind, Run
 
 MAX_ATTEMPTS = 3
@@ -25,19 +24,29 @@
 class RetryBudget:
     """Bound the retries of one service to a share of its requests."""
 
-    __slots__ = ('_bucket',)
+    __slots__ = ('_earned_s', '_left')
 
     def __init__(self, now_s: float) -> None:
-        self._bucket = TokenBucket(_RESERVE_PER_S, _RESERVE, now_s)
-        self._bucket.put(now_s, _RESERVE)
+        self._left = _RESERVE
+        self._earned_s = now_s
 
     def earn(self, now_s: float) -> None:
         """Count one request."""
-        self._bucket.put(now_s, _SHARE)
+        self._add(_SHARE, now_s)
 
     def spend(self, now_s: float) -> bool:
         """Take one retry; tell whether there was one left."""
-        return self._bucket.take(now_s)
+        self._add(0, now_s)
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+    def _add(self, retries: float, now_s: float) -> None:
+        elapsed_s = max(0, now_s - self._earned_s)
+        self._earned_s = max(self._earned_s, now_s)
+        earned = retries + elapsed_s * _RESERVE_PER_S
+        self._left = min(_RESERVE, self._left + earned)
 
 
 def is_repeatable(kind: ErrorKind, run: Run, *, is_idempotent: bool) -> bool:
--- a/cicadadoor/gate/daemon.py
+++ b/cicadadoor/gate/daemon.py
@@ -3,7 +3,7 @@
 import sys
 
 from cicadadoor import core
-from cicadadoor.gate.admission import FloorAdmission
+from cicadadoor.gate.admission import SeatAdmission
 from cicadadoor.gate.app import CallerServer
 from cicadadoor.gate.config_receiver import ConfigReceiver
 from cicadadoor.gate.credits import CreditDesk
@@ -17,8 +17,10 @@
 from cicadadoor.gate.request_services import request_services
 from cicadadoor.gate.routing import TwoChoicesRouter
 from cicadadoor.gate.servers import BackendServers
-from cicadadoor.gate.slot_share import ConfiguredSeat
+from cicadadoor.gate.shares import GateShares, SeatReturner
+from cicadadoor.gate.slot_share import HeldSeats
 from cicadadoor.gate.state import GateState
+from cicadadoor.gate.token_exchange import TokenExchange
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.peer_hub import PeerHub
@@ -38,8 +40,9 @@
         BootTimer(),
         state,
         KeyCheck(),
-        FloorAdmission(),
-        ConfiguredSeat(),
+        GateShares(),
+        SeatAdmission(),
+        HeldSeats(),
         BackendServers(),
         LinkBudgets(),
         TwoChoicesRouter(),
@@ -47,6 +50,7 @@
         NoQueue(),
         Lookup(),
         GateDirectory(),
+        TokenExchange(),
         Prober(),
         ConfigReceiver(),
         Departure(),
@@ -56,6 +60,7 @@
         kernel.register(service)
     # Links and listeners start last, when all services have subscribed.
     kernel.register(link)
+    kernel.register(SeatReturner())
     kernel.register(peers)
     kernel.register(CallerServer())
     return kernel
--- a/cicadadoor/gate/lookup.py
+++ b/cicadadoor/gate/lookup.py
@@ -55,7 +55,8 @@
             region=settings.region,
         )
         by_region: dict[str, list[EntryHost]] = {}
-        if not self._state.is_leaving:
+        # An empty answer would turn callers away while this host still serves.
+        if not self._state.is_leaving or not others:
             by_region[own.region] = [own]
         for host in others:
             by_region.setdefault(host.region, []).append(host)
--- a/cicadadoor/gate/slot_share.py
+++ b/cicadadoor/gate/slot_share.py
@@ -54,3 +54,15 @@
         name = self._state.settings.failure_domain
         domain = view.failure_domains.get(name) if view else None
         return domain.seats if domain else 0
+
+
+class HeldSeats(ConfiguredSeat):
+    """Take the seats of this gate, or the one that the settings name without any.
+
+    A gate without a seat still serves routes open to all; an error in slots is met
+    by the backend server's own shed answer.
+    """
+
+    def seats(self) -> tuple[int, ...]:
+        """Return the seats granted, or the one that the settings name."""
+        return self._state.seats or super().seats()
