--- a/cicadadoor/gate/daemon.py
+++ b/cicadadoor/gate/daemon.py
@@ -17,7 +17,7 @@
 from cicadadoor.gate.pipeline import Pipeline
 from cicadadoor.gate.probing import Prober
 from cicadadoor.gate.quarantine import NoQuarantine
-from cicadadoor.gate.queueing import NoQueue
+from cicadadoor.gate.queueing import FairRequestQueue
 from cicadadoor.gate.routing import TwoChoicesRouter
 from cicadadoor.gate.servers import BackendServers
 from cicadadoor.gate.shares import GateShares, SeatReturner
@@ -52,7 +52,7 @@
         LinkBudgets(),
         TwoChoicesRouter(),
         CreditDesk(),
-        NoQueue(),
+        FairRequestQueue(),
         Forwarder(),
         PeerForwarder(),
         Lookup(),
--- a/cicadadoor/gate/queueing.py
+++ b/cicadadoor/gate/queueing.py
@@ -2,10 +2,21 @@
 
 import abc
 
-from cicadadoor.errors import Failure
+import anyio
+
+from cicadadoor.config.model import ServiceClass
+from cicadadoor.decisions.fair_queue import FairQueue, Waiting
+from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
 from cicadadoor.gate.routing import AVOID_NONE, Router, Target
+from cicadadoor.gate.state import GateState
 from cicadadoor.kernel import Kernel, Service
+from cicadadoor.timer import TimerService
+
+# Requests of one organisation that wait for one service at this gate.
+LONGEST_LINE = 64
+# Capacity may also appear without a release here, as by a returning server.
+_POLL_S = 0.05
 
 
 class RequestQueue(Service):
@@ -61,3 +72,151 @@
     ) -> None:
         """Give the target back."""
         self._router.release(target, answer, took_s)
+
+
+class _Pending:
+    """Hold what a waiting request needs, and its outcome once there is one."""
+
+    __slots__ = ('avoid', 'is_local_only', 'outcome', 'request', 'settled')
+
+    def __init__(
+        self,
+        request: SteeredRequest,
+        avoid: frozenset[str],
+        *,
+        is_local_only: bool,
+    ) -> None:
+        self.request = request
+        self.avoid = avoid
+        self.is_local_only = is_local_only
+        self.outcome: Target | Failure | None = None
+        self.settled = anyio.Event()
+
+    def settle(self, outcome: Target | Failure) -> None:
+        """Wake the request with its target or failure."""
+        self.outcome = outcome
+        self.settled.set()
+
+
+class FairRequestQueue(RequestQueue):
+    """Let requests wait in one fair queue for each service."""
+
+    def __init__(self) -> None:
+        self._router: Router
+        self._state: GateState
+        self._timer: TimerService
+        self._queues: dict[tuple[str, bool], FairQueue] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        """Find the router and look after the queues periodically."""
+        self._router = kernel.find('router')
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._timer.subscribe('request_queue', _POLL_S, self.poll)
+
+    async def acquire(
+        self,
+        request: SteeredRequest,
+        avoid: frozenset[str] = AVOID_NONE,
+        *,
+        is_local_only: bool = False,
+    ) -> Target | Failure:
+        """Return a target, at the latest when the request's deadline passes."""
+        pending = _Pending(request, avoid, is_local_only=is_local_only)
+        queue = self._queues.setdefault(
+            (request.service.name, is_local_only), FairQueue(LONGEST_LINE)
+        )
+        if not queue:
+            target = self._try_acquire(pending)
+            if not _is_full(target):
+                return target
+        now_s = self._timer.now_s()
+        waiting = Waiting(
+            pending,
+            request.organisation_name,
+            now_s,
+            request.deadline_s,
+            is_deferrable=request.service.service_class is ServiceClass.DEFERRABLE,
+        )
+        if request.deadline_s <= now_s:
+            return _deadline_passed()
+        if not queue.add(waiting):
+            return Failure(
+                ErrorKind.QUEUE_FULL,
+                f'{LONGEST_LINE} requests of {request.organisation_name} wait already',
+            )
+        is_settled = False
+        try:
+            await pending.settled.wait()
+            is_settled = True
+        finally:
+            if not is_settled:
+                self._give_up(queue, waiting)
+        return pending.outcome
+
+    def release(
+        self,
+        target: Target,
+        answer: SteeredAnswer | Failure,
+        took_s: float,
+    ) -> None:
+        """Give the target back and let a waiting request have it."""
+        self._router.release(target, answer, took_s)
+        self._serve()
+
+    async def poll(self) -> None:
+        """Refuse what has waited too long, and serve what can be served."""
+        now_s = self._timer.now_s()
+        for queue in self._queues.values():
+            for waiting in queue.expired(now_s):
+                waiting.payload.settle(_deadline_passed())
+        self._serve()
+
+    def _serve(self) -> None:
+        now_s = self._timer.now_s()
+        view = self._state.view
+        organisations = view.organisations if view else {}
+        weights = {name: each.queue_weight for name, each in organisations.items()}
+        for queue in self._queues.values():
+            if queue:
+                self._serve_queue(queue, weights, now_s)
+
+    def _serve_queue(
+        self,
+        queue: FairQueue,
+        weights: dict[str, int],
+        now_s: float,
+    ) -> None:
+        passed_over: list[Waiting] = []
+        while (waiting := queue.pop(now_s, weights)) is not None:
+            pending: _Pending = waiting.payload
+            target = self._try_acquire(pending)
+            if not _is_full(target):
+                pending.settle(target)
+                continue
+            passed_over.append(waiting)
+            # A request that avoids some servers does not hold up the others.
+            if not pending.avoid:
+                break
+        for skipped in reversed(passed_over):
+            queue.put_back(skipped, now_s)
+
+    def _try_acquire(self, pending: _Pending) -> Target | Failure:
+        return self._router.try_acquire(
+            pending.request, pending.avoid, is_local_only=pending.is_local_only
+        )
+
+    def _give_up(self, queue: FairQueue, waiting: Waiting) -> None:
+        queue.remove(waiting)
+        outcome = waiting.payload.outcome
+        if isinstance(outcome, Target):
+            failure = Failure(ErrorKind.DEADLINE_PASSED, 'the caller went away')
+            self.release(outcome, failure, 0)
+
+
+def _is_full(target: Target | Failure) -> bool:
+    return isinstance(target, Failure) and target.kind is ErrorKind.NO_CAPACITY
+
+
+def _deadline_passed() -> Failure:
+    return Failure(ErrorKind.DEADLINE_PASSED, 'no server was free before the deadline')
--- /dev/null
+++ b/tests/test_queueing.py
@@ -0,0 +1,189 @@
+"""Let requests wait fairly for a free target."""
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from cicadadoor.config.model import ServiceClass
+from cicadadoor.decisions.fair_queue import FairQueue, Waiting, pop_all
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.queueing import LONGEST_LINE, FairRequestQueue
+from cicadadoor.gate.routing import Target
+from cicadadoor.kernel import Kernel
+from tests.utils.manual_timer import ManualTimer
+
+
+class OneSlotRouter:
+    """Have one slot for each service."""
+
+    name = 'router'
+
+    def __init__(self) -> None:
+        self.taken: set[str] = set()
+
+    def try_acquire(self, request, avoid, *, is_local_only=False):
+        """Take the slot of the request's service."""
+        if request.service.name in self.taken or avoid:
+            return Failure(ErrorKind.NO_CAPACITY, 'taken')
+        self.taken.add(request.service.name)
+        return Target(service=request.service.name)
+
+    def release(self, target, answer, took_s) -> None:
+        """Give the slot back."""
+        self.taken.discard(target.service)
+
+
+def request_of(organisation='guild-a', service='kursbuchung', deadline_s=1010.0):
+    """Build what the queue reads of a request."""
+    return SimpleNamespace(
+        organisation_name=organisation,
+        deadline_s=deadline_s,
+        service=SimpleNamespace(name=service, service_class=ServiceClass.INTERACTIVE),
+    )
+
+
+async def new_queue():
+    """Start a queue before a router with one slot for each service."""
+    kernel = Kernel()
+    timer, router, queue = ManualTimer(), OneSlotRouter(), FairRequestQueue()
+    state = SimpleNamespace(name='state', view=None)
+    for service in (timer, router, state, queue):
+        kernel.register(service)
+    await queue.start(kernel)
+    return queue, router, timer
+
+
+def fill(queue, organisation, count, deadline_s=100.0, *, is_deferrable=False):
+    """Put requests in a queue at time 0."""
+    for _ in range(count):
+        waiting = Waiting(
+            organisation, organisation, 0, deadline_s, is_deferrable=is_deferrable
+        )
+        queue.add(waiting)
+
+
+class TestFairQueue:
+    """Guard against an organisation that delays the rest."""
+
+    def test_one_at_many_times_its_rate(self):
+        """The others are served as if the first had sent no more than they."""
+        queue = FairQueue(50)
+        fill(queue, 'big', 50)
+        for name in ('x', 'y', 'z'):
+            fill(queue, name, 5)
+        order = [waiting.organisation for waiting in pop_all(queue, 1, {})]
+        last = max(order.index(name, 0) for name in 'xyz')
+        assert last < 4
+        assert set(order[20:]) == {'big'}
+
+    def test_weights(self):
+        """A queue weight of 3 brings three turns for each of the other."""
+        queue = FairQueue(50)
+        fill(queue, 'x', 40)
+        fill(queue, 'y', 40)
+        order = [waiting.organisation for waiting in pop_all(queue, 1, {'x': 3})]
+        assert order[:40].count('x') == 30
+
+    def test_interactive_goes_first_until_a_deadline_nears(self):
+        """A deferrable request must neither push in nor starve."""
+        queue = FairQueue(50)
+        fill(queue, 'night', 1, is_deferrable=True)
+        fill(queue, 'day', 3)
+        assert queue.pop(1, {}).organisation == 'day'
+        late = [queue.pop(60, {}).organisation for _ in range(2)]
+        assert 'night' in late
+
+    def test_line_is_bounded(self):
+        """A long line would only hold requests that pass their deadline."""
+        queue = FairQueue(3)
+        fill(queue, 'x', 9)
+        fill(queue, 'y', 1)
+        assert len(queue) == 4
+
+
+class TestFairRequestQueue:
+    """Guard against lost slots and requests that wait for ever."""
+
+    def run(self, scenario):
+        """Run a scenario with a queue whose only slot is taken."""
+
+        async def main():
+            queue, router, timer = await new_queue()
+            first = await queue.acquire(request_of())
+            with anyio.fail_after(5):
+                await scenario(queue, router, timer, first)
+
+        anyio.run(main)
+
+    def test_release_serves_the_next(self):
+        """A free slot must go to who waits, also before a newcomer."""
+
+        async def scenario(queue, router, timer, first):
+            outcomes = []
+
+            async def wait():
+                outcomes.append(await queue.acquire(request_of()))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(wait)
+                await anyio.wait_all_tasks_blocked()
+                other = await queue.acquire(request_of(service='schulakten'))
+                assert isinstance(other, Target)
+                assert not outcomes
+                queue.release(first, Failure(ErrorKind.TIMED_OUT, ''), 0)
+            assert isinstance(outcomes[0], Target)
+
+        self.run(scenario)
+
+    @pytest.mark.parametrize('is_served_first', [False, True])
+    def test_caller_goes_away(self, is_served_first):
+        """A slot given to a caller that left must not stay taken."""
+
+        async def scenario(queue, router, timer, first):
+            async def call():
+                target = await queue.acquire(request_of())
+                queue.release(target, Failure(ErrorKind.TIMED_OUT, ''), 0)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call)
+                await anyio.wait_all_tasks_blocked()
+                if is_served_first:
+                    queue.release(first, Failure(ErrorKind.TIMED_OUT, ''), 0)
+                tasks.cancel_scope.cancel()
+            if not is_served_first:
+                queue.release(first, Failure(ErrorKind.TIMED_OUT, ''), 0)
+            assert not router.taken
+
+        self.run(scenario)
+
+    def test_deadline(self):
+        """A request is told in time that it was not run."""
+
+        async def scenario(queue, router, timer, first):
+            outcomes = []
+
+            async def wait():
+                outcomes.append(await queue.acquire(request_of(deadline_s=1001)))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(wait)
+                await anyio.wait_all_tasks_blocked()
+                await timer.advance(1.1)
+            assert outcomes[0].kind is ErrorKind.DEADLINE_PASSED
+
+        self.run(scenario)
+
+    def test_full_line(self):
+        """More than the longest line is refused at once."""
+
+        async def scenario(queue, router, timer, first):
+            async with anyio.create_task_group() as tasks:
+                for _ in range(LONGEST_LINE):
+                    tasks.start_soon(queue.acquire, request_of())
+                await anyio.wait_all_tasks_blocked()
+                refused = await queue.acquire(request_of())
+                assert refused.kind is ErrorKind.QUEUE_FULL
+                tasks.cancel_scope.cancel()
+
+        self.run(scenario)
