--- a/cicadadoor/decisions/shares.py
+++ b/cicadadoor/decisions/shares.py
@@ -87,7 +87,7 @@
     hold a whole token, so the holders that want least get none then.
     """
     holders = [name for name in wanted if wanted[name] > 0]
-    if least > 0:
+    if least * len(holders) > 1 + _ROUNDING:
         # Ties are broken by name, so that all agents choose the same holders.
         holders.sort(key=lambda name: (-wanted[name], name))
         holders = holders[: max(1, int(1 / least + _ROUNDING))]
--- a/cicadadoor/gate/state.py
+++ b/cicadadoor/gate/state.py
@@ -22,6 +22,9 @@
         self.withdrawn_keys: set[str] = set()
         # The first whole set of withdrawn keys has to come before a configuration.
         self.knows_withdrawals = False
+        # Callers are told of other hosts, but requests are still served.
+        self.is_leaving = False
+        # New requests are refused.
         self.is_stopping = False
         self.is_bound = False
         self.seats: tuple[int, ...] = ()
@@ -40,7 +43,7 @@
     @property
     def takes_callers(self) -> bool:
         """Tell whether callers may be sent to this gate."""
-        return self.view is not None and bool(self.seats) and not self.is_stopping
+        return self.view is not None and bool(self.seats) and not self.is_leaving
 
     def info(self) -> GateInfo:
         """Return where this gate takes callers and other gates."""
