Test that a giver loses the tokens it gives

Cause: a trial that left out the subtraction passed the random schedules, because room is reserved for each transfer. Change: a directed test of the subtraction. Conclusion: pytest tests/test_token_trade.py passes; no other file has changed.

--- a/tests/test_token_trade.py
+++ b/tests/test_token_trade.py
@@ -173,6 +173,14 @@
         spent += sum(receiver.take(9) for _ in range(10))
         assert spent <= 20
 
+    def test_giver_loses_what_it_gives(self):
+        """Tokens that the giver keeps would be spent twice."""
+        bucket = ShareBucket(10, 20, 0)
+        bucket.set_floor(0.5, 0)
+        bucket.refill(100)
+        bucket.lend(5, TimedShare(0, 0), 100)
+        assert bucket.take(100, 5) and not bucket.take(100)
+
     def test_borrowed_share_ends_before_it_is_used_again(self):
         """A share counts for giver and borrower at once if it comes back early."""
         bucket = ShareBucket(10, 20, 0)
