--- a/cicadadoor/gate/daemon.py
+++ b/cicadadoor/gate/daemon.py
@@ -13,7 +13,7 @@
 from cicadadoor.gate.link_budgets import LinkBudgets
 from cicadadoor.gate.lookup import Lookup
 from cicadadoor.gate.probing import Prober
-from cicadadoor.gate.queueing import NoQueue
+from cicadadoor.gate.queueing import FairRequestQueue
 from cicadadoor.gate.request_services import request_services
 from cicadadoor.gate.routing import TwoChoicesRouter
 from cicadadoor.gate.servers import BackendServers
@@ -47,7 +47,7 @@
         LinkBudgets(),
         TwoChoicesRouter(),
         CreditDesk(),
-        NoQueue(),
+        FairRequestQueue(),
         Lookup(),
         GateDirectory(),
         TokenExchange(),
