--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,211 @@
+"""Bring accepted configuration to all hosts, under faults at every moment."""
+
+from functools import partial
+
+import pytest
+
+from cicadadoor.config import chunks
+from cicadadoor.config.submission import Accepted, Submission
+from tests.utils.deployments import small_deployment
+from tests.utils.fleet import Fleet, run_fleet
+
+DOMAINS = {'muenchen-1': 4, 'muenchen-2': 3, 'augsburg-1': 3}
+LIMIT_S = 6.0
+# Membership has to notice a dead or paused relay before another takes its place.
+FAILOVER_LIMIT_S = 20.0
+
+
+async def submit(fleet: Fleet, number: int) -> None:
+    """Accept a configuration that differs from the one before."""
+    places = {domain: (domain.rpartition('-')[0], 4) for domain in DOMAINS}
+    deployment = small_deployment(places)
+    deployment.client_block(f'10.{number}.0.0/16', 'muenchen')
+    sections = chunks.split(deployment.build())
+    store = fleet.store
+    outcome = await Submission(store, 'ada', 1.0).submit(sections, number - 1)
+    assert isinstance(outcome, Accepted), outcome
+
+
+async def settled(fleet: Fleet) -> None:
+    """Bring the first generation to all hosts."""
+    await fleet.run_for(3)
+    await submit(fleet, 1)
+    await fleet.run_until(lambda: fleet.is_everywhere(1), FAILOVER_LIMIT_S)
+    await fleet.run_for(8)
+
+
+async def kill_relay(fleet: Fleet) -> None:
+    """Kill the first relay of a domain."""
+    fleet.nodes['muenchen-1-0'].kill()
+
+
+async def kill_both_relays(fleet: Fleet) -> None:
+    """Kill both relays of a domain."""
+    fleet.nodes['muenchen-1-0'].kill()
+    fleet.nodes['muenchen-1-1'].kill()
+
+
+async def pause_both_relays(fleet: Fleet) -> None:
+    """Pause both relays of a domain."""
+    fleet.nodes['muenchen-1-0'].is_paused = True
+    fleet.nodes['muenchen-1-1'].is_paused = True
+
+
+async def cut_platform(fleet: Fleet) -> None:
+    """Cut one region off from the platform."""
+    fleet.nodes['augsburg-1-0'].has_platform = False
+    fleet.nodes['augsburg-1-1'].has_platform = False
+    fleet.nodes['augsburg-1-2'].has_platform = False
+
+
+async def partition(fleet: Fleet) -> None:
+    """Cut one domain off from the others, and from the platform."""
+    await cut_platform(fleet)
+
+    def is_cut(source, target) -> bool:
+        return (source.domain == 'augsburg-1') != (target.domain == 'augsburg-1')
+
+    fleet.network.cut = is_cut
+
+
+async def lose_messages(fleet: Fleet) -> None:
+    """Lose a third of all messages, and deliver others twice and late."""
+    fleet.network.loss = 0.3
+    fleet.network.duplication = 0.3
+
+
+async def compact(fleet: Fleet) -> None:
+    """Forget the platform's events."""
+    fleet.store.compact()
+
+
+async def platform_down(fleet: Fleet) -> None:
+    """Take the platform away."""
+    fleet.store.is_down = True
+
+
+async def restart_member(fleet: Fleet) -> None:
+    """Restart a host that is no relay."""
+    fleet.nodes['muenchen-1-3'].kill()
+    await fleet.settle()
+    await fleet.nodes['muenchen-1-3'].start()
+
+
+FAULTS = (
+    kill_relay,
+    kill_both_relays,
+    pause_both_relays,
+    cut_platform,
+    partition,
+    lose_messages,
+    compact,
+    platform_down,
+    restart_member,
+)
+
+
+async def heal(fleet: Fleet) -> None:
+    """End all faults; hosts that were killed come back as new processes."""
+    fleet.store.is_down = False
+    fleet.network.loss = 0
+    fleet.network.duplication = 0
+    fleet.network.cut = lambda source, target: False
+    for node in fleet.nodes.values():
+        node.has_platform = True
+        node.is_paused = False
+        if node.is_down:
+            await node.start()
+
+
+class TestDistribution:
+    """Guard against hosts that stay behind or go back."""
+
+    def test_in_force_everywhere_with_two_watches_a_domain(self):
+        """Each host watching on its own would exceed the platform's rate."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await settled(fleet)
+            for number in range(2, 8):
+                await submit(fleet, number)
+                await fleet.run_until(partial(fleet.is_everywhere, number), LIMIT_S)
+            watching = [
+                node.host for node in fleet.running() if node.store.open_watches
+            ]
+            assert sorted(watching) == sorted(
+                f'{domain}-{number}' for domain in DOMAINS for number in (0, 1)
+            )
+
+        run_fleet(DOMAINS, scenario)
+
+    @pytest.mark.parametrize('fault', FAULTS)
+    @pytest.mark.parametrize('delay_s', (-5, -0.25, 0, 0.25, 0.5))
+    def test_fault_around_an_acceptance(self, fault, delay_s):
+        """Hosts that can be reached converge, and all do once it is over."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await settled(fleet)
+            if delay_s < 0:
+                await fault(fleet)
+                await fleet.run_for(-delay_s)
+            is_accepted = not fleet.store.is_down
+            if is_accepted:
+                await submit(fleet, 2)
+            if delay_s >= 0:
+                await fleet.run_for(delay_s)
+                await fault(fleet)
+            is_cut = fault in {partition, platform_down}
+            if not is_cut:
+                await fleet.run_until(
+                    lambda: fleet.is_everywhere(2),
+                    FAILOVER_LIMIT_S,
+                )
+            await fleet.run_for(12)
+            await heal(fleet)
+            if not is_accepted:
+                await submit(fleet, 2)
+            await fleet.run_until(lambda: fleet.is_everywhere(2), FAILOVER_LIMIT_S)
+
+        run_fleet(DOMAINS, scenario)
+
+    def test_restart_during_an_outage_takes_the_highest(self):
+        """A host that starts must not run an old generation because it heard it
+        first."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await settled(fleet)
+            behind = fleet.nodes['muenchen-1-3']
+            fleet.network.cut = lambda source, target: behind in {source, target}
+            await submit(fleet, 2)
+            others = [node for node in fleet.running() if node is not behind]
+            await fleet.run_until(
+                lambda: all(node.generation == 2 for node in others),
+                FAILOVER_LIMIT_S,
+            )
+            fleet.store.is_down = True
+            restarted = fleet.nodes['muenchen-1-2']
+            restarted.kill()
+            await fleet.settle()
+            fleet.network.cut = lambda source, target: False
+            await restarted.start()
+            await fleet.run_until(lambda: fleet.is_everywhere(2), FAILOVER_LIMIT_S)
+            assert set(restarted.generations) <= {0, 2}
+
+        run_fleet(DOMAINS, scenario)
+
+    def test_paused_host_with_old_messages_does_not_go_back(self):
+        """Late and repeated updates must change nothing."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await settled(fleet)
+            fleet.network.duplication = 1
+            paused = fleet.nodes['muenchen-1-3']
+            paused.is_paused = True
+            for number in range(2, 6):
+                await submit(fleet, number)
+                await fleet.run_for(3)
+            paused.is_paused = False
+            await fleet.run_until(lambda: fleet.is_everywhere(5), FAILOVER_LIMIT_S)
+            await fleet.run_for(5)
+            assert fleet.is_everywhere(5)
+
+        run_fleet(DOMAINS, scenario)
