--- a/cicadadoor/agent/withdrawal_records.py
+++ b/cicadadoor/agent/withdrawal_records.py
@@ -79,7 +79,8 @@
         return True
 
     async def _watch(self) -> Failure:
-        if not self._withdrawals.covered_version:
+        withdrawals = self._withdrawals
+        if not withdrawals.covered_version or not withdrawals.is_seeded:
             failure = await self.read_platform()
             if failure is not None:
                 return failure
--- a/cicadadoor/config/builder.py
+++ b/cicadadoor/config/builder.py
@@ -3,6 +3,8 @@
 import ipaddress
 from itertools import permutations
 
+import msgspec
+
 from cicadadoor.config import model
 
 _BITS_PER_BYTE = 8
@@ -157,7 +159,7 @@
 
     def build(self) -> model.Configuration:
         """Return the configuration, with blocks in the order of addresses."""
-        return model.Configuration(
+        built = model.Configuration(
             format=model.FORMAT_VERSION,
             topology=model.Topology(
                 regions=tuple(self._regions),
@@ -177,6 +179,12 @@
             ),
             client_blocks=tuple(sorted(self._blocks, key=_address_order)),
         )
+        # Reading it back turns whole numbers into floats where the type says so;
+        # otherwise the digest would change between printing and reviewing.
+        return msgspec.json.decode(
+            msgspec.json.encode(built),
+            type=model.Configuration,
+        )
 
     def _complete_rules(self) -> tuple[model.SteeringRule, ...]:
         given = {(rule.service, rule.home_region): rule for rule in self._rules}
--- a/cicadadoor/links/transport.py
+++ b/cicadadoor/links/transport.py
@@ -56,13 +56,18 @@
         scheme = 'tls+tcp' if self.certificate_pem else 'tcp'
         return f'{scheme}://{address}'
 
-    def apply(self, socket: pynng.Socket, *, is_server: bool) -> None:
-        """Require certificates on both sides, if there are any."""
+    def apply(self, socket: pynng.Socket, *, server_address: str = '') -> None:
+        """Require certificates on both sides, if there are any.
+
+        A client names the server's address, whose IP number has to be in the
+        server's certificate; mbed TLS refuses every server without a name to check.
+        """
         if not self.certificate_pem:
             return
-        mode = pynng.TLSConfig.MODE_SERVER if is_server else pynng.TLSConfig.MODE_CLIENT
+        host_ip = server_address.rpartition(':')[0].strip('[]')
         socket.tls_config = pynng.TLSConfig(
-            mode,
+            pynng.TLSConfig.MODE_CLIENT if host_ip else pynng.TLSConfig.MODE_SERVER,
+            server_name=host_ip or None,
             auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
             own_key_string=self.certificate_pem,
             own_cert_string=self.certificate_pem,
@@ -107,7 +112,7 @@
         """Listen and answer until closed; raise pynng.NNGException if in use."""
         socket = pynng.Rep0()
         socket.recv_max_size = MAX_MESSAGE_BYTES
-        self._security.apply(socket, is_server=True)
+        self._security.apply(socket)
         socket.listen(self._security.url(address))
         self._socket = socket
         for _ in range(_SERVER_CONTEXTS):
@@ -167,7 +172,7 @@
             reconnect_time_max=_DIAL_RETRY_MAX_MS,
         )
         socket.recv_max_size = MAX_MESSAGE_BYTES
-        security.apply(socket, is_server=False)
+        security.apply(socket, server_address=address)
         socket.dial(security.url(address), block=False)
         self._socket = socket
 
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,250 @@
+"""Know which hosts are alive, and say no more than was reported."""
+
+import random
+
+import pytest
+
+from cicadadoor.decisions.confirmation import REPORT_VALID_S, confirm
+from cicadadoor.decisions.membership import (
+    DEAD_AFTER_S,
+    FORGET_AFTER_S,
+    SUSPECT_AFTER_S,
+    DomainTable,
+    MemberTable,
+)
+from cicadadoor.links.membership_messages import (
+    DomainSummary,
+    Load,
+    MemberRecord,
+    Sighting,
+)
+from tests.utils.fleet import Fleet, run_fleet
+
+NOW_S = 1000.0
+
+
+def record(host: str = 'b', incarnation: int = 1, instance: str = 'i1') -> MemberRecord:
+    """Return a member's record."""
+    return MemberRecord(
+        host=host,
+        instance=instance,
+        incarnation=incarnation,
+        peer_address=f'{host}:1',
+        failure_domain='m-1',
+        region='m',
+    )
+
+
+def sighting(host: str = 'b', incarnation: int = 1, age_s: float = 0) -> Sighting:
+    """Return word of a member."""
+    return Sighting(host, incarnation, age_s, 5, 'd')
+
+
+def table_with(*hosts: str) -> MemberTable:
+    """Return a table in which the hosts were just heard."""
+    table = MemberTable('a', 'm-1')
+    for host in hosts:
+        table.note_record(record(host), NOW_S)
+        table.note_sighting(sighting(host), NOW_S)
+    return table
+
+
+class TestMemberTable:
+    """Guard against dead hosts taken for alive, and the reverse."""
+
+    def test_record_alone_is_no_evidence_of_life(self):
+        """A record can arrive late, by way of others."""
+        table = MemberTable('a', 'm-1')
+        table.note_record(record(), NOW_S)
+        assert table.alive(NOW_S) == []
+
+    @pytest.mark.parametrize(
+        ('age_s', 'probe_failed', 'is_alive'),
+        [
+            (SUSPECT_AFTER_S, True, True),
+            (SUSPECT_AFTER_S + 0.1, False, True),
+            (SUSPECT_AFTER_S + 0.1, True, False),
+            (DEAD_AFTER_S + 0.1, False, False),
+        ],
+    )
+    def test_suspicion_needs_a_failed_probe(self, age_s, probe_failed, is_alive):
+        """Slow gossip alone must not take a host out of use."""
+        table = table_with('b')
+        if probe_failed:
+            table.probe_failed('b', NOW_S + 1)
+        assert bool(table.alive(NOW_S + age_s)) is is_alive
+
+    def test_later_word_of_another_observer_counts(self):
+        """A host that only one observer can't reach is alive."""
+        table = table_with('b')
+        table.probe_failed('b', NOW_S + 4)
+        assert table.note_sighting(sighting(age_s=1), NOW_S + 5)
+        assert table.alive(NOW_S + 6)
+
+    @pytest.mark.parametrize('age_s', (float('nan'), -50, float('inf')))
+    def test_false_age_does_not_prolong_life(self, age_s):
+        """A negative age would date word into the future."""
+        table = table_with('b')
+        table.note_sighting(sighting(age_s=age_s), NOW_S)
+        assert not table.alive(NOW_S + DEAD_AFTER_S + 1)
+
+    def test_restarted_host_is_a_new_instance(self):
+        """What the old process had in use says nothing about the new one."""
+        table = table_with('b')
+        assert not table.note_sighting(sighting(incarnation=2), NOW_S)
+        assert table.note_record(record(incarnation=2, instance='i2'), NOW_S)
+        assert table.alive(NOW_S) == []
+        assert table.note_sighting(sighting(incarnation=1), NOW_S + 1)
+        assert table.alive(NOW_S + 1) == []
+        assert not table.note_record(record(incarnation=1), NOW_S)
+        assert table.find('b').record.instance == 'i2'
+
+    def test_other_domain_is_no_member(self):
+        """Relays are ranked within a domain."""
+        table = MemberTable('a', 'm-2')
+        assert not table.note_record(record(), NOW_S)
+
+    def test_relays_follow_the_living(self):
+        """A dead relay must give way to the next host."""
+        table = table_with('b', 'c')
+        assert table.relays(NOW_S, 2) == ['a', 'b']
+        table.probe_failed('b', NOW_S + 1)
+        table.note_sighting(sighting('c'), NOW_S + 5)
+        assert table.relays(NOW_S + 5, 2) == ['a', 'c']
+        assert table.unreachable(NOW_S + 5) == ['b']
+
+    def test_all_are_asked_in_turn(self):
+        """One host that does not answer must not use up all questions."""
+        table = table_with('b', 'c', 'd', 'e')
+        chooser = random.Random(1)
+        asked = {
+            table.partners(NOW_S + beat, 1, chooser)[0].host for beat in range(1, 5)
+        }
+        assert asked == {'b', 'c', 'd', 'e'}
+
+    def test_long_dead_host_is_forgotten(self):
+        """A replaced host must not count as unreachable for ever."""
+        table = table_with('b')
+        assert table.forget_old(NOW_S + FORGET_AFTER_S) == []
+        gone = table.forget_old(NOW_S + FORGET_AFTER_S + 1)
+        assert [found.host for found in gone] == ['b']
+
+
+def summary(domain: str, **changes: object) -> DomainSummary:
+    """Return a domain's summary in which two hosts have generation 5."""
+    fields = {
+        'failure_domain': domain,
+        'region': 'm',
+        'age_s': 0.0,
+        'relays': [],
+        'gates': [],
+        'host_count': 2,
+        'generation': 5,
+        'digest': 'd',
+        'behind': [],
+        'unreachable': [],
+        'load': Load(),
+        'load_age_s': 0.0,
+    }
+    return DomainSummary(**(fields | changes))
+
+
+class TestDomainTable:
+    """Guard against old word that replaces new."""
+
+    @pytest.mark.parametrize('age_s', (5, float('nan'), float('inf')))
+    def test_older_word_is_ignored(self, age_s):
+        """Summaries come by several ways, late and twice."""
+        table = DomainTable('m-2')
+        assert table.note(summary('m-1'), NOW_S)
+        assert not table.note(summary('m-1', age_s=age_s, generation=1), NOW_S + 1)
+        assert table.valid(NOW_S + 1)[0].generation == 5
+        assert table.valid(NOW_S + 1)[0].age_s == 1
+
+    def test_load_of_a_relay_is_kept_with_its_age(self):
+        """A host that is no relay knows the generations, but not the load."""
+        table = DomainTable('m-2')
+        load = Load(by_region={'m': 3.0})
+        table.note(summary('m-1', load=load, load_age_s=2.0), NOW_S)
+        table.note(summary('m-1', load_age_s=float('inf')), NOW_S + 4)
+        found = table.valid(NOW_S + 5)[0]
+        assert found.load == load
+        assert found.load_age_s == pytest.approx(7)
+
+
+class TestConfirmation:
+    """Guard against `in force everywhere` that nobody reported."""
+
+    @pytest.mark.parametrize(
+        ('summaries', 'behind', 'unreachable'),
+        [
+            ([summary('m-1'), summary('m-2')], [], []),
+            ([summary('m-1')], [], ['failure domain m-2']),
+            (
+                [summary('m-1'), summary('m-2', age_s=REPORT_VALID_S + 1)],
+                [],
+                ['failure domain m-2'],
+            ),
+            (
+                [summary('m-1'), summary('m-2', generation=4, behind=['x'])],
+                ['x'],
+                [],
+            ),
+            (
+                [summary('m-1'), summary('m-2', generation=4)],
+                ['failure domain m-2 (generation 4)'],
+                [],
+            ),
+            ([summary('m-1'), summary('m-2', unreachable=['y'])], [], ['y']),
+        ],
+    )
+    def test_names_who_is_missing(self, summaries, behind, unreachable):
+        """An operator acts on the names."""
+        found = confirm(5, ['m-1', 'm-2'], summaries)
+        assert found.behind == behind
+        assert found.unreachable == unreachable
+        assert found.in_force is not bool(behind or unreachable)
+
+    def test_without_a_configuration_nothing_is_in_force(self):
+        """An agent that has just started knows of no domain."""
+        assert not confirm(0, [], [summary('m-1', generation=0)]).in_force
+
+
+class TestHeartbeats:
+    """Guard against a cost per node that grows with the fleet."""
+
+    @pytest.mark.parametrize('domains', (4, 12))
+    def test_messages_do_not_grow_with_the_number_of_domains(self, domains):
+        """Each node has a bound of bytes/s at the target size."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.run_for(15)
+            fleet.network.messages = 0
+            await fleet.run_for(20)
+            per_node = fleet.network.messages / len(fleet.nodes) / 20
+            # Two partners, one other domain, one seed in ten beats, load of members.
+            assert per_node < 6
+            for node in fleet.running():
+                heard = node.membership.heard_domains()
+                assert len(heard) == domains - 1
+                assert max(heard.values()) < 30
+
+        run_fleet({f'm-{number}': 3 for number in range(domains)}, scenario)
+
+    def test_paused_host_takes_no_old_question_for_life(self):
+        """A host that resumes must not count buffered questions as heard now."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.run_for(10)
+            paused = fleet.nodes['m-1-0']
+            paused.is_paused = True
+            await fleet.run_for(60)
+            fleet.network.cut = lambda source, target: paused in {source, target}
+            paused.is_paused = False
+            await fleet.network.deliver_late()
+            await fleet.run_for(4)
+            assert all(not host.is_alive for host in paused.membership.heard_hosts())
+            assert paused.membership.platform_contact_age_s() < 5
+            assert min(paused.membership.heard_domains().values()) > 50
+
+        run_fleet({'m-1': 3, 'm-2': 2}, scenario)
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cicadadoor.config import model
+from cicadadoor.config import acceptance, model
 from cicadadoor.config.submission import Submission
 from cicadadoor.decisions.isolation import (
     AGENT_SILENCE_S,
@@ -17,6 +17,7 @@
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.gate.request import SteeredAnswer
 from cicadadoor.ids import digest_of
+from cicadadoor.links.config_parts import Generation
 from cicadadoor.object_store.base import StoredObject
 from tests.test_distribution import (
     DOMAINS,
@@ -153,6 +154,34 @@
         run_fleet(DOMAINS, scenario)
 
 
+class TestOrder:
+    """Guard against a configuration in force without the withdrawals."""
+
+    def test_gate_waits_for_the_withdrawals(self):
+        """A gate that starts would take withdrawn keys until it hears of them."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await submit(fleet, 1)
+            source = fleet.nodes['muenchen-1-0']
+            found = await acceptance.read_root(fleet.store)
+            contents = await acceptance.read_sections(
+                fleet.store,
+                found.root.section_digests,
+            )
+            fleet.store.is_down = True
+            held = Generation(1, found.root.section_digests, contents)
+            await source.sync.adopt(held)
+            await fleet.run_for(10)
+            # Nobody has a whole set, so nobody takes the configuration of a peer.
+            numbers = {node.sync.number for node in fleet.running()}
+            assert numbers == {0, 1}
+            assert not any(node.generation for node in fleet.running())
+            fleet.store.is_down = False
+            await fleet.run_until(lambda: fleet.is_everywhere(1), FAILOVER_LIMIT_S)
+
+        run_fleet(DOMAINS, scenario)
+
+
 class TestWithdrawnKeys:
     """Guard against sets that do not merge to the same."""
 
