Bound what heartbeats carry, and answer a withdrawal before the platform does

Cause: heartbeats carried whole summaries of several domains to every member, and an agent waited for a hanging platform longer than the operator's command waits.

Change: ages of domains travel on their own; summaries go one at a time to members and three at a time between domains; digests in sightings are shortened. An agent answers a withdrawal after at most 2 s. A confirmation compares digests as well.

--- a/cicadadoor/agent/membership.py
+++ b/cicadadoor/agent/membership.py
@@ -26,7 +26,10 @@
 RELAYS_PER_DOMAIN = 2
 _ANSWER_TIMEOUT_S = 0.8
 _PARTNERS = 2
-_SUMMARIES = 4
+# Ages are small and go to all quickly; the summaries themselves go slower.
+_SUMMARIES_OWN_DOMAIN = 1
+_SUMMARIES_OTHER_DOMAIN = 2
+_DOMAIN_AGES = 32
 _SEED_EVERY = 10
 _MAX_SEEDS = 8
 _HOST_LIST_PERIOD_S = 60.0
@@ -190,7 +193,7 @@
         asked_s = self._timer.now_s()
         answer = await self._peers.ask(
             address,
-            self._heartbeat(is_whole=False),
+            self._heartbeat(),
             _ANSWER_TIMEOUT_S,
         )
         if isinstance(answer, Heartbeat):
@@ -219,6 +222,9 @@
                     missing.append(sighting.host)
         for summary in answer.summaries:
             self.domains.note(summary, asked_s)
+        self.domains.note_age(answer.record.failure_domain, asked_s, 0)
+        for age in answer.domain_ages:
+            self.domains.note_age(age.failure_domain, asked_s, age.age_s)
         self._contact_s = max(self._contact_s, asked_s - max(answer.contact_age_s, 0))
         self._sync.hear(address, answer.generation)
         self._withdrawals.hear(address, answer.withdrawals_digest)
@@ -238,19 +244,22 @@
             address = request.record.peer_address
             self._sync.hear(address, request.generation)
             self._withdrawals.hear(address, request.withdrawals_digest)
-        return self._heartbeat(is_whole=True)
+        return self._heartbeat(request.record.failure_domain)
 
     async def _answer_members(self, request: Message) -> Message:
         found = [self.members.find(host) for host in request.hosts]
         records = [member.record for member in found if member is not None]
         return MemberRecords(records=records)
 
-    def _heartbeat(self, *, is_whole: bool) -> Heartbeat:
+    def _heartbeat(self, asker_domain: str = '') -> Heartbeat:
         now_s = self._timer.now_s()
         sighting = self.own.sighting()
+        is_own_domain = asker_domain == self.own.record.failure_domain
+        count = _SUMMARIES_OWN_DOMAIN if is_own_domain else _SUMMARIES_OTHER_DOMAIN
         summaries = []
-        if is_whole:
-            summaries = self.domains.sample(now_s, _SUMMARIES, self._chooser)
+        if asker_domain:
+            summaries = self.domains.sample(now_s, count, self._chooser)
+        if asker_domain and not is_own_domain:
             summaries.append(self._status.summary())
         return Heartbeat(
             record=self.own.record,
@@ -259,8 +268,13 @@
             contact_age_s=self.platform_contact_age_s(),
             evidence_age_s=self.evidence.age_s(now_s),
             withdrawals_digest=self._withdrawals.keys.digest(),
-            sightings=self.members.sightings(now_s) if is_whole else [],
+            sightings=self.members.sightings(now_s) if is_own_domain else [],
             summaries=summaries,
+            domain_ages=(
+                self.domains.sample_ages(now_s, _DOMAIN_AGES, self._chooser)
+                if asker_domain
+                else []
+            ),
         )
 
     async def _read_host_list(self) -> None:
--- a/cicadadoor/agent/operator_api.py
+++ b/cicadadoor/agent/operator_api.py
@@ -2,6 +2,7 @@
 
 from http import HTTPStatus
 
+import anyio
 import msgspec
 
 from cicadadoor.agent.membership import Membership
@@ -27,6 +28,7 @@
 from cicadadoor.timer import TimerService
 
 _MAX_BODY_BYTES = 4096
+_RECORD_LIMIT_S = 2.0
 
 
 class HostInUse(msgspec.Struct, frozen=True, kw_only=True):
@@ -135,10 +137,13 @@
             await _send_json(send, HTTPStatus.BAD_REQUEST, {'detail': detail})
             return
         await self._withdrawals.withdraw(request.key_hash)
-        recorded = self._withdrawals.keys.is_recorded(request.key_hash)
+        # The answer must come before the operator's command gives up: the key is
+        # refused already, and a platform that hangs gets the record later.
+        with anyio.move_on_after(_RECORD_LIMIT_S):
+            await self._records.record_one(request.key_hash)
         answer = WithdrawalAnswer(
             host=self._state.settings.host,
-            recorded=recorded or await self._records.record_one(request.key_hash),
+            recorded=self._withdrawals.keys.is_recorded(request.key_hash),
             told_hosts=len(self._withdrawals.reach()),
         )
         await _send_json(send, HTTPStatus.OK, answer)
--- a/cicadadoor/agent/own_record.py
+++ b/cicadadoor/agent/own_record.py
@@ -3,7 +3,11 @@
 import msgspec
 
 from cicadadoor.agent.state import AgentState
-from cicadadoor.links.membership_messages import MemberRecord, Sighting
+from cicadadoor.links.membership_messages import (
+    SHORT_DIGEST_LENGTH,
+    MemberRecord,
+    Sighting,
+)
 from cicadadoor.links.messages import GateInfo
 from cicadadoor.timer import TimerService
 
@@ -49,7 +53,7 @@
             self.record.incarnation,
             0,
             report.generation if is_heard else 0,
-            report.digest if is_heard else '',
+            report.digest[:SHORT_DIGEST_LENGTH] if is_heard else '',
         )
 
     def _live_gate(self) -> GateInfo | None:
--- a/cicadadoor/agent/status.py
+++ b/cicadadoor/agent/status.py
@@ -15,6 +15,7 @@
     DomainSummary,
     HostLoad,
     Load,
+    MemberRecord,
     PullStatus,
 )
 from cicadadoor.links.messages import GateInfo, GateReport, LoadCounters, Message
@@ -133,10 +134,8 @@
             member.record.host: (member.generation, member.digest)
             for member in membership.members.alive(now_s)
         }
-        record = membership.own.record
-        report = self._state.gate_report
-        is_heard = report is not None and record.gate is not None
-        found[record.host] = (report.generation, report.digest) if is_heard else (0, '')
+        own = membership.own.sighting()
+        found[own.host] = (own.generation, own.digest)
         return found
 
     def summary(self) -> DomainSummary:
@@ -157,7 +156,7 @@
             failure_domain=own.failure_domain,
             region=own.region,
             age_s=0,
-            relays=[records[host] for host in membership.relay_hosts()],
+            relays=[_without_gate(records[host]) for host in membership.relay_hosts()],
             gates=_some_gates(gates, own.host),
             host_count=len(records),
             generation=min(numbers.values()),
@@ -205,6 +204,11 @@
     return ordered[:_MAX_GATES]
 
 
+def _without_gate(record: MemberRecord) -> MemberRecord:
+    # The gates are listed on their own.
+    return msgspec.structs.replace(record, gate=None)
+
+
 def _common_digest(in_use: dict[str, tuple[int, str]]) -> str:
     digests = {digest for _, digest in in_use.values()}
     return digests.pop() if len(digests) == 1 else ''
--- a/cicadadoor/cli/status_command.py
+++ b/cicadadoor/cli/status_command.py
@@ -45,11 +45,11 @@
 
 
 def _confirm(status: HostStatus, wait: int) -> Confirmation:
-    return confirm(
-        wait or status.agent_generation,
-        status.failure_domains,
-        [status.domain, *status.other_domains],
-    )
+    generation = wait or status.agent_generation
+    summaries = [status.domain, *status.other_domains]
+    is_held = generation == status.agent_generation
+    digest = status.agent_digest if is_held else status.domain.digest
+    return confirm(generation, status.failure_domains, summaries, digest)
 
 
 def _print(
--- a/cicadadoor/decisions/confirmation.py
+++ b/cicadadoor/decisions/confirmation.py
@@ -5,7 +5,7 @@
 from cicadadoor.links.membership_messages import DomainSummary
 
 # Older word of a domain confirms nothing.
-REPORT_VALID_S = 30.0
+REPORT_VALID_S = 60.0
 
 
 class Confirmation(msgspec.Struct, frozen=True, kw_only=True):
@@ -22,11 +22,14 @@
     generation: int,
     configured_domains: list[str],
     summaries: list[DomainSummary],
+    digest: str = '',
 ) -> Confirmation:
     """Return whether each host of each configured domain reported the generation.
 
     A domain with no young report is named as `failure domain NAME`, since its hosts
     are not known; a host that is behind as `HOST` of its own domain's report.
+    `digest` is that of the generation; another one with the same number is no
+    confirmation.
     """
     by_domain = {summary.failure_domain: summary for summary in summaries}
     behind: list[str] = []
@@ -38,13 +41,10 @@
             unreachable.append(f'failure domain {domain}')
             continue
         unreachable.extend(summary.unreachable)
-        if summary.generation >= generation:
+        missing = _name_missing(summary, generation, digest)
+        behind.extend(missing)
+        if not missing:
             confirmed += summary.host_count
-        elif summary.behind:
-            behind.extend(summary.behind)
-        else:
-            # All its hosts agree on a generation that is too low.
-            behind.append(f'failure domain {domain} (generation {summary.generation})')
     return Confirmation(
         generation=generation,
         in_force=bool(configured_domains) and not behind and not unreachable,
@@ -52,3 +52,15 @@
         behind=behind,
         unreachable=unreachable,
     )
+
+
+def _name_missing(summary: DomainSummary, generation: int, digest: str) -> list[str]:
+    label = f'failure domain {summary.failure_domain}'
+    if summary.generation < generation:
+        # Without names all its hosts agree on a generation that is too low.
+        return summary.behind or [f'{label} (generation {summary.generation})']
+    # The summary holds the beginning of a digest.
+    is_same = digest.startswith(summary.digest)
+    if summary.generation == generation and not is_same:
+        return [f'{label} (digest {summary.digest})']
+    return []
--- a/cicadadoor/decisions/membership.py
+++ b/cicadadoor/decisions/membership.py
@@ -5,13 +5,18 @@
 
 import msgspec
 
-from cicadadoor.links.membership_messages import DomainSummary, MemberRecord, Sighting
+from cicadadoor.links.membership_messages import (
+    DomainAge,
+    DomainSummary,
+    MemberRecord,
+    Sighting,
+)
 
 SUSPECT_AFTER_S = 3.0
 DEAD_AFTER_S = 10.0
 # A dead host is named as unreachable for this long; a replaced one is not needed.
 FORGET_AFTER_S = 600.0
-SUMMARY_VALID_S = 60.0
+SUMMARY_VALID_S = 120.0
 _MAX_SIGHTINGS = 24
 _MAX_NAMED = 8
 _NEVER_S = float('-inf')
@@ -187,15 +192,37 @@
     def __init__(self, own_domain: str) -> None:
         self._own_domain = own_domain
         self._summaries: dict[str, DomainSummary] = {}
+        self._told_s: dict[str, float] = {}
         self._heard_s: dict[str, float] = {}
 
+    def note_age(self, failure_domain: str, received_s: float, age_s: float) -> None:
+        """Take when a host of a domain was heard, directly or by others."""
+        if failure_domain == self._own_domain:
+            return
+        heard_s = received_s - max(age_s, 0)
+        if heard_s > self._heard_s.get(failure_domain, _NEVER_S):
+            self._heard_s[failure_domain] = heard_s
+
+    def sample_ages(
+        self,
+        now_s: float,
+        count: int,
+        chooser: random.Random,
+    ) -> list[DomainAge]:
+        """Return the ages of the last word of some domains, to pass on."""
+        names = sorted(self._heard_s)
+        return [
+            DomainAge(name, now_s - self._heard_s[name])
+            for name in chooser.sample(names, min(count, len(names)))
+        ]
+
     def note(self, summary: DomainSummary, received_s: float) -> bool:
         """Take a summary if it is newer than the one held."""
         name = summary.failure_domain
         if name == self._own_domain:
             return False
         heard_s = received_s - max(summary.age_s, 0)
-        before_s = self._heard_s.get(name, _NEVER_S)
+        before_s = self._told_s.get(name, _NEVER_S)
         # Written so that an age that is no number is refused as well.
         if not heard_s > before_s:
             return False
@@ -208,7 +235,8 @@
                 load_age_s=before.load_age_s + heard_s - before_s,
             )
         self._summaries[name] = summary
-        self._heard_s[name] = heard_s
+        self._told_s[name] = heard_s
+        self.note_age(name, received_s, summary.age_s)
         return True
 
     def heard(self) -> dict[str, float]:
@@ -218,9 +246,9 @@
     def valid(self, now_s: float) -> list[DomainSummary]:
         """Return the summaries that are young enough, with their present ages."""
         return [
-            _aged(summary, now_s - self._heard_s[name])
+            _aged(summary, now_s - self._told_s[name])
             for name, summary in sorted(self._summaries.items())
-            if now_s - self._heard_s[name] <= SUMMARY_VALID_S
+            if now_s - self._told_s[name] <= SUMMARY_VALID_S
         ]
 
     def all_relays(self) -> dict[str, list[MemberRecord]]:
--- a/cicadadoor/links/membership_messages.py
+++ b/cicadadoor/links/membership_messages.py
@@ -21,6 +21,10 @@
     gate: GateInfo | None = None
 
 
+# Enough to tell generations apart; a whole digest in each sighting is most of its size.
+SHORT_DIGEST_LENGTH = 16
+
+
 class Sighting(msgspec.Struct, frozen=True, array_like=True):
     """Tell when a member was heard, and what its gate had in use then."""
 
@@ -31,6 +35,13 @@
     digest: str
 
 
+class DomainAge(msgspec.Struct, frozen=True, array_like=True):
+    """Tell how long ago any host of a failure domain was heard."""
+
+    failure_domain: str
+    age_s: float
+
+
 class Load(msgspec.Struct, frozen=True, kw_only=True):
     """Hold steered requests/s of a host or a domain."""
 
@@ -74,6 +85,7 @@
     withdrawals_digest: str
     sightings: list[Sighting] = []
     summaries: list[DomainSummary] = []
+    domain_ages: list[DomainAge] = []
 
 
 class PullMembers(Message, frozen=True, kw_only=True, tag=True):
