--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -4,7 +4,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from tests.utils.fleet import Fleet
+from tests.utils.limit_fleet import Fleet
 
 DOMAINS = {'a': 2, 'b': 2}
 HOSTS = ('a-0', 'a-1', 'b-0', 'b-1')
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -8,7 +8,7 @@
 from cicadadoor.decisions import seats
 from cicadadoor.decisions.seats import CONTACT_FRESH_S, Holder, HolderEvidence
 from cicadadoor.object_store.base import StoredObject
-from tests.utils.fleet import Fleet
+from tests.utils.limit_fleet import Fleet
 
 ISOLATION_S = 600
 RECLAIM_S = 1200
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -7,7 +7,7 @@
 
 from cicadadoor.agent.shares import LEASE_MARGIN_S, LEASE_S
 from cicadadoor.decisions import shares
-from tests.utils.fleet import ORGANISATION, Fleet
+from tests.utils.limit_fleet import ORGANISATION, Fleet
 
 WRITE_FAULTS = ('fail', 'late', 'slow', 'pause', 'lose_answer', 'lose_answer_once')
 
