--- a/cicadadoor/agent/daemon.py
+++ b/cicadadoor/agent/daemon.py
@@ -4,8 +4,11 @@
 
 from cicadadoor import core
 from cicadadoor.agent.config_sender import ConfigSender
+from cicadadoor.agent.holds import OperatorOrders
+from cicadadoor.agent.loads import PeerLoads
 from cicadadoor.agent.membership import Membership
 from cicadadoor.agent.operator_api import OperatorApi
+from cicadadoor.agent.planner import Planner
 from cicadadoor.agent.state import AgentState
 from cicadadoor.agent.sync import ConfigSync
 from cicadadoor.kernel import Kernel, Service
@@ -30,6 +33,9 @@
         ConfigSync(),
         ConfigSender(),
         Membership(),
+        OperatorOrders(),
+        PeerLoads(),
+        Planner(),
     )
     for service in services:
         kernel.register(service)
--- /dev/null
+++ b/cicadadoor/agent/drain_runner.py
@@ -0,0 +1,257 @@
+"""Take drains further: shift away, wait for work in flight, tell what is left."""
+
+from typing import Any
+
+import msgspec
+
+from cicadadoor.agent.plan_context import Found, PlanContext
+from cicadadoor.agent.shift_runner import ShiftRunner
+from cicadadoor.agent.state import AgentState
+from cicadadoor.config.operations import (
+    Approval,
+    Drain,
+    DrainState,
+    Hold,
+    Scope,
+    Shift,
+    is_held,
+)
+from cicadadoor.decisions import shift_steps
+from cicadadoor.decisions.shift_steps import USABLE_SHARE, PlannedStep, RegionLoad
+from cicadadoor.decisions.weights import TOLERANCE, weight_of
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.links.steering_messages import GateLoad
+from cicadadoor.object_store.writes import ObjectWriter
+from cicadadoor.telemetry import logs
+from cicadadoor.timer import TimerService
+
+log = logs.logger('planner')
+
+# A region with such a drain is not offered as the receiver of another one.
+_CLOSED = frozenset(set(DrainState) - {DrainState.CANCELLED, DrainState.ABANDONED})
+
+
+class DrainRunner:
+    """Run each drain until nothing is in flight or its deadline has passed."""
+
+    def __init__(
+        self,
+        state: AgentState,
+        timer: TimerService,
+        writer: ObjectWriter,
+        shifts: ShiftRunner,
+    ) -> None:
+        self._timer = timer
+        self._writer = writer
+        self._shifts = shifts
+        self._author = f'planner at {state.settings.host}'
+
+    async def advance(self, found: Found[Drain], context: PlanContext) -> bool:
+        """Do what is due for a drain; tell whether the root may have changed."""
+        drain = found.operation
+        if not drain.is_open:
+            return False
+        hold = _hold_on(drain, context)
+        if hold:
+            left = f'held by {hold.author}'
+        elif drain.state is DrainState.LEAVING:
+            left = _work_left(found, context)
+        elif drain.scope is Scope.REGION:
+            is_written, left = await self._shift_away(found, context)
+            if is_written:
+                return True
+        else:
+            left = _room_left(drain, context)
+        await self._conclude(found, left)
+        return False
+
+    async def _conclude(self, found: Found[Drain], left: str) -> None:
+        drain = found.operation
+        is_shifting = drain.state is DrainState.SHIFTING
+        if left == '' and is_shifting:
+            await self._update(found, 'nothing new is sent', state=DrainState.LEAVING)
+        elif left == '':
+            await self._update(found, 'done', state=DrainState.DONE, left='')
+        elif self._timer.wall_s() >= drain.deadline_wall_s:
+            change = f'the deadline has passed: {left}'
+            ended = DrainState.ABANDONED if is_shifting else DrainState.FAILED
+            await self._update(found, change, state=ended, left=left)
+        elif _kind_of(left) != _kind_of(drain.left):
+            await self._update(found, f'waits: {left}', left=left)
+
+    async def _shift_away(
+        self,
+        found: Found[Drain],
+        context: PlanContext,
+    ) -> tuple[bool, str]:
+        waits: list[str] = []
+        for service in sorted(context.moves):
+            planned = self._plan(found, service, context)
+            if isinstance(planned, PlannedStep):
+                name = _shift_name(found, service)
+                refusal = await self._shifts.write(name, planned, context)
+                return True, refusal.reason if refusal else ''
+            if planned is not None:
+                waits.append(f'{service} waits: {planned.reason}')
+        return False, '; '.join(waits)
+
+    def _plan(
+        self,
+        found: Found[Drain],
+        service: str,
+        context: PlanContext,
+    ) -> PlannedStep | Failure | None:
+        drain = found.operation
+        weights = [
+            weight_of(rule.weights, drain.target)
+            for rule in context.weights.rules
+            if rule.service == service
+        ]
+        if max(weights) <= TOLERANCE:
+            return self._shifts.check_complete(service, 0, context)
+        shift = self._away(drain, service, context)
+        if shift is None:
+            return Failure(ErrorKind.NO_CAPACITY, 'no other region may take it')
+        return self._shifts.plan(_shift_name(found, service), shift, context)
+
+    def _away(
+        self,
+        drain: Drain,
+        service: str,
+        context: PlanContext,
+    ) -> Shift | None:
+        closed = {hold.target for hold in context.holds if hold.scope is Scope.REGION}
+        for found in context.drains:
+            other = found.operation
+            if other.scope is Scope.REGION and other.state in _CLOSED:
+                closed.add(other.target)
+        free = {
+            region.name: _free(context.measurements.load(service, region.name))
+            for region in context.topology.regions
+            if region.name not in closed
+        }
+        if not free:
+            return None
+        return Shift(
+            author=drain.author,
+            changed_by=drain.author,
+            change='',
+            wall_s=drain.wall_s,
+            service=service,
+            source=drain.target,
+            target=max(sorted(free), key=free.__getitem__),
+            step_size=context.weights.max_step,
+            interval_s=0,
+            approval=Approval.AUTOMATIC,
+        )
+
+    async def _update(self, found: Found[Drain], change: str, **fields: Any) -> None:
+        changed = msgspec.structs.replace(
+            found.operation,
+            changed_by=self._author,
+            change=change,
+            wall_s=self._timer.wall_s(),
+            **fields,
+        )
+        log.info('drain_changes', drain=found.name, change=change)
+        stored = await self._writer.update(found.stored, msgspec.json.encode(changed))
+        if isinstance(stored, Failure):
+            log.info('drain_not_noted', drain=found.name, reason=stored.reason)
+
+
+def _hold_on(drain: Drain, context: PlanContext) -> Hold | None:
+    for hold in context.holds:
+        if (hold.scope, hold.target) == (drain.scope, drain.target):
+            return hold
+    region = _region_of(drain, context)
+    return is_held(context.holds, service='', regions={region})
+
+
+def _region_of(drain: Drain, context: PlanContext) -> str:
+    for domain in context.topology.failure_domains:
+        if drain.scope is Scope.FAILURE_DOMAIN and domain.name == drain.target:
+            return domain.region
+    return drain.target if drain.scope is Scope.REGION else ''
+
+
+def _room_left(drain: Drain, context: PlanContext) -> str:
+    """Return why the rest of the region cannot take a failure domain's load."""
+    refusal = shift_steps.check_fresh(context.measurements)
+    if refusal is not None:
+        return refusal.reason
+    region = _region_of(drain, context)
+    own: dict[str, float] = {}
+    for aged in context.reports.reports:
+        if aged.load.failure_domain == drain.target:
+            for service, measured in aged.load.services.items():
+                own[service] = own.get(service, 0) + measured.slots
+    for service, slots in own.items():
+        load = context.measurements.load(service, region)
+        limit = USABLE_SHARE * (load.slots - slots)
+        if load.busy > limit:
+            return (
+                f'no room: {service} uses {load.busy:.1f} slots in {region}; '
+                f'{limit:.1f} would be left'
+            )
+    return ''
+
+
+def _work_left(found: Found[Drain], context: PlanContext) -> str:
+    """Return what is still in flight, or which gates have not confirmed."""
+    drain = found.operation
+    domains, servers = _places(drain, context)
+    reported = {aged.load.failure_domain for aged in context.reports.reports}
+    silent = sorted(domains - reported)
+    for host, domain in sorted(context.reports.missing.items()):
+        if domain in domains:
+            silent.append(host)
+    if silent:
+        return f'no report from {", ".join(silent)}'
+    for aged in context.reports.reports:
+        gate = aged.load
+        if gate.failure_domain not in domains:
+            continue
+        if gate.orders_version < found.stored.version:
+            return f'not confirmed: host {gate.host} has not heard of the drain'
+        in_flight = _in_flight(gate, servers)
+        if in_flight:
+            return f'in flight: {in_flight} at host {gate.host}'
+    return ''
+
+
+def _places(drain: Drain, context: PlanContext) -> tuple[set[str], set[str]]:
+    region = _region_of(drain, context)
+    wanted = context.domains_of(region)
+    if drain.scope is Scope.FAILURE_DOMAIN:
+        wanted = {drain.target}
+    domains = set()
+    servers = set()
+    for service in context.services:
+        for server in service.backend_servers:
+            names = {
+                Scope.SERVICE: service.name,
+                Scope.BACKEND_SERVER: server.name,
+            }
+            is_named = names.get(drain.scope) == drain.target
+            if is_named or server.failure_domain in wanted:
+                domains.add(server.failure_domain)
+                servers.add(server.name)
+    return domains, servers
+
+
+def _in_flight(gate: GateLoad, servers: set[str]) -> int:
+    return sum(
+        count for name, count in gate.server_in_flight.items() if name in servers
+    )
+
+
+def _free(load: RegionLoad) -> float:
+    return load.slots * USABLE_SHARE - load.busy
+
+
+def _shift_name(found: Found[Drain], service: str) -> str:
+    return f'drain.{found.name}.{service}'
+
+
+def _kind_of(left: str) -> str:
+    return left.partition(':')[0]
--- /dev/null
+++ b/cicadadoor/agent/plan_context.py
@@ -0,0 +1,165 @@
+"""Read what the planner decides on, in the order that makes its writes safe."""
+
+from typing import Generic, TypeVar
+
+import msgspec
+
+from cicadadoor.agent.loads import LoadReports
+from cicadadoor.config import chunks, model
+from cicadadoor.config.acceptance import AcceptedRoot, read_root, read_sections
+from cicadadoor.config.operations import (
+    DRAIN_KIND,
+    HOLD_KIND,
+    SHIFT_KIND,
+    Drain,
+    Hold,
+    Shift,
+)
+from cicadadoor.decisions.shift_steps import LastMove, Measurements
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.object_store.base import ObjectStore, StoredObject
+
+_Operation = TypeVar('_Operation')
+_SECTIONS = ('weights', 'topology', 'services')
+
+
+class Found(Generic[_Operation]):
+    """Hold an operation and the object it was read from."""
+
+    __slots__ = ('operation', 'stored')
+
+    def __init__(self, operation: _Operation, stored: StoredObject) -> None:
+        self.operation = operation
+        self.stored = stored
+
+    @property
+    def name(self) -> str:
+        """Return the object's name."""
+        return self.stored.name
+
+
+class PlanContext:
+    """Hold one consistent basis of decisions: the root is older than all the rest."""
+
+    __slots__ = (
+        'accepted',
+        'drains',
+        'holds',
+        'measurements',
+        'moves',
+        'read_s',
+        'reports',
+        'services',
+        'shifts',
+        'topology',
+        'weights',
+    )
+
+    def __init__(self, accepted: AcceptedRoot, parts: dict[str, object]) -> None:
+        self.accepted = accepted
+        self.weights: model.Weights = parts['weights']
+        self.topology: model.Topology = parts['topology']
+        self.services: tuple[model.Service, ...] = parts['services']
+        self.shifts: list[Found[Shift]] = []
+        self.drains: list[Found[Drain]] = []
+        self.holds: list[Hold] = []
+        self.reports = LoadReports([], {})
+        self.measurements = Measurements({}, {}, 0, 0, [])
+        self.moves: dict[str, LastMove] = {}
+        self.read_s = 0.0
+
+    def last_move(self, service: str) -> LastMove:
+        """Return the last change of a service's weights."""
+        return self.moves[service]
+
+    def any_last_move(self) -> LastMove:
+        """Return the last change of any weights; links are shared by all services."""
+        return max(self.moves.values(), key=lambda move: move.seen_s)
+
+    def link_capacity(self) -> dict[tuple[str, str], float]:
+        """Return the capacity of each link in bytes per second."""
+        return {
+            (link.source, link.target): link.capacity_bytes_per_s
+            for link in self.topology.links
+        }
+
+    def domains_of(self, region: str) -> set[str]:
+        """Return the failure domains of a region."""
+        return {
+            domain.name
+            for domain in self.topology.failure_domains
+            if domain.region == region
+        }
+
+
+class ContextReader:
+    """Read the root first, then sections, shifts, drains and holds."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+        self._decoded: dict[str, tuple[str, object]] = {}
+
+    async def read(self) -> PlanContext | Failure:
+        """Return the basis of decisions without measurements, or why not.
+
+        The order matters: a hold that is written and fenced after the root was read
+        moves the root, so that a step planned without it is refused.
+        """
+        accepted = await read_root(self._store)
+        if isinstance(accepted, Failure):
+            return accepted
+        failure = await self._read_sections(accepted)
+        if failure is not None:
+            return failure
+        parts = {name: part for name, (_, part) in self._decoded.items()}
+        context = PlanContext(accepted, parts)
+        for kind, wanted, into in (
+            (SHIFT_KIND, Shift, context.shifts),
+            (DRAIN_KIND, Drain, context.drains),
+        ):
+            failure = await self._read_kind(kind, wanted, into)
+            if failure is not None:
+                return failure
+        holds: list[Found[Hold]] = []
+        failure = await self._read_kind(HOLD_KIND, Hold, holds)
+        if failure is not None:
+            return failure
+        context.holds = [found.operation for found in holds]
+        return context
+
+    async def _read_sections(self, accepted: AcceptedRoot) -> Failure | None:
+        digests = accepted.root.section_digests
+        for name in _SECTIONS:
+            digest = digests.get(name, '')
+            known = self._decoded.get(name)
+            if known is not None and known[0] == digest:
+                continue
+            sections = await read_sections(self._store, {name: digest})
+            if isinstance(sections, Failure):
+                return sections
+            part = chunks.decode(name, sections[name])
+            if isinstance(part, Failure):
+                return part
+            self._decoded[name] = (digest, part)
+        return None
+
+    async def _read_kind(
+        self,
+        kind: str,
+        wanted: type[_Operation],
+        into: list[Found[_Operation]],
+    ) -> Failure | None:
+        listed = await self._store.list(kind)
+        if isinstance(listed, Failure):
+            return listed
+        for stored in listed.objects:
+            try:
+                operation = msgspec.json.decode(stored.body, type=wanted)
+            except msgspec.MsgspecError as error:
+                # An object that cannot be read may be a hold on anything.
+                return Failure(
+                    ErrorKind.CONFIG_INVALID,
+                    f'{kind}/{stored.name} is malformed: {error}',
+                )
+            into.append(Found(operation, stored))
+        return None
--- /dev/null
+++ b/cicadadoor/agent/planner.py
@@ -0,0 +1,186 @@
+"""Advance shifts and drains, at one agent at a time."""
+
+import msgspec
+
+from cicadadoor.agent.drain_runner import DrainRunner
+from cicadadoor.agent.holds import OperatorOrders
+from cicadadoor.agent.loads import LoadSource
+from cicadadoor.agent.plan_context import ContextReader, PlanContext
+from cicadadoor.agent.shift_runner import MAX_PLAN_AGE_S, ShiftRunner
+from cicadadoor.agent.state import AgentState
+from cicadadoor.config.operations import LEASE_KIND, LEASE_NAME
+from cicadadoor.config.section_update import fence
+from cicadadoor.decisions.shift_steps import LastMove
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.object_store.base import ObjectStore, StoredObject
+from cicadadoor.object_store.writes import ObjectWriter
+from cicadadoor.telemetry import logs
+from cicadadoor.timer import TimerService
+
+log = logs.logger('planner')
+
+_PERIOD_S = 1.0
+LEASE_RENEW_S = 3.0
+LEASE_LIFETIME_S = 10.0
+
+
+class LeaseBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Name the agent process that plans."""
+
+    holder: str
+    host: str
+
+
+class PlannerLease:
+    """Hold the right to plan; another holder takes it when it is not renewed.
+
+    Safety does not rest on it. Its change of hands moves the root, so that a step of
+    the former holder, who may only be paused, is refused.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        writer: ObjectWriter,
+        timer: TimerService,
+        body: LeaseBody,
+    ) -> None:
+        self._store = store
+        self._writer = writer
+        self._timer = timer
+        self._body = body
+        self._seen_version = 0
+        self._seen_s = 0.0
+        self._renewed_s: float | None = None
+        self._is_fenced = False
+
+    async def hold(self) -> bool:
+        """Take or renew the lease; tell whether it is held."""
+        now_s = self._timer.now_s()
+        if self._renewed_s is not None and now_s - self._renewed_s < LEASE_RENEW_S:
+            return True
+        self._renewed_s = None
+        present = await self._store.get(LEASE_KIND, LEASE_NAME)
+        if isinstance(present, Failure):
+            if present.kind is not ErrorKind.STORE_NOT_FOUND:
+                return False
+            return await self._take(None)
+        if self._is_own(present):
+            return await self._take(present)
+        self._is_fenced = False
+        if present.version != self._seen_version:
+            self._seen_version = present.version
+            self._seen_s = now_s
+        if now_s - self._seen_s < LEASE_LIFETIME_S:
+            return False
+        return await self._take(present)
+
+    async def _take(self, present: StoredObject | None) -> bool:
+        asked_s = self._timer.now_s()
+        body = msgspec.json.encode(self._body)
+        if present is None:
+            stored = await self._writer.create(LEASE_KIND, LEASE_NAME, body)
+        else:
+            stored = await self._writer.update(present, body)
+        if isinstance(stored, Failure):
+            return False
+        if not self._is_fenced:
+            log.info('planner_lease_taken')
+            failure = await fence(self._store, self._writer)
+            if failure is not None:
+                return False
+            self._is_fenced = True
+        self._renewed_s = asked_s
+        return True
+
+    def _is_own(self, present: StoredObject) -> bool:
+        try:
+            body = msgspec.json.decode(present.body, type=LeaseBody)
+        except msgspec.MsgspecError:
+            return False
+        return body.holder == self._body.holder
+
+
+class Planner(Service):
+    """Read, plan and write once in each period while holding the lease."""
+
+    name = 'planner'
+
+    def __init__(self) -> None:
+        self._state: AgentState
+        self._timer: TimerService
+        self._orders: OperatorOrders
+        self._loads: LoadSource
+        self._lease: PlannerLease
+        self._reader: ContextReader
+        self._shifts: ShiftRunner
+        self._drains: DrainRunner
+        self._rules: dict[str, list[object]] = {}
+        self._moves: dict[str, LastMove] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        """Plan periodically."""
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._orders = kernel.find('orders')
+        self._loads = kernel.find('loads')
+        store = self._state.store
+        writer = ObjectWriter(store, self._state.instance)
+        body = LeaseBody(holder=self._state.instance, host=self._state.settings.host)
+        self._lease = PlannerLease(store, writer, self._timer, body)
+        self._reader = ContextReader(store)
+        self._shifts = ShiftRunner(self._state, self._timer, writer)
+        self._drains = DrainRunner(self._state, self._timer, writer, self._shifts)
+        self._timer.subscribe('planner', _PERIOD_S, self.tick)
+
+    async def tick(self) -> None:
+        """Plan if this agent may; at most one step is written in a turn."""
+        if not self._orders.is_leader() or not await self._lease.hold():
+            return
+        context = await self.read()
+        if isinstance(context, Failure):
+            log.info('planner_waits', reason=context.reason)
+            return
+        if self._timer.now_s() - context.read_s <= MAX_PLAN_AGE_S:
+            await self.advance(context)
+
+    async def read(self) -> PlanContext | Failure:
+        """Return the basis of this turn's decisions."""
+        read_s = self._timer.now_s()
+        context = await self._reader.read()
+        if isinstance(context, Failure):
+            return context
+        context.read_s = read_s
+        self._note_moves(context)
+        context.moves = self._moves
+        context.reports = await self._loads.collect()
+        domains = [domain.name for domain in context.topology.failure_domains]
+        context.measurements = context.reports.measurements(domains)
+        return context
+
+    async def advance(self, context: PlanContext) -> None:
+        """Advance drains and shifts until one of them writes the root."""
+        for drain in context.drains:
+            if await self._drains.advance(drain, context):
+                return
+        for shift in context.shifts:
+            if await self._shifts.advance(shift, context):
+                return
+
+    def _note_moves(self, context: PlanContext) -> None:
+        # The time of a change is when this process first saw it, on its own clock: it
+        # is never earlier than the change, and no clocks of two hosts are compared.
+        rules: dict[str, list[object]] = {}
+        for rule in context.weights.rules:
+            rules.setdefault(rule.service, []).append(rule)
+        now_s = self._timer.now_s()
+        generation = context.accepted.root.generation
+        moves = {}
+        for service, of_service in rules.items():
+            move = self._moves.get(service)
+            if move is None or self._rules.get(service) != of_service:
+                move = LastMove(generation, now_s)
+            moves[service] = move
+        self._rules = rules
+        self._moves = moves
--- /dev/null
+++ b/cicadadoor/agent/shift_runner.py
@@ -0,0 +1,262 @@
+"""Take shifts one step further."""
+
+from typing import Any
+
+import msgspec
+
+from cicadadoor.agent.plan_context import Found, PlanContext
+from cicadadoor.agent.state import AgentState
+from cicadadoor.config.acceptance import read_root
+from cicadadoor.config.operations import (
+    Approval,
+    Shift,
+    ShiftState,
+    Step,
+    is_held,
+)
+from cicadadoor.config.section_update import accept_weights, store_weights
+from cicadadoor.decisions import shift_steps
+from cicadadoor.decisions.shift_steps import PlannedStep
+from cicadadoor.decisions.weights import moved
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.object_store.writes import ObjectWriter
+from cicadadoor.telemetry import logs
+from cicadadoor.timer import TimerService
+
+log = logs.logger('planner')
+
+_MS_PER_S = 1000
+# Gates follow weights with a margin after the time-to-live of their answers.
+_MOVE_MARGIN_S = 1.0
+# A planner that was paused for longer than this does not use what it read.
+MAX_PLAN_AGE_S = 2.0
+
+
+class ShiftRunner:
+    """Plan, propose and write steps."""
+
+    def __init__(
+        self,
+        state: AgentState,
+        timer: TimerService,
+        writer: ObjectWriter,
+    ) -> None:
+        self._state = state
+        self._timer = timer
+        self._writer = writer
+        self._author = f'planner at {state.settings.host}'
+
+    async def advance(self, found: Found[Shift], context: PlanContext) -> bool:
+        """Do what is due for a shift; tell whether the root may have changed."""
+        shift = found.operation
+        if not shift.is_open:
+            return False
+        written = context.weights.shift_steps.get(found.name, 0)
+        if written == shift.steps_done + 1:
+            # The planner that wrote the step ended before it noted it here.
+            await self._note_step(found, shift.proposal)
+            return False
+        if written != shift.steps_done:
+            if await self._is_current(context):
+                await self._stop(found, written)
+            return False
+        planned = self.plan(found.name, _as_proposed(shift), context)
+        if planned is None:
+            await self._update(found, 'all steps are done', state=ShiftState.DONE)
+            return False
+        if isinstance(planned, Failure):
+            await self._wait(found, planned)
+            return False
+        if shift.approval is Approval.MANUAL and not _is_approved(shift, planned):
+            await self._propose(found, planned.step)
+            return False
+        return await self._take_step(found, planned, context)
+
+    def plan(
+        self,
+        name: str,
+        shift: Shift,
+        context: PlanContext,
+    ) -> PlannedStep | Failure | None:
+        """Return the step that may be made now, None at the end, or why not."""
+        held = is_held(
+            context.holds,
+            service=shift.service,
+            regions={shift.source, shift.target},
+        )
+        if held is not None:
+            return Failure(
+                ErrorKind.OPERATION_HELD,
+                f'{held.scope.value} {held.target} is held by {held.author}',
+            )
+        if shift.service not in context.moves:
+            return Failure(ErrorKind.UNKNOWN_SERVICE, f'no service {shift.service!r}')
+        refusal = self.check_complete(shift.service, shift.interval_s, context)
+        if refusal is not None:
+            return refusal
+        return shift_steps.plan_step(
+            name,
+            shift,
+            context.weights,
+            context.measurements,
+            context.link_capacity(),
+        )
+
+    def check_complete(
+        self,
+        service: str,
+        interval_s: float,
+        context: PlanContext,
+    ) -> Failure | None:
+        """Return None once no move is under way."""
+        now_s = self._timer.now_s()
+        ttl_s = self._state.settings.answer_ttl_ms / _MS_PER_S + _MOVE_MARGIN_S
+        own = shift_steps.check_complete(
+            context.last_move(service),
+            interval_s,
+            ttl_s,
+            context.measurements,
+            now_s,
+        )
+        if own is not None:
+            return own
+        return shift_steps.check_complete(
+            context.any_last_move(),
+            0,
+            ttl_s,
+            context.measurements,
+            now_s,
+        )
+
+    async def write(
+        self,
+        name: str,
+        planned: PlannedStep,
+        context: PlanContext,
+    ) -> Failure | None:
+        """Write the step's weights if nothing has moved since the root was read."""
+        refusal = shift_steps.check_step(name, context.weights, planned.weights)
+        if refusal is not None:
+            return refusal
+        digest = await store_weights(self._writer, planned.weights)
+        if isinstance(digest, Failure):
+            return digest
+        if self._timer.now_s() - context.read_s > MAX_PLAN_AGE_S:
+            return Failure(ErrorKind.MEASUREMENTS_STALE, 'the plan is too old')
+        accepted = await accept_weights(
+            self._writer,
+            context.accepted,
+            digest,
+            self._author,
+            self._timer.wall_s(),
+        )
+        if isinstance(accepted, Failure):
+            return accepted
+        log.info(
+            'shift_step',
+            shift=name,
+            step=planned.step.number,
+            generation=accepted.root.generation,
+        )
+        return None
+
+    async def _is_current(self, context: PlanContext) -> bool:
+        # Another planner may have made a step after the root was read here and
+        # before the shift was.
+        present = await read_root(self._state.store)
+        if isinstance(present, Failure):
+            return False
+        return present.stored.version == context.accepted.stored.version
+
+    async def _take_step(
+        self,
+        found: Found[Shift],
+        planned: PlannedStep,
+        context: PlanContext,
+    ) -> bool:
+        refusal = await self.write(found.name, planned, context)
+        if refusal is not None:
+            log.warning('shift_step_failed', shift=found.name, reason=refusal.reason)
+            return True
+        await self._note_step(found, planned.step)
+        return True
+
+    async def _note_step(self, found: Found[Shift], step: Step | None) -> None:
+        shift = found.operation
+        number = shift.steps_done + 1
+        await self._update(
+            found,
+            f'step {number} is made',
+            state=ShiftState.ACTIVE,
+            steps_done=number,
+            last_step=step,
+            proposal=None,
+            earliest_next_wall_s=self._timer.wall_s() + shift.interval_s,
+            waits_for='',
+        )
+
+    async def _propose(self, found: Found[Shift], step: Step) -> None:
+        present = found.operation.proposal
+        is_same = present is not None and _is_same_move(present, step)
+        if is_same and found.operation.state is not ShiftState.ACTIVE:
+            return
+        await self._update(
+            found,
+            f'step {step.number} is proposed',
+            state=ShiftState.PROPOSED,
+            proposal=step,
+            waits_for='approval',
+        )
+
+    async def _wait(self, found: Found[Shift], reason: Failure) -> None:
+        # Figures change all the time; the object is written when the kind changes.
+        if found.operation.waits_for.partition(':')[0] == reason.kind.value:
+            return
+        log.info('shift_waits', shift=found.name, reason=reason.reason)
+        waits_for = f'{reason.kind.value}: {reason.reason}'
+        await self._update(found, f'waits, {waits_for}', waits_for=waits_for)
+
+    async def _stop(self, found: Found[Shift], written: int) -> None:
+        shift = found.operation
+        reason = (
+            f'the accepted weights are at step {written}, not {shift.steps_done}; '
+            'they were replaced by a submission'
+        )
+        log.warning('shift_stopped', shift=found.name, reason=reason)
+        await self._update(found, reason, state=ShiftState.STOPPED, waits_for='')
+
+    async def _update(self, found: Found[Shift], change: str, **fields: Any) -> None:
+        changed = msgspec.structs.replace(
+            found.operation,
+            changed_by=self._author,
+            change=change,
+            wall_s=self._timer.wall_s(),
+            **fields,
+        )
+        stored = await self._writer.update(found.stored, msgspec.json.encode(changed))
+        if isinstance(stored, Failure):
+            # An operator changed it first, or it is repaired at the next turn.
+            log.info('shift_not_noted', shift=found.name, reason=stored.reason)
+
+
+def _is_approved(shift: Shift, planned: PlannedStep) -> bool:
+    if shift.state is not ShiftState.APPROVED or shift.proposal is None:
+        return False
+    return _is_same_move(shift.proposal, planned.step)
+
+
+def _is_same_move(one: Step, other: Step) -> bool:
+    if one.number != other.number:
+        return False
+    return one.before == other.before and one.after == other.after
+
+
+def _as_proposed(shift: Shift) -> Shift:
+    """Plan no larger step than the one that an operator was asked to approve."""
+    if shift.proposal is None:
+        return shift
+    size = max(
+        moved(before, shift.proposal.after[home], home)
+        for home, before in shift.proposal.before.items()
+    )
+    return msgspec.structs.replace(shift, step_size=min(shift.step_size, size))
--- a/cicadadoor/cli/commands.py
+++ b/cicadadoor/cli/commands.py
@@ -11,6 +11,11 @@
 import msgspec
 
 from cicadadoor.cli.output import Output
+from cicadadoor.cli.steering_commands import (
+    DrainCommands,
+    HoldCommands,
+    ShiftCommands,
+)
 from cicadadoor.config import acceptance, canonical, checks, chunks, diff, model
 from cicadadoor.errors import ErrorKind, ExitStatus, Failure
 from cicadadoor.ids import digest_of, new_instance_id
@@ -30,6 +35,9 @@
     def __init__(self, *, platform: str = '', json: bool = False) -> None:
         self._platform = platform or os.environ.get('CICADADOOR_PLATFORM', '')
         self._output = Output(as_json=json)
+        self.shift = ShiftCommands(self._open_store, self._output)
+        self.hold = HoldCommands(self._open_store, self._output)
+        self.drain = DrainCommands(self._open_store, self._output)
 
     def validate(self, file: str) -> ExitStatus:
         """Check a printed configuration and print its digest."""
@@ -156,10 +164,7 @@
 
     async def _accepted(self) -> acceptance.AcceptedRoot | Failure | None:
         if not self._platform:
-            return Failure(
-                ErrorKind.BAD_REQUEST,
-                'no platform is given; use --platform URL or CICADADOOR_PLATFORM',
-            )
+            return _no_platform()
         found = await acceptance.read_root(self._store())
         is_first = (
             isinstance(found, Failure) and found.kind is ErrorKind.STORE_NOT_FOUND
@@ -195,6 +200,9 @@
         sections.update(kept)
         return None
 
+    def _open_store(self) -> HttpObjectStore | Failure:
+        return self._store() if self._platform else _no_platform()
+
     def _store(self) -> HttpObjectStore:
         return HttpObjectStore(self._platform)
 
@@ -210,3 +218,10 @@
         if faults:
             return Failure(ErrorKind.CONFIG_INVALID, '; '.join(faults))
         return configuration
+
+
+def _no_platform() -> Failure:
+    return Failure(
+        ErrorKind.BAD_REQUEST,
+        'no platform is given; use --platform URL or CICADADOOR_PLATFORM',
+    )
--- /dev/null
+++ b/cicadadoor/cli/steering_commands.py
@@ -0,0 +1,445 @@
+"""Offer the commands for shifts, holds and drains."""
+
+import getpass
+import time
+from collections.abc import Callable
+
+import anyio
+import msgspec
+
+from cicadadoor.cli.output import Output
+from cicadadoor.config.acceptance import read_root, read_sections
+from cicadadoor.config.chunks import decode
+from cicadadoor.config.operation_store import Named, OperationStore
+from cicadadoor.config.operations import (
+    Approval,
+    Drain,
+    DrainState,
+    Hold,
+    Scope,
+    Shift,
+    ShiftState,
+    operation_name,
+)
+from cicadadoor.decisions.weights import moved
+from cicadadoor.errors import ErrorKind, ExitStatus, Failure
+from cicadadoor.ids import new_instance_id
+from cicadadoor.object_store.base import ObjectStore
+from cicadadoor.object_store.writes import ObjectWriter
+from cicadadoor.settings import parse_name
+
+_HOLD_SCOPES = (Scope.SERVICE, Scope.REGION, Scope.BACKEND_SERVER)
+
+StoreOpener = Callable[[], ObjectStore | Failure]
+
+
+class _Group:
+    """Share what the command groups need; fire does not show private members."""
+
+    _wanted: type
+
+    def __init__(self, open_store: StoreOpener, output: Output) -> None:
+        self._open_store = open_store
+        self._output = output
+
+    def _run(self, work: Callable[..., object], *arguments: object) -> ExitStatus:
+        return anyio.run(self._guarded, work, *arguments)
+
+    async def _guarded(
+        self,
+        work: Callable[..., object],
+        *arguments: object,
+    ) -> ExitStatus:
+        store = self._open_store()
+        if isinstance(store, Failure):
+            return self._output.fail(store)
+        try:
+            return await work(store, *arguments)
+        finally:
+            await store.close()
+
+    def _operations(self, store: ObjectStore) -> OperationStore:
+        writer = ObjectWriter(store, new_instance_id())
+        return OperationStore(store, writer, self._wanted)
+
+    async def _list(self, store: ObjectStore) -> ExitStatus:
+        found = await self._operations(store).find_all()
+        if isinstance(found, Failure):
+            return self._output.fail(found)
+        lines = [line for named in found for line in _lines(named)]
+        listed = [
+            {
+                'name': named.name,
+                'version': named.stored.version,
+                **msgspec.to_builtins(named.operation),
+            }
+            for named in found
+        ]
+        self._output.result(lines or ['none'], listed=listed)
+        return ExitStatus.SUCCESS
+
+    def _finish(self, result: Named | Failure, advice: str) -> ExitStatus:
+        if isinstance(result, Failure):
+            return self._output.fail(result, advice)
+        self._output.result(
+            [result.text()],
+            name=result.name,
+            version=result.stored.version,
+        )
+        return ExitStatus.SUCCESS
+
+    async def _fenced(
+        self,
+        operations: OperationStore,
+        result: Named | Failure,
+        advice: str,
+    ) -> ExitStatus:
+        if not isinstance(result, Failure):
+            failure = await operations.fence()
+            if failure is not None:
+                return self._output.fail(failure, 'run the command again')
+        return self._finish(result, advice)
+
+
+class ShiftCommands(_Group):
+    """Move a service's traffic between regions in steps."""
+
+    _wanted = Shift
+
+    def create(
+        self,
+        name: str,
+        *,
+        service: str,
+        source: str,
+        target: str,
+        step: float,
+        interval_s: float = 60,
+        approval: str = 'manual',
+        keep: float = 0,
+    ) -> ExitStatus:
+        """Begin a shift; `keep` is the weight that stays at the source.
+
+        With `--approval=automatic` steps are made without asking.
+        """
+        approvals = [each.value for each in Approval]
+        if approval not in approvals:
+            text = f'approval {approval!r} is not one of {", ".join(approvals)}'
+            return self._output.fail(Failure(ErrorKind.BAD_REQUEST, text))
+        if parse_name(name) is None or not 0 <= keep < 1 or interval_s < 0:
+            text = f'name {name!r}, keep {keep} or interval_s {interval_s} is no good'
+            return self._output.fail(Failure(ErrorKind.BAD_REQUEST, text))
+        shift = Shift(
+            **_stamp('created'),
+            service=service,
+            source=source,
+            target=target,
+            step_size=float(step),
+            interval_s=float(interval_s),
+            approval=Approval(approval),
+            keep_weight=float(keep),
+        )
+        return self._run(self._create, name, shift)
+
+    def list(self) -> ExitStatus:
+        """List all shifts with their versions, proposed steps and forecasts."""
+        return self._run(self._list)
+
+    def approve(self, name: str, version: int) -> ExitStatus:
+        """Let the proposed step be made, if the shift is still at the version."""
+        return self._run(self._change, name, version, _approved)
+
+    def reject(self, name: str, version: int) -> ExitStatus:
+        """End a shift; no further step is made once this has succeeded."""
+        return self._run(self._change, name, version, _rejected)
+
+    async def _create(self, store: ObjectStore, name: str, shift: Shift) -> ExitStatus:
+        fault = await _shift_fault(store, shift)
+        if fault is not None:
+            return self._output.fail(fault)
+        result = await self._operations(store).create(name, shift)
+        return self._finish(result, 'use another name, or look at `shift list`')
+
+    async def _change(
+        self,
+        store: ObjectStore,
+        name: str,
+        version: int,
+        make: Callable[[Shift], Shift | Failure],
+    ) -> ExitStatus:
+        operations = self._operations(store)
+        result = await operations.change(name, version, make)
+        advice = 'look at `shift list` and decide again'
+        if make is _approved:
+            return self._finish(result, advice)
+        return await self._fenced(operations, result, advice)
+
+
+class HoldCommands(_Group):
+    """Stop automatic decisions about a service, region or backend server."""
+
+    _wanted = Hold
+
+    def set(self, scope: str, target: str, reason: str = '') -> ExitStatus:
+        """Hold a `service`, `region` or `backend_server`.
+
+        Once this has succeeded no step that was planned before can be made.
+        """
+        wanted = _scope(scope, _HOLD_SCOPES)
+        if isinstance(wanted, Failure):
+            return self._output.fail(wanted)
+        hold = Hold(**_stamp('held'), scope=wanted, target=target, reason=reason)
+        return self._run(self._set, operation_name(wanted, target), hold)
+
+    def clear(self, name: str, version: int) -> ExitStatus:
+        """Remove a hold, if it is still at the version."""
+        return self._run(self._clear, name, version)
+
+    def list(self) -> ExitStatus:
+        """List all holds with their names and versions."""
+        return self._run(self._list)
+
+    async def _set(self, store: ObjectStore, name: str, hold: Hold) -> ExitStatus:
+        fault = await _target_fault(store, hold.scope, hold.target)
+        if fault is not None:
+            return self._output.fail(fault)
+        operations = self._operations(store)
+        result = await operations.create(name, hold)
+        advice = 'look at `hold list`'
+        if isinstance(result, Failure) and result.kind is ErrorKind.STORE_CONFLICT:
+            # It is held in any case; the fence of the first command may be missing.
+            failure = await operations.fence()
+            if failure is not None:
+                return self._output.fail(failure, 'run the command again')
+            advice = 'it is in force; the hold of the other operator stays'
+            present = await operations.find(name)
+            if not isinstance(present, Failure):
+                if present.operation.author == hold.author:
+                    return self._finish(present, advice)
+        return await self._fenced(operations, result, advice)
+
+    async def _clear(self, store: ObjectStore, name: str, version: int) -> ExitStatus:
+        result = await self._operations(store).delete(name, version)
+        if isinstance(result, Failure):
+            return self._output.fail(result, 'look at `hold list` and decide again')
+        self._output.result([f'hold {name!r} is cleared'], name=name)
+        return ExitStatus.SUCCESS
+
+
+class DrainCommands(_Group):
+    """Empty a backend server, failure domain, region or service."""
+
+    _wanted = Drain
+
+    def start(self, scope: str, target: str, within_s: float = 600) -> ExitStatus:
+        """Send nothing new to a target and wait for work in flight.
+
+        `scope` is `backend_server`, `failure_domain`, `region` or `service`. After
+        `within_s` seconds the drain ends and tells what is left.
+        """
+        wanted = _scope(scope, tuple(Scope))
+        if isinstance(wanted, Failure):
+            return self._output.fail(wanted)
+        is_gradual = wanted in {Scope.REGION, Scope.FAILURE_DOMAIN}
+        drain = Drain(
+            **_stamp('started'),
+            scope=wanted,
+            target=target,
+            deadline_wall_s=time.time() + within_s,
+            state=DrainState.SHIFTING if is_gradual else DrainState.LEAVING,
+        )
+        return self._run(self._start, operation_name(wanted, target), drain)
+
+    def cancel(self, name: str, version: int) -> ExitStatus:
+        """Let a target take traffic again, if the drain is still at the version."""
+        return self._run(self._cancel, name, version)
+
+    def list(self) -> ExitStatus:
+        """List all drains with their states and what is left."""
+        return self._run(self._list)
+
+    async def _start(self, store: ObjectStore, name: str, drain: Drain) -> ExitStatus:
+        fault = await _target_fault(store, drain.scope, drain.target)
+        held = await _hold_fault(store, drain)
+        if fault is not None or held is not None:
+            return self._output.fail(fault or held)
+        operations = self._operations(store)
+        advice = 'look at `drain list`'
+        present = await operations.find(name)
+        if isinstance(present, Failure):
+            if present.kind is not ErrorKind.STORE_NOT_FOUND:
+                return self._output.fail(present)
+            return self._finish(await operations.create(name, drain), advice)
+        if present.operation.is_open:
+            failure = Failure(ErrorKind.STORE_CONFLICT, present.text())
+            return self._output.fail(failure, 'it is under way; `drain list` shows it')
+        version = present.stored.version
+        result = await operations.change(name, version, lambda _: drain)
+        return self._finish(result, advice)
+
+    async def _cancel(self, store: ObjectStore, name: str, version: int) -> ExitStatus:
+        operations = self._operations(store)
+        result = await operations.change(name, version, _cancelled)
+        advice = 'look at `drain list` and decide again'
+        return await self._fenced(operations, result, advice)
+
+
+def _approved(shift: Shift) -> Shift | Failure:
+    if shift.state is not ShiftState.PROPOSED or shift.proposal is None:
+        text = f'no step is proposed; the shift is {shift.state.value}'
+        return Failure(ErrorKind.STORE_CONFLICT, f'{text}, by {shift.changed_by}')
+    change = f'step {shift.proposal.number} is approved'
+    return msgspec.structs.replace(
+        shift,
+        **_change(change),
+        state=ShiftState.APPROVED,
+        waits_for='',
+    )
+
+
+def _rejected(shift: Shift) -> Shift | Failure:
+    if not shift.is_open:
+        text = f'the shift is {shift.state.value}, by {shift.changed_by}'
+        return Failure(ErrorKind.STORE_CONFLICT, text)
+    return msgspec.structs.replace(
+        shift,
+        **_change('rejected'),
+        state=ShiftState.REJECTED,
+        proposal=None,
+    )
+
+
+def _cancelled(drain: Drain) -> Drain:
+    return msgspec.structs.replace(
+        drain,
+        **_change('cancelled'),
+        state=DrainState.CANCELLED,
+    )
+
+
+def _change(change: str) -> dict[str, object]:
+    return {
+        'changed_by': getpass.getuser(),
+        'change': change,
+        'wall_s': time.time(),
+    }
+
+
+def _stamp(change: str) -> dict[str, object]:
+    return {'author': getpass.getuser(), **_change(change)}
+
+
+def _scope(given: str, allowed: tuple[Scope, ...]) -> Scope | Failure:
+    values = {scope.value: scope for scope in allowed}
+    if given in values:
+        return values[given]
+    text = f'{given!r} is not one of {", ".join(values)}'
+    return Failure(ErrorKind.BAD_REQUEST, text)
+
+
+async def _shift_fault(store: ObjectStore, shift: Shift) -> Failure | None:
+    for scope, target in (
+        (Scope.SERVICE, shift.service),
+        (Scope.REGION, shift.source),
+        (Scope.REGION, shift.target),
+    ):
+        fault = await _target_fault(store, scope, target)
+        if fault is not None:
+            return fault
+    if shift.source == shift.target:
+        return Failure(ErrorKind.BAD_REQUEST, 'source and target are the same region')
+    weights = await _section(store, 'weights')
+    if isinstance(weights, Failure):
+        return weights
+    if 0 < shift.step_size <= weights.max_step:
+        return None
+    return Failure(
+        ErrorKind.CAP_EXCEEDED,
+        f'step {shift.step_size} is not above 0 and at most {weights.max_step}, the '
+        'cap that the accepted configuration sets',
+    )
+
+
+async def _target_fault(
+    store: ObjectStore, scope: Scope, target: str
+) -> Failure | None:
+    topology = await _section(store, 'topology')
+    services = await _section(store, 'services')
+    for part in (topology, services):
+        if isinstance(part, Failure):
+            return part
+    names = {
+        Scope.REGION: [region.name for region in topology.regions],
+        Scope.FAILURE_DOMAIN: [domain.name for domain in topology.failure_domains],
+        Scope.SERVICE: [service.name for service in services],
+        Scope.BACKEND_SERVER: [
+            server.name for service in services for server in service.backend_servers
+        ],
+    }
+    if target in names[scope]:
+        return None
+    return Failure(ErrorKind.BAD_REQUEST, f'no {scope.value} is named {target!r}')
+
+
+async def _hold_fault(store: ObjectStore, drain: Drain) -> Failure | None:
+    holds = OperationStore(store, ObjectWriter(store, ''), Hold)
+    found = await holds.find_all()
+    if isinstance(found, Failure):
+        return found
+    for named in found:
+        hold = named.operation
+        if (hold.scope, hold.target) == (drain.scope, drain.target):
+            text = f'{named.text()}; clear it first'
+            return Failure(ErrorKind.OPERATION_HELD, text)
+    return None
+
+
+async def _section(store: ObjectStore, name: str) -> object:
+    accepted = await read_root(store)
+    if isinstance(accepted, Failure):
+        return accepted
+    digest = accepted.root.section_digests[name]
+    sections = await read_sections(store, {name: digest})
+    if isinstance(sections, Failure):
+        return sections
+    return decode(name, sections[name])
+
+
+def _lines(named: Named) -> list[str]:
+    operation = named.operation
+    lines = [named.text()]
+    if isinstance(operation, Shift):
+        lines.append(
+            f'  {operation.service} from {operation.source} to {operation.target}: '
+            f'{operation.state.value}, {operation.steps_done} steps made, '
+            f'{operation.approval.value}'
+        )
+        if operation.waits_for:
+            lines.append(f'  waits for {operation.waits_for}')
+        lines.extend(_proposal_lines(named.name, named.stored.version, operation))
+    elif isinstance(operation, Drain):
+        left = f', {operation.left}' if operation.left else ''
+        lines.append(f'  {operation.state.value}{left}')
+    elif operation.reason:
+        lines.append(f'  {operation.reason}')
+    return lines
+
+
+def _proposal_lines(name: str, version: int, shift: Shift) -> list[str]:
+    step = shift.proposal
+    if step is None:
+        return []
+    lines = []
+    for home, before in step.before.items():
+        share = moved(before, step.after[home], home)
+        lines.append(f'  step {step.number} moves {share:.3f} of {home}')
+    forecast = step.forecast
+    lines.append(
+        f'  forecast in slots: own {forecast.receiver_load:.1f}, moved '
+        f'{forecast.moved_load:.1f}, failure of a neighbour '
+        f'{forecast.failure_share:.1f}, of {forecast.limit:.1f}; measured '
+        f'{forecast.age_s:.1f} s before'
+    )
+    if shift.state is ShiftState.PROPOSED:
+        lines.append(f'  approve it with `cicadadoor shift approve {name} {version}`')
+    return lines
--- /dev/null
+++ b/cicadadoor/config/operation_store.py
@@ -0,0 +1,158 @@
+"""Write operators' objects so that the loser of a race learns what won."""
+
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+import msgspec
+
+from cicadadoor.config.operations import (
+    DRAIN_KIND,
+    HOLD_KIND,
+    SHIFT_KIND,
+    Drain,
+    Hold,
+    Shift,
+)
+from cicadadoor.config.section_update import fence
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.object_store.base import ObjectStore, StoredObject
+from cicadadoor.object_store.writes import ObjectWriter
+
+Operation = Shift | Hold | Drain
+_Kind = TypeVar('_Kind', Shift, Hold, Drain)
+_KINDS: dict[type, str] = {Shift: SHIFT_KIND, Hold: HOLD_KIND, Drain: DRAIN_KIND}
+
+
+class Named(Generic[_Kind]):
+    """Hold an operation with its name and version."""
+
+    __slots__ = ('name', 'operation', 'stored')
+
+    def __init__(self, stored: StoredObject, operation: _Kind) -> None:
+        self.name = stored.name
+        self.stored = stored
+        self.operation = operation
+
+    def text(self) -> str:
+        """Return what it is, what was done to it last, and by whom."""
+        return (
+            f'{self.stored.kind} {self.name!r} is at version {self.stored.version}: '
+            f'{self.operation.change}, by {self.operation.changed_by}'
+        )
+
+
+class OperationStore(Generic[_Kind]):
+    """Read and change the operations of one type.
+
+    Each change that has to go before automatic decisions is fenced: when the call
+    returns without a failure, no step that was planned without it can be accepted.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        writer: ObjectWriter,
+        wanted: type[_Kind],
+    ) -> None:
+        self._store = store
+        self._writer = writer
+        self._wanted = wanted
+        self._kind = _KINDS[wanted]
+
+    async def find(self, name: str) -> Named[_Kind] | Failure:
+        """Read one operation."""
+        stored = await self._store.get(self._kind, name)
+        return stored if isinstance(stored, Failure) else self._decode(stored)
+
+    async def find_all(self) -> list[Named[_Kind]] | Failure:
+        """Read all operations of the type."""
+        listed = await self._store.list(self._kind)
+        if isinstance(listed, Failure):
+            return listed
+        found = []
+        for stored in listed.objects:
+            named = self._decode(stored)
+            if isinstance(named, Failure):
+                return named
+            found.append(named)
+        return found
+
+    async def create(self, name: str, operation: _Kind) -> Named[_Kind] | Failure:
+        """Create an operation; STORE_CONFLICT tells which one is there already."""
+        body = msgspec.json.encode(operation)
+        stored = await self._writer.create(self._kind, name, body)
+        if isinstance(stored, Failure):
+            return await self._explain(name, stored)
+        return self._decode(stored)
+
+    async def change(
+        self,
+        name: str,
+        version: int,
+        make: Callable[[_Kind], _Kind | Failure],
+    ) -> Named[_Kind] | Failure:
+        """Change the operation at a version; STORE_CONFLICT tells what won."""
+        present = await self.find(name)
+        if isinstance(present, Failure):
+            return present
+        if present.stored.version != version:
+            return _lost(present, version)
+        changed = make(present.operation)
+        if isinstance(changed, Failure):
+            return changed
+        body = msgspec.json.encode(changed)
+        stored = await self._writer.update(present.stored, body)
+        if isinstance(stored, Failure):
+            return await self._explain(name, stored)
+        return self._decode(stored)
+
+    async def delete(self, name: str, version: int) -> Named[_Kind] | Failure:
+        """Delete the operation at a version and return what it was."""
+        present = await self.find(name)
+        if isinstance(present, Failure):
+            return present
+        if present.stored.version != version:
+            return _lost(present, version)
+        failure = await self._store.delete(self._kind, name, version)
+        if failure is None:
+            return present
+        if failure.kind is not ErrorKind.STORE_OUTCOME_UNKNOWN:
+            return await self._explain(name, failure)
+        after = await self._store.get(self._kind, name)
+        is_gone = isinstance(after, Failure) and (
+            after.kind is ErrorKind.STORE_NOT_FOUND
+        )
+        return present if is_gone else failure
+
+    async def fence(self) -> Failure | None:
+        """Refuse every automatic change that was planned before this call."""
+        failure = await fence(self._store, self._writer)
+        if failure is None:
+            return None
+        return Failure(
+            failure.kind,
+            f'it is recorded, but a step planned before may still be made: '
+            f'{failure.reason}',
+        )
+
+    async def _explain(self, name: str, failure: Failure) -> Failure:
+        if failure.kind is not ErrorKind.STORE_CONFLICT:
+            return failure
+        present = await self.find(name)
+        if isinstance(present, Failure):
+            return failure
+        return Failure(ErrorKind.STORE_CONFLICT, present.text())
+
+    def _decode(self, stored: StoredObject) -> Named[_Kind] | Failure:
+        try:
+            operation = msgspec.json.decode(stored.body, type=self._wanted)
+        except msgspec.MsgspecError as error:
+            return Failure(
+                ErrorKind.CONFIG_INVALID,
+                f'{stored.kind} {stored.name!r} is malformed: {error}',
+            )
+        return Named(stored, operation)
+
+
+def _lost(present: Named, version: int) -> Failure:
+    return Failure(ErrorKind.STORE_CONFLICT, f'{present.text()}, not {version}')
--- /dev/null
+++ b/cicadadoor/config/operations.py
@@ -0,0 +1,162 @@
+"""Define the objects by which operators direct traffic: shifts, holds and drains."""
+
+from enum import Enum, unique
+
+import msgspec
+
+from cicadadoor.config.model import RegionWeight
+
+SHIFT_KIND = 'shift'
+HOLD_KIND = 'hold'
+DRAIN_KIND = 'drain'
+LEASE_KIND = 'planner_lease'
+LEASE_NAME = 'planner'
+HOST_KIND = 'host'
+
+
+Pieces = tuple[RegionWeight, ...]
+
+
+@unique
+class Approval(Enum):
+    """Tell whether each step of a shift waits for an operator."""
+
+    AUTOMATIC = 'automatic'
+    MANUAL = 'manual'
+
+
+@unique
+class ShiftState(Enum):
+    """Name where a shift stands."""
+
+    ACTIVE = 'active'
+    PROPOSED = 'proposed'
+    APPROVED = 'approved'
+    DONE = 'done'
+    REJECTED = 'rejected'
+    STOPPED = 'stopped'
+
+
+@unique
+class Scope(Enum):
+    """Name what a hold or a drain applies to."""
+
+    BACKEND_SERVER = 'backend_server'
+    FAILURE_DOMAIN = 'failure_domain'
+    REGION = 'region'
+    SERVICE = 'service'
+
+
+@unique
+class DrainState(Enum):
+    """Name where a drain stands.
+
+    `done` and `failed` still get nothing new. `abandoned` was not shifted away by
+    the deadline and goes on taking traffic.
+    """
+
+    SHIFTING = 'shifting'
+    LEAVING = 'leaving'
+    DONE = 'done'
+    FAILED = 'failed'
+    ABANDONED = 'abandoned'
+    CANCELLED = 'cancelled'
+
+
+class _Operation(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell who made an object and what was last done to it, by whom."""
+
+    author: str
+    changed_by: str
+    change: str
+    wall_s: float
+
+
+class Forecast(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the figures behind a step, in slots in use on average."""
+
+    receiver_load: float
+    moved_load: float
+    failure_share: float
+    limit: float
+    age_s: float
+
+
+class Step(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one step: by home region, the weights before and after it."""
+
+    number: int
+    before: dict[str, Pieces]
+    after: dict[str, Pieces]
+    forecast: Forecast
+
+
+class Shift(_Operation, frozen=True, kw_only=True):
+    """Move a service's weight from one region to another in steps."""
+
+    service: str
+    source: str
+    target: str
+    step_size: float
+    interval_s: float
+    approval: Approval
+    keep_weight: float = 0
+    state: ShiftState = ShiftState.ACTIVE
+    steps_done: int = 0
+    last_step: Step | None = None
+    proposal: Step | None = None
+    earliest_next_wall_s: float = 0
+    waits_for: str = ''
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether steps may still follow."""
+        return self.state in {
+            ShiftState.ACTIVE,
+            ShiftState.PROPOSED,
+            ShiftState.APPROVED,
+        }
+
+
+class Hold(_Operation, frozen=True, kw_only=True):
+    """Stop every automatic decision about a service, region or server."""
+
+    scope: Scope
+    target: str
+    reason: str = ''
+
+
+class Drain(_Operation, frozen=True, kw_only=True):
+    """Send nothing new to a place or service, and wait for work in flight."""
+
+    scope: Scope
+    target: str
+    deadline_wall_s: float
+    state: DrainState
+    left: str = ''
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the drain has neither ended nor been cancelled."""
+        return self.state in {DrainState.SHIFTING, DrainState.LEAVING}
+
+
+class HostEntry(msgspec.Struct, frozen=True):
+    """Hold what is read of an entry of the platform's host list."""
+
+    state: str = 'live'
+
+
+def operation_name(scope: Scope, target: str) -> str:
+    """Return the object name of a hold or drain."""
+    return f'{scope.value}.{target}'
+
+
+def is_held(holds: list[Hold], *, service: str, regions: set[str]) -> Hold | None:
+    """Return the hold that stops automatic moves of a service among regions."""
+    for hold in holds:
+        if hold.scope is Scope.SERVICE and hold.target == service:
+            return hold
+        if hold.scope is Scope.REGION and hold.target in regions:
+            return hold
+    return None
--- /dev/null
+++ b/cicadadoor/decisions/weights.py
@@ -0,0 +1,181 @@
+"""Count and bound what a change of weights moves.
+
+A rule's weights cut the hash points from 0 to 1 into pieces; a region may have
+several pieces. Whoever moves weight changes only the pieces that move, because a
+boundary that shifts would move callers between other regions as well.
+"""
+
+from collections.abc import Iterator, Mapping
+
+from cicadadoor.config.model import RegionWeight, Weights
+
+RuleKey = tuple[str, str]
+Pieces = tuple[RegionWeight, ...]
+Steering = dict[RuleKey, Pieces]
+
+TOLERANCE = 1e-9
+_DIGITS = 12
+
+
+class Span:
+    """Hold a part of the hash points with its region before and after."""
+
+    __slots__ = ('after', 'before', 'length')
+
+    def __init__(self, length: float, before: str, after: str) -> None:
+        self.length = length
+        self.before = before
+        self.after = after
+
+
+def spans(before: Pieces, after: Pieces, home_region: str) -> Iterator[Span]:
+    """Lay two rules over each other; points beyond the sum stay at home."""
+    old = _edges(before, home_region)
+    new = _edges(after, home_region)
+    position = 0.0
+    while old and new:
+        end = min(old[0][0], new[0][0])
+        if end - position > 0:
+            yield Span(end - position, old[0][1], new[0][1])
+        position = end
+        if old[0][0] <= end:
+            old.pop(0)
+        if new[0][0] <= end:
+            new.pop(0)
+
+
+def moved(before: Pieces, after: Pieces, home_region: str) -> float:
+    """Return the share of a home region's callers that a change moves."""
+    return sum(
+        span.length
+        for span in spans(before, after, home_region)
+        if span.before != span.after
+    )
+
+
+def most_moved(before: Steering, after: Steering) -> tuple[float, RuleKey | None]:
+    """Return the largest move of any rule, and which rule it is.
+
+    A rule that is missing on one side sends everybody home.
+    """
+    most = 0.0
+    where: RuleKey | None = None
+    for key in sorted(set(before) | set(after)):
+        share = moved(before.get(key, ()), after.get(key, ()), key[1])
+        if share > most:
+            most = share
+            where = key
+    return most, where
+
+
+def approach(before: Pieces, after: Pieces, home_region: str, cap: float) -> Pieces:
+    """Return the rule that moves at most the cap from `before` towards `after`."""
+    left = cap
+    pieces: list[tuple[str, float]] = []
+    for span in spans(before, after, home_region):
+        if span.before == span.after:
+            pieces.append((span.after, span.length))
+            continue
+        goes = min(span.length, left)
+        left -= goes
+        pieces.append((span.after, goes))
+        pieces.append((span.before, span.length - goes))
+    return _joined(pieces)
+
+
+def take(pieces: Pieces, source: str, target: str, amount: float) -> Pieces:
+    """Give the target an amount of the source's weight, from the last piece on."""
+    left = amount
+    taken: list[tuple[str, float]] = []
+    for piece in reversed(pieces):
+        goes = min(piece.weight, left) if piece.region == source else 0.0
+        left -= goes
+        taken.append((target, goes))
+        taken.append((piece.region, piece.weight - goes))
+    return _joined(reversed(taken))
+
+
+def weight_of(pieces: Pieces, region: str) -> float:
+    """Return the share of a region in all pieces together."""
+    return sum(piece.weight for piece in pieces if piece.region == region)
+
+
+def steering_of(weights: Weights) -> Steering:
+    """Return the rules by service and home region."""
+    return {(rule.service, rule.home_region): rule.weights for rule in weights.rules}
+
+
+class WeightRamp:
+    """Let one gate follow accepted weights without a larger move than the cap.
+
+    A gate that was cut off during several steps would otherwise make them all at once.
+    Callers keep an answer for its time-to-live, so that this is the period of a move.
+    """
+
+    def __init__(self, period_s: float) -> None:
+        self._period_s = period_s
+        self._in_use: Steering = {}
+        self._target: Steering = {}
+        self._moved_s: dict[RuleKey, float] = {}
+        self._cap = 1.0
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the accepted weights are fully in use."""
+        return self._in_use == self._target
+
+    def adopt(self, steering: Mapping[RuleKey, Pieces], cap: float) -> None:
+        """Take accepted weights as the target; a rule that is new is used at once."""
+        is_first = not self._target
+        self._target = dict(steering)
+        self._cap = cap
+        for key in set(self._in_use) - set(self._target):
+            self._in_use.pop(key)
+        for key, pieces in self._target.items():
+            if is_first or key not in self._in_use:
+                self._in_use[key] = pieces
+
+    def advance(self, now_s: float) -> Steering:
+        """Make the move that is due for each rule, and return what is in use."""
+        for key, target in self._target.items():
+            present = self._in_use[key]
+            if present == target or not self._is_due(key, now_s):
+                continue
+            if moved(present, target, key[1]) <= self._cap + TOLERANCE:
+                self._in_use[key] = target
+            else:
+                self._in_use[key] = approach(present, target, key[1], self._cap)
+            self._moved_s[key] = now_s
+        return dict(self._in_use)
+
+    def _is_due(self, key: RuleKey, now_s: float) -> bool:
+        last_s = self._moved_s.get(key)
+        return last_s is None or now_s - last_s >= self._period_s
+
+
+def _edges(pieces: Pieces, home_region: str) -> list[tuple[float, str]]:
+    edges = []
+    position = 0.0
+    for piece in pieces:
+        position = min(1.0, position + piece.weight)
+        edges.append((position, piece.region))
+    if position < 1 - TOLERANCE:
+        edges.append((1.0, home_region))
+    elif edges:
+        edges[-1] = (1.0, edges[-1][1])
+    return edges
+
+
+def _joined(pieces: Iterator[tuple[str, float]] | list[tuple[str, float]]) -> Pieces:
+    joined: list[tuple[str, float]] = []
+    for region, weight in pieces:
+        if weight <= TOLERANCE:
+            continue
+        if joined and joined[-1][0] == region:
+            joined[-1] = (region, joined[-1][1] + weight)
+        else:
+            joined.append((region, weight))
+    return tuple(
+        RegionWeight(region=region, weight=round(weight, _DIGITS))
+        for region, weight in joined
+    )
--- a/cicadadoor/gate/credits.py
+++ b/cicadadoor/gate/credits.py
@@ -167,7 +167,7 @@
 
     def _candidates(self, service: str) -> list[GateInfo]:
         view = self._state.view
-        if view is None:
+        if view is None or service in self._servers.orders.drained_services:
             return []
         domains = {
             server.failure_domain for server in view.services[service].backend_servers
--- a/cicadadoor/gate/daemon.py
+++ b/cicadadoor/gate/daemon.py
@@ -12,6 +12,7 @@
 from cicadadoor.gate.forwarding import Forwarder
 from cicadadoor.gate.keys import KeyCheck
 from cicadadoor.gate.link_budgets import LinkBudgets
+from cicadadoor.gate.load_report import LoadReport
 from cicadadoor.gate.lookup import Lookup
 from cicadadoor.gate.peer_forwarding import PeerForwarder
 from cicadadoor.gate.pipeline import Pipeline
@@ -55,6 +56,7 @@
         Lookup(),
         GateDirectory(),
         Prober(),
+        LoadReport(),
         ConfigReceiver(),
         Pipeline(),
     )
--- a/cicadadoor/gate/routing.py
+++ b/cicadadoor/gate/routing.py
@@ -100,6 +100,7 @@
         self._own_in_use: dict[str, int] = {}
         self._own_load: dict[str, OwnLoad] = {}
         self._callbacks: list[Callable[[], None]] = []
+        self.answer_bytes: dict[str, int] = {}
 
     async def start(self, kernel: Kernel) -> None:
         """Find the services that know servers and credits."""
@@ -156,6 +157,9 @@
         if target.is_own:
             self._count_own(target.service, -1)
         self._servers.note_answer(name, answer, took_s)
+        if isinstance(answer, SteeredAnswer):
+            total = self.answer_bytes.get(target.service, 0)
+            self.answer_bytes[target.service] = total + len(answer.body)
 
     def usage(self, service: ConfiguredService) -> tuple[int, int]:
         """Return slots in use and slots in all at usable servers of this domain."""
--- a/cicadadoor/gate/servers.py
+++ b/cicadadoor/gate/servers.py
@@ -63,7 +63,10 @@
 
     def usable(self, service: ConfiguredService) -> list[Candidate]:
         """Return the servers that may get something new, with this gate's slots."""
-        if self._state.settings.failure_domain in self.orders.drained_domains:
+        domain = self._state.settings.failure_domain
+        if domain in self.orders.drained_domains:
+            return []
+        if service.name in self.orders.drained_services:
             return []
         staying = [
             server
@@ -148,6 +151,8 @@
 
     async def take_orders(self, update: BackendUpdate) -> None:
         """Apply the platform's host list and the operators' drains and holds."""
+        if update.version < self.orders.version:
+            return
         now_s = self._timer.now_s()
         self.orders = update
         self.leaving.set_operator(update.drained, now_s)
--- a/cicadadoor/gate/state.py
+++ b/cicadadoor/gate/state.py
@@ -1,14 +1,22 @@
 """Hold the configuration and the identity that the gate's services share."""
 
 from cicadadoor.config.view import ConfigView
+from cicadadoor.decisions import shift_steps
+from cicadadoor.decisions.weights import WeightRamp, most_moved, steering_of
 from cicadadoor.ids import new_instance_id
-from cicadadoor.kernel import Service
+from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.messages import GateInfo, LoadCounters
 from cicadadoor.settings import Settings
 from cicadadoor.telemetry import logs, metrics
+from cicadadoor.timer import TimerService
 
 log = logs.logger('gate')
 
+_MS_PER_S = 1000
+# Callers may still use an answer that they got just before a move.
+_MOVE_MARGIN_S = 1.0
+_FOLLOW_PERIOD_S = 0.5
+
 
 class GateState(Service):
     """Hold what is in force at this gate."""
@@ -24,11 +32,24 @@
         self.in_flight = 0
         self.counters = LoadCounters(by_region={}, by_link={}, by_organisation={})
 
+        self.settled_generation = 0
+        ttl_s = settings.answer_ttl_ms / _MS_PER_S
+        self._ramp = WeightRamp(ttl_s + _MOVE_MARGIN_S)
+        self._timer: TimerService
+
+    async def start(self, kernel: Kernel) -> None:
+        """Follow accepted weights step by step."""
+        self._timer = kernel.find('timer')
+        self._timer.subscribe('weights', _FOLLOW_PERIOD_S, self._follow_weights)
+
     def adopt(self, view: ConfigView) -> bool:
         """Put a generation in force, unless a newer one is; tell whether it was."""
         if self.view is not None and view.generation <= self.view.generation:
             return False
+        self._check_weights(view)
+        self._ramp.adopt(view.steering, view.weights.max_step)
         self.view = view
+        self._use_weights()
         metrics.GENERATION.set(view.generation)
         log.info('config_in_force', generation=view.generation, digest=view.digest)
         return True
@@ -46,6 +67,35 @@
             takes_callers=self.view is not None and not self.is_stopping,
         )
 
+    async def _follow_weights(self) -> None:
+        if self.view is not None:
+            self._use_weights()
+
+    def _use_weights(self) -> None:
+        self.view.steering = self._ramp.advance(self._timer.now_s())
+        if self._ramp.is_settled:
+            self.settled_generation = self.view.generation
+
+    def _check_weights(self, view: ConfigView) -> None:
+        if self.view is None:
+            return
+        present = self.view.weights
+        share, where = most_moved(steering_of(present), view.steering)
+        steps = shift_steps.steps_between(present, view.weights)
+        failure = shift_steps.check_move(present, view.weights, max(1, steps))
+        if failure is None:
+            return
+        # An operator may review and submit any weights; only a shift has a cap. In
+        # both cases callers are moved no faster than the cap allows.
+        event = 'shift_over_cap' if steps else 'weights_move_in_steps'
+        log.warning(
+            event,
+            generation=view.generation,
+            share=share,
+            rule=':'.join(where or ()),
+            detail=failure.reason,
+        )
+
     def count_steered(self, organisation: str, region: str) -> None:
         """Count one request that was sent to a backend server."""
         _increment(self.counters.by_organisation, organisation)
--- a/cicadadoor/links/steering_messages.py
+++ b/cicadadoor/links/steering_messages.py
@@ -48,13 +48,17 @@
 class BackendUpdate(Message, frozen=True, kw_only=True, tag=True):
     """Tell a gate what the platform and operators say; each one replaces the last.
 
-    `drained` names backend servers, `drained_domains` failure domains, that get
-    nothing new. Nothing automatic is done to what is held.
+    Every object up to the store version `version` is taken into account.
+
+    What is drained gets nothing new; `drained` names backend servers. Nothing
+    automatic is done to what is held.
     """
 
+    version: int = 0
     hosts: dict[str, HostState] = {}
     drained: list[str] = []
     drained_domains: list[str] = []
+    drained_services: list[str] = []
     held_servers: list[str] = []
     held_services: list[str] = []
     held_regions: list[str] = []
@@ -71,15 +75,27 @@
 class GateLoad(Message, frozen=True, kw_only=True, tag=True):
     """Report a gate's load by service, and the requests in flight by server.
 
-    `settled_generation` is the newest generation whose weights are fully in use;
-    `link_bytes_per_s` counts by target region.
+    `settled_generation` is the newest generation whose weights are fully in use,
+    `orders_version` that of the operators' orders; `link_bytes_per_s` counts by
+    target region.
     """
 
     host: str
     failure_domain: str
     region: str
     settled_generation: int
+    orders_version: int
     services: dict[str, ServiceLoad]
     server_in_flight: dict[str, int]
     link_bytes_per_s: dict[str, float]
-    leaving: list[str] = []
+
+
+class PullLoad(Message, frozen=True, kw_only=True, tag=True):
+    """Ask an agent for the last load report of its gate."""
+
+
+class LoadAnswer(Message, frozen=True, kw_only=True, tag=True):
+    """Carry the last load report, if there is one, and its age."""
+
+    load: GateLoad | None = None
+    age_s: float = 0
