--- a/cicadadoor/agent/holds.py
+++ b/cicadadoor/agent/holds.py
@@ -21,7 +21,7 @@
 from cicadadoor.errors import Failure
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.daemon_link import DaemonLink
-from cicadadoor.links.messages import Ack, Heartbeat, Message
+from cicadadoor.links.messages import Ack, Message
 from cicadadoor.links.peer_hub import PeerHub
 from cicadadoor.links.steering_messages import BackendUpdate, HostState
 from cicadadoor.object_store.base import ObjectList, StoredObject
@@ -74,8 +74,7 @@
 
         Two hosts may think so for a while, which costs calls and nothing else.
         """
-        hosts = [member.host for member in self._members()]
-        return all(self._state.settings.host < host for host in hosts)
+        return self._membership.relay_hosts()[:1] == [self._state.settings.host]
 
     async def _follow(self) -> None:
         is_silent = self._timer.now_s() - self._heard_s > _SILENCE_S
@@ -88,10 +87,10 @@
             await self._link.send(self.latest)
 
     def _pass_on(self, update: BackendUpdate) -> None:
-        for member in self._members():
+        for address in self._membership.domain_addresses():
             self._kernel.spawn(
                 self._peers.ask,
-                member.peer_address,
+                address,
                 update,
                 _ANSWER_TIMEOUT_S,
             )
@@ -105,14 +104,6 @@
         if self.latest is None or update.version >= self.latest.version:
             self.latest = update
 
-    def _members(self) -> list[Heartbeat]:
-        domain = self._state.settings.failure_domain
-        return [
-            member
-            for member in self._membership.heard()
-            if member.failure_domain == domain
-        ]
-
     async def _read(self) -> BackendUpdate | None:
         lists: dict[str, ObjectList] = {}
         for kind in (HOLD_KIND, DRAIN_KIND, HOST_KIND):
--- a/cicadadoor/agent/loads.py
+++ b/cicadadoor/agent/loads.py
@@ -4,19 +4,27 @@
 from collections import defaultdict
 
 import anyio
+import msgspec
 
 from cicadadoor.agent.membership import Membership
 from cicadadoor.agent.state import AgentState
 from cicadadoor.decisions.shift_steps import MAX_AGE_S, Measurements, RegionLoad
-from cicadadoor.errors import Failure
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.daemon_link import DaemonLink
-from cicadadoor.links.messages import Heartbeat, Message
+from cicadadoor.links.membership_messages import MemberRecord
+from cicadadoor.links.messages import Message
 from cicadadoor.links.peer_hub import PeerHub
-from cicadadoor.links.steering_messages import GateLoad, LoadAnswer, PullLoad
+from cicadadoor.links.steering_messages import (
+    DomainLoad,
+    GateLoad,
+    LoadAnswer,
+    PullDomainLoad,
+    PullLoad,
+)
 from cicadadoor.timer import TimerService
 
-_ANSWER_TIMEOUT_S = 1.0
+_ANSWER_TIMEOUT_S = 0.4
+_DOMAIN_TIMEOUT_S = 0.8
 # A host that was heard within this time has to report, or its figures are missing.
 _EXPECTED_FOR_S = 60.0
 
@@ -76,7 +84,10 @@
 
 
 class PeerLoads(LoadSource):
-    """Ask the agent of every host that is heard."""
+    """Ask the hosts of this domain, and a relay of each other one.
+
+    The number of calls does not grow with the hosts of other domains.
+    """
 
     def __init__(self) -> None:
         self._state: AgentState
@@ -85,8 +96,6 @@
         self._peers: PeerHub
         self._own: GateLoad | None = None
         self._own_s = 0.0
-        self._heard_s: dict[str, float] = {}
-        self._domains: dict[str, str] = {}
 
     async def start(self, kernel: Kernel) -> None:
         """Take the reports of this host's gate and answer other agents."""
@@ -97,43 +106,81 @@
         link: DaemonLink = kernel.find('daemon_link')
         link.on(GateLoad, self._take)
         self._peers.on(PullLoad, self._answer, LoadAnswer)
+        self._peers.on(PullDomainLoad, self._answer_domain, DomainLoad)
 
     async def collect(self) -> LoadReports:
         """Return the load reports of all hosts that answer."""
-        now_s = self._timer.now_s()
-        members = [beat for beat in self._membership.heard() if beat.gate is not None]
-        for member in members:
-            self._heard_s[member.host] = now_s
-            self._domains[member.host] = member.failure_domain
-        answers = {self._state.settings.host: self._own_answer()}
+        found: list[DomainLoad] = []
         async with anyio.create_task_group() as tasks:
-            for member in members:
-                tasks.start_soon(self._ask, member, answers)
-        reports = [
-            AgedLoad(answer.load, answer.age_s)
-            for answer in answers.values()
-            if answer.load is not None and answer.age_s <= MAX_AGE_S
-        ]
-        reported = {aged.load.host for aged in reports}
-        missing = {
-            host: self._domains[host]
-            for host, heard_s in self._heard_s.items()
-            if now_s - heard_s < _EXPECTED_FOR_S and host not in reported
-        }
+            tasks.start_soon(self._add_own_domain, found)
+            for records in self._membership.domains.all_relays().values():
+                tasks.start_soon(self._add_domain, records, found)
+        reports = []
+        missing: dict[str, str] = {}
+        for domain in found:
+            for answer in domain.answers:
+                if answer.load is not None and answer.age_s <= MAX_AGE_S:
+                    reports.append(AgedLoad(answer.load, answer.age_s))
+            missing.update(dict.fromkeys(domain.missing, domain.failure_domain))
         return LoadReports(reports, missing)
 
-    async def _ask(self, member: Heartbeat, answers: dict[str, LoadAnswer]) -> None:
+    async def collect_domain(self) -> DomainLoad:
+        """Return the load reports of this failure domain."""
+        own = self._own_answer()
+        answers = {self._state.settings.host: own} if own.load else {}
+        now_s = self._timer.now_s()
+        alive = [member.record for member in self._membership.members.alive(now_s)]
+        async with anyio.create_task_group() as tasks:
+            for record in alive:
+                if record.gate is not None:
+                    tasks.start_soon(self._ask, record, answers)
+        expected = {record.host for record in alive if record.gate is not None}
+        expected.update(
+            heard.host
+            for heard in self._membership.heard_hosts()
+            if not heard.is_alive and heard.age_s < _EXPECTED_FOR_S
+        )
+        return DomainLoad(
+            failure_domain=self._state.settings.failure_domain,
+            answers=list(answers.values()),
+            missing=sorted(expected - set(answers)),
+        )
+
+    async def _add_own_domain(self, found: list[DomainLoad]) -> None:
+        found.append(await self.collect_domain())
+
+    async def _add_domain(
+        self,
+        relays: list[MemberRecord],
+        found: list[DomainLoad],
+    ) -> None:
+        for relay in relays:
+            asked_s = self._timer.now_s()
+            answer = await self._peers.ask(
+                relay.peer_address,
+                PullDomainLoad(),
+                _DOMAIN_TIMEOUT_S,
+            )
+            if isinstance(answer, DomainLoad):
+                late_s = self._timer.now_s() - asked_s
+                answers = [_aged(each, late_s) for each in answer.answers]
+                found.append(msgspec.structs.replace(answer, answers=answers))
+                return
+
+    async def _ask(
+        self,
+        member: MemberRecord,
+        answers: dict[str, LoadAnswer],
+    ) -> None:
         asked_s = self._timer.now_s()
         answer = await self._peers.ask(
             member.peer_address,
             PullLoad(),
             _ANSWER_TIMEOUT_S,
         )
-        if isinstance(answer, Failure) or not isinstance(answer, LoadAnswer):
-            return
-        # The time on the way counts as age, because its part each way is not known.
-        age_s = answer.age_s + self._timer.now_s() - asked_s
-        answers[member.host] = LoadAnswer(load=answer.load, age_s=age_s)
+        if isinstance(answer, LoadAnswer) and answer.load is not None:
+            late_s = self._timer.now_s() - asked_s
+            answers[member.host] = _aged(answer, late_s)
 
     async def _take(self, load: GateLoad) -> None:
         self._own = load
@@ -142,6 +189,14 @@
     async def _answer(self, request: Message) -> Message:
         return self._own_answer()
 
+    async def _answer_domain(self, request: Message) -> Message:
+        return await self.collect_domain()
+
     def _own_answer(self) -> LoadAnswer:
         age_s = self._timer.now_s() - self._own_s
         return LoadAnswer(load=self._own, age_s=age_s)
+
+
+def _aged(answer: LoadAnswer, late_s: float) -> LoadAnswer:
+    # The time on the way counts as age, because its part each way is not known.
+    return msgspec.structs.replace(answer, age_s=answer.age_s + late_s)
--- a/cicadadoor/agent/planner.py
+++ b/cicadadoor/agent/planner.py
@@ -8,8 +8,8 @@
 from cicadadoor.agent.plan_context import ContextReader, PlanContext
 from cicadadoor.agent.shift_runner import MAX_PLAN_AGE_S, ShiftRunner
 from cicadadoor.agent.state import AgentState
+from cicadadoor.config.fence import fence
 from cicadadoor.config.operations import LEASE_KIND, LEASE_NAME
-from cicadadoor.config.section_update import fence
 from cicadadoor.decisions.shift_steps import LastMove
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.kernel import Kernel, Service
--- a/cicadadoor/agent/shift_runner.py
+++ b/cicadadoor/agent/shift_runner.py
@@ -6,7 +6,9 @@
 
 from cicadadoor.agent.plan_context import Found, PlanContext
 from cicadadoor.agent.state import AgentState
-from cicadadoor.config.acceptance import read_root
+from cicadadoor.config import chunks
+from cicadadoor.config.acceptance import ROOT_KIND, Submitter, read_root
+from cicadadoor.config.merge import WEIGHTS_SECTION
 from cicadadoor.config.operations import (
     Approval,
     Shift,
@@ -14,11 +16,11 @@
     Step,
     is_held,
 )
-from cicadadoor.config.section_update import accept_weights, store_weights
 from cicadadoor.decisions import shift_steps
 from cicadadoor.decisions.shift_steps import PlannedStep
 from cicadadoor.decisions.weights import moved
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.object_store.base import StoredObject
 from cicadadoor.object_store.writes import ObjectWriter
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
@@ -138,15 +140,11 @@
         refusal = shift_steps.check_step(name, context.weights, planned.weights)
         if refusal is not None:
             return refusal
-        digest = await store_weights(self._writer, planned.weights)
-        if isinstance(digest, Failure):
-            return digest
-        if self._timer.now_s() - context.read_s > MAX_PLAN_AGE_S:
-            return Failure(ErrorKind.MEASUREMENTS_STALE, 'the plan is too old')
-        accepted = await accept_weights(
-            self._writer,
+        writer = _FreshWriter(self._state, self._timer, context.read_s)
+        submitter = Submitter(self._state.store, writer)
+        accepted = await submitter.submit_changes(
             context.accepted,
-            digest,
+            {WEIGHTS_SECTION: chunks.encode(planned.weights)},
             self._author,
             self._timer.wall_s(),
         )
@@ -239,6 +237,26 @@
             log.info('shift_not_noted', shift=found.name, reason=stored.reason)
 
 
+class _FreshWriter(ObjectWriter):
+    """Refuse to replace the root when the plan has become too old meanwhile."""
+
+    def __init__(self, state: AgentState, timer: TimerService, read_s: float) -> None:
+        super().__init__(state.store, state.instance)
+        self._timer = timer
+        self._read_s = read_s
+
+    async def update(
+        self,
+        present: StoredObject,
+        body: bytes,
+    ) -> StoredObject | Failure:
+        """Replace the body; MEASUREMENTS_STALE if that is the root, too late."""
+        age_s = self._timer.now_s() - self._read_s
+        if present.kind == ROOT_KIND and age_s > MAX_PLAN_AGE_S:
+            return Failure(ErrorKind.MEASUREMENTS_STALE, 'the plan is too old')
+        return await super().update(present, body)
+
+
 def _is_approved(shift: Shift, planned: PlannedStep) -> bool:
     if shift.state is not ShiftState.APPROVED or shift.proposal is None:
         return False
--- a/cicadadoor/config/operation_store.py
+++ b/cicadadoor/config/operation_store.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from cicadadoor.config.fence import fence
 from cicadadoor.config.operations import (
     DRAIN_KIND,
     HOLD_KIND,
@@ -13,7 +14,6 @@
     Hold,
     Shift,
 )
-from cicadadoor.config.section_update import fence
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.object_store.base import ObjectStore, StoredObject
 from cicadadoor.object_store.writes import ObjectWriter
--- a/cicadadoor/decisions/credits.py
+++ b/cicadadoor/decisions/credits.py
@@ -36,17 +36,17 @@
 
 
 class _Grant:
-    __slots__ = ('deadline_s', 'holder', 'service', 'unused')
+    __slots__ = ('deadline_s', 'holder', 'region', 'service', 'unused')
 
     def __init__(
         self,
         service: str,
-        holder: str,
+        holder: tuple[str, str],
         count: int,
         deadline_s: float,
     ) -> None:
         self.service = service
-        self.holder = holder
+        self.holder, self.region = holder
         self.unused = set(range(count))
         self.deadline_s = deadline_s
 
@@ -62,15 +62,16 @@
         self,
         grant_id: str,
         service: str,
-        holder: str,
+        holder: tuple[str, str],
         wanted: int,
         headroom: int,
         now_s: float,
     ) -> int:
         """Give up to `wanted` credits and return their number.
 
-        `headroom` are the free slots after the reserve; credits that are given and
-        not yet redeemed are subtracted here.
+        `holder` is the process instance and region of the asking gate. `headroom` are
+        the free slots after the reserve; credits that are given and not yet redeemed
+        are subtracted here.
         """
         left = headroom - self.outstanding(service, now_s)
         count = max(0, min(wanted, left, MAX_PER_GRANT))
@@ -98,6 +99,10 @@
         grant.unused.remove(number)
         return True
 
+    def region_of(self, credit_id: str) -> str:
+        """Return the region of a credit's holder."""
+        return self._grants[credit_id.rpartition('/')[0]].region
+
     def take_back(self, credit_id: str, holder: str) -> None:
         """Free a credit that its holder returns; a repeat changes nothing."""
         grant, number = self._find(credit_id, holder)
--- a/cicadadoor/gate/credits.py
+++ b/cicadadoor/gate/credits.py
@@ -56,6 +56,7 @@
         self._used: dict[str, int] = {}
         self._paused_until_s: dict[tuple[str, str], float] = {}
         self._is_asking = False
+        self._answer_regions: dict[str, str] = {}
 
     async def start(self, kernel: Kernel) -> None:
         """Answer other gates, and ask them while credits are missing."""
@@ -109,6 +110,8 @@
             self._timer.now_s(),
         )
         if is_valid:
+            region = self._issuer.region_of(message.credit_id)
+            self._answer_regions[message.credit_id] = region
             return None
         return Failure(
             ErrorKind.CREDIT_REFUSED,
@@ -121,9 +124,9 @@
         answer: SteeredAnswer | Failure,
     ) -> None:
         """Charge the answer to the link that carries it."""
-        gate = self._directory.find(message.sender_instance)
-        if gate is not None and isinstance(answer, SteeredAnswer):
-            self._links.charge_answer(gate.region, len(answer.body))
+        region = self._answer_regions.pop(message.credit_id, None)
+        if region is not None and isinstance(answer, SteeredAnswer):
+            self._links.charge_answer(region, len(answer.body))
 
     async def give(self, message: CreditRequest) -> CreditGrant:
         """Give credits from this gate's own free slots."""
@@ -136,7 +139,7 @@
             count = self._issuer.give(
                 grant_id,
                 name,
-                message.sender_instance,
+                (message.sender_instance, message.region),
                 wanted,
                 self._router.headroom(service),
                 self._timer.now_s(),
--- a/cicadadoor/links/steering_messages.py
+++ b/cicadadoor/links/steering_messages.py
@@ -94,8 +94,20 @@
     """Ask an agent for the last load report of its gate."""
 
 
+class PullDomainLoad(Message, frozen=True, kw_only=True, tag=True):
+    """Ask a relay for the load reports of its failure domain."""
+
+
 class LoadAnswer(Message, frozen=True, kw_only=True, tag=True):
     """Carry the last load report, if there is one, and its age."""
 
     load: GateLoad | None = None
     age_s: float = 0
+
+
+class DomainLoad(Message, frozen=True, kw_only=True, tag=True):
+    """Carry the load reports of a failure domain; `missing` names silent hosts."""
+
+    failure_domain: str
+    answers: list[LoadAnswer]
+    missing: list[str]
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -56,7 +56,7 @@
             self.own.peak(self.now_s),
         )
         grant_id = f'g{len(self.grants)}'
-        count = self.issuer.give(grant_id, 's', sender, wanted, free, self.now_s)
+        count = self.issuer.give(grant_id, 's', (sender, 'n'), wanted, free, self.now_s)
         self.grants.append((sender, grant_id, count, self.now_s))
 
     @precondition(lambda machine: machine.grants)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -4,6 +4,8 @@
 import msgspec
 import pytest
 
+from cicadadoor.config import chunks
+from cicadadoor.config.acceptance import Submitter
 from cicadadoor.config.operations import (
     Approval,
     Drain,
@@ -13,10 +15,9 @@
     Shift,
     ShiftState,
 )
-from cicadadoor.config.section_update import accept_weights, store_weights
 from cicadadoor.decisions.weights import steering_of, weight_of
 from cicadadoor.object_store.writes import ObjectWriter
-from tests.utils.faulty_store import FAULTS
+from tests.utils.faulty_calls import FAULTS
 from tests.utils.planning import TTL_S, Planning
 
 CAP = 0.25
@@ -211,8 +212,10 @@
             await planning.run(5, planner)
             accepted = (await planner.read()).accepted
             writer = ObjectWriter(planning.inner, 'operator')
-            digest = await store_weights(writer, planning.first_weights)
-            await accept_weights(writer, accepted, digest, 'operator', 0)
+            content = chunks.encode(planning.first_weights)
+            submitter = Submitter(planning.inner, writer)
+            changed = {'weights': content}
+            await submitter.submit_changes(accepted, changed, 'operator', 0)
             await planning.run(20, planner)
             shift = (await planning.operations(Shift).find('s')).operation
             assert shift.state is ShiftState.STOPPED
--- a/tests/utils/faulty_store.py
+++ b/tests/utils/faulty_store.py
@@ -1,86 +1,109 @@
-"""Put a fault at any one call of the object API."""
+"""Wrap the object store in memory with faults at chosen calls."""
+
+from collections.abc import Awaitable, Callable
+from enum import Enum, unique
 
-from cicadadoor.config.acceptance import ROOT_KIND
 from cicadadoor.errors import ErrorKind, Failure
-from cicadadoor.object_store.base import ObjectStore
+from cicadadoor.object_store.base import StoredObject
 from cicadadoor.object_store.memory import MemoryObjectStore
 
-FAULTS = ('unavailable', 'lost', 'late', 'crash_before', 'crash_after', 'pause')
+Hook = Callable[[], Awaitable[object]]
+
+
+@unique
+class Fault(Enum):
+    """Name what happens to one write."""
 
+    REFUSED = 'refused'
+    ANSWER_LOST = 'answer_lost'
+    WRITE_LOST = 'write_lost'
+    DELAYED = 'delayed'
+    CRASH = 'crash'
+    CRASH_AFTER = 'crash_after'
 
-class Crashed(Exception):  # noqa: N818
-    """End the process that made the call."""
 
+class CrashError(Exception):
+    """End the writer in the middle of an operation."""
 
-class FaultyStore(ObjectStore):
-    """Pass calls on, with the faults that a test plans by call number."""
 
-    def __init__(self, inner: MemoryObjectStore, now_s) -> None:
-        self.inner = inner
-        self.calls = 0
-        self.faults: dict[int, str] = {}
+class FaultyStore(MemoryObjectStore):
+    """Behave like the platform, with faults at writes that the test numbers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_down = False
+        self.writes = 0
+        self.reads = 0
+        self.faults: dict[int, Fault] = {}
+        self.before_write: dict[int, Hook] = {}
+        self.down_after_write: int | None = None
+        self._held: list[tuple[str, StoredObject]] = []
+
+    def reset(self) -> None:
+        """Count writes from zero, without faults."""
+        self.writes = 0
+        self.faults = {}
+        self.before_write = {}
         self.is_down = False
-        self.on_pause = None
-        self.late = []
-        self.roots = []
-        self.root_times = []
-        self.now_s = now_s
+        self.down_after_write = None
+
+    async def release(self) -> None:
+        """Let held writes take effect, late."""
+        held, self._held = self._held, []
+        for method, wanted in held:
+            await getattr(super(), method)(wanted)
 
-    async def get(self, kind, name):
+    async def get(self, kind: str, name: str) -> StoredObject | Failure:
         """Read one object."""
-        return await self._call(self.inner.get, kind, name)
+        self.reads += 1
+        return _unavailable() if self.is_down else await super().get(kind, name)
 
-    async def list(self, kind):
+    async def list(self, kind: str):
         """Read all objects of a kind."""
-        return await self._call(self.inner.list, kind)
-
-    async def create(self, wanted):
-        """Create an object."""
-        return await self._call(self.inner.create, wanted, writes=True)
-
-    async def update(self, wanted):
-        """Update an object."""
-        return await self._call(self.inner.update, wanted, writes=True)
-
-    async def delete(self, kind, name, version):
-        """Delete an object."""
-        return await self._call(self.inner.delete, kind, name, version, writes=True)
-
-    def watch(self, kind, since_version):
-        """Watch without faults."""
-        return self.inner.watch(kind, since_version)
-
-    async def deliver_late(self) -> None:
-        """Let delayed writes take effect."""
-        while self.late:
-            work, arguments = self.late.pop(0)
-            await self._perform(work, arguments)
-
-    async def _call(self, work, *arguments, writes=False):
-        self.calls += 1
-        fault = self.faults.get(self.calls)
-        unavailable = Failure(ErrorKind.STORE_UNAVAILABLE, 'fault')
-        if self.is_down or fault == 'unavailable':
-            return unavailable
-        if fault == 'crash_before':
-            raise Crashed
-        if fault == 'pause':
-            await self.on_pause()
-        if fault == 'late' and writes:
-            self.late.append((work, arguments))
-            return Failure(ErrorKind.STORE_OUTCOME_UNKNOWN, 'late')
-        answer = await self._perform(work, arguments)
-        if fault == 'crash_after':
-            raise Crashed
-        if fault in {'lost', 'late'}:
-            lost = Failure(ErrorKind.STORE_OUTCOME_UNKNOWN, 'lost')
-            return lost if writes else unavailable
-        return answer
-
-    async def _perform(self, work, arguments):
-        answer = await work(*arguments)
-        is_root = getattr(answer, 'kind', '') == ROOT_KIND
-        if is_root and work == self.inner.update:
-            self.roots.append(answer)
-            self.root_times.append(self.now_s())
-        return answer
+        return _unavailable() if self.is_down else await super().list(kind)
+
+    async def create(self, wanted: StoredObject) -> StoredObject | Failure:
+        """Write an object that must not exist yet."""
+        return await self._write('create', wanted)
+
+    async def update(self, wanted: StoredObject) -> StoredObject | Failure:
+        """Replace the object whose version is the given one."""
+        return await self._write('update', wanted)
+
+    async def watch(self, kind: str, since_version: int):
+        """Yield changes; an outage ends the watch."""
+        async for event in super().watch(kind, since_version):
+            if self.is_down:
+                yield _unavailable()
+                return
+            yield event
+
+    async def _write(self, method: str, wanted: StoredObject):
+        number = self.writes
+        self.writes += 1
+        hook = self.before_write.pop(number, None)
+        if hook is not None:
+            await hook()
+        if self.is_down:
+            return _unavailable()
+        fault = self.faults.get(number)
+        if fault is Fault.REFUSED:
+            return _unavailable()
+        if fault is Fault.CRASH:
+            raise CrashError
+        unknown = Failure(ErrorKind.STORE_OUTCOME_UNKNOWN, 'no answer')
+        if fault is Fault.WRITE_LOST:
+            return unknown
+        if fault is Fault.DELAYED:
+            self._held.append((method, wanted))
+            return unknown
+        answer = await getattr(super(), method)(wanted)
+        if number == self.down_after_write:
+            self.is_down = True
+        if fault is Fault.CRASH_AFTER:
+            raise CrashError
+        return unknown if fault is Fault.ANSWER_LOST else answer
+
+
+def _unavailable() -> Failure:
+    return Failure(ErrorKind.STORE_UNAVAILABLE, 'the platform is down')
--- a/tests/utils/planning.py
+++ b/tests/utils/planning.py
@@ -6,7 +6,13 @@
 from cicadadoor.agent.planner import Planner
 from cicadadoor.agent.state import AgentState
 from cicadadoor.config import chunks
-from cicadadoor.config.acceptance import Submitter, read_root, read_sections
+from cicadadoor.config.acceptance import (
+    Submitter,
+    parse_root,
+    read_index,
+    read_root,
+    read_sections,
+)
 from cicadadoor.config.operation_store import OperationStore
 from cicadadoor.config.operations import Approval, Drain, Scope, Shift
 from cicadadoor.decisions.weights import moved, steering_of
@@ -14,7 +20,7 @@
 from cicadadoor.links.steering_messages import GateLoad, ServiceLoad
 from cicadadoor.object_store.memory import MemoryObjectStore
 from cicadadoor.object_store.writes import ObjectWriter
-from tests.utils.faulty_store import Crashed, FaultyStore
+from tests.utils.faulty_calls import Crashed, FaultyCalls
 from tests.utils.gates import FakeKernel, Settings, domain_deployment
 from tests.utils.manual_timer import ManualTimer
 
@@ -84,7 +90,7 @@
     def __init__(self) -> None:
         self.timer = ManualTimer()
         self.inner = MemoryObjectStore()
-        self.store = FaultyStore(self.inner, self.timer.now_s)
+        self.store = FaultyCalls(self.inner, self.timer.now_s)
         self.loads = FakeLoads(self.inner)
         self.planners = 0
         self.first_weights = None
@@ -159,10 +165,10 @@
 
     async def weights(self, stored=None):
         """Return the accepted weights, or those of a stored root."""
-        root = (await read_root(self.inner)).root
-        if stored is not None:
-            root = msgspec.json.decode(stored.body, type=type(root))
-        digests = {'weights': root.section_digests['weights']}
+        if stored is None:
+            stored = (await read_root(self.inner)).stored
+        index = await read_index(self.inner, parse_root(stored).index_digest)
+        digests = {'weights': index.sections['weights'].digest}
         sections = await read_sections(self.inner, digests)
         return chunks.decode('weights', sections['weights'])
 
