Test the steering commands and steer through processes

Cause: commands received numbers as text and failed on them; the first step of a shift waited a whole interval; a server whose answer said that it drains and that restarted before the next probe stayed out for two minutes, because no probe had seen a change.

Change: commands check their numbers; the interval counts from the first step; a drain signal in an answer is followed by a probe within half a second.

Ruled out: a shorter time of good health before a return, which a lagging health endpoint would use up while the server still drains.

--- a/cicadadoor/agent/shift_runner.py
+++ b/cicadadoor/agent/shift_runner.py
@@ -93,7 +93,8 @@
             )
         if shift.service not in context.moves:
             return Failure(ErrorKind.UNKNOWN_SERVICE, f'no service {shift.service!r}')
-        refusal = self.check_complete(shift.service, shift.interval_s, context)
+        interval_s = shift.interval_s if shift.steps_done else 0.0
+        refusal = self.check_complete(shift.service, interval_s, context)
         if refusal is not None:
             return refusal
         return shift_steps.plan_step(
--- a/cicadadoor/cli/steering_commands.py
+++ b/cicadadoor/cli/steering_commands.py
@@ -1,12 +1,14 @@
 """Offer the commands for shifts, holds and drains."""
 
 import getpass
+import math
 import time
 from collections.abc import Callable
 
 import anyio
 import msgspec
 
+from cicadadoor.cli.context import whole_number
 from cicadadoor.cli.output import Output
 from cicadadoor.config.acceptance import read_root, read_sections
 from cicadadoor.config.chunks import decode
@@ -45,6 +47,18 @@
     def _run(self, work: Callable[..., object], *arguments: object) -> ExitStatus:
         return anyio.run(self._guarded, work, *arguments)
 
+    def _at_version(
+        self,
+        work: Callable[..., object],
+        name: str,
+        version: object,
+        *arguments: object,
+    ) -> ExitStatus:
+        number = whole_number('version', version)
+        if isinstance(number, Failure):
+            return self._output.fail(number)
+        return self._run(work, name, number, *arguments)
+
     async def _guarded(
         self,
         work: Callable[..., object],
@@ -122,22 +136,25 @@
 
         With `--approval=automatic` steps are made without asking.
         """
+        numbers = _numbers(step=step, interval_s=interval_s, keep=keep)
+        if isinstance(numbers, Failure):
+            return self._output.fail(numbers)
         approvals = [each.value for each in Approval]
         if approval not in approvals:
             text = f'approval {approval!r} is not one of {", ".join(approvals)}'
             return self._output.fail(Failure(ErrorKind.BAD_REQUEST, text))
-        if parse_name(name) is None or not 0 <= keep < 1 or interval_s < 0:
-            text = f'name {name!r}, keep {keep} or interval_s {interval_s} is no good'
+        if parse_name(name) is None or numbers['keep'] >= 1:
+            text = f'name {name!r} or keep {keep} is not allowed; keep is below 1'
             return self._output.fail(Failure(ErrorKind.BAD_REQUEST, text))
         shift = Shift(
             **_stamp('created'),
             service=service,
             source=source,
             target=target,
-            step_size=float(step),
-            interval_s=float(interval_s),
+            step_size=numbers['step'],
+            interval_s=numbers['interval_s'],
             approval=Approval(approval),
-            keep_weight=float(keep),
+            keep_weight=numbers['keep'],
         )
         return self._run(self._create, name, shift)
 
@@ -147,11 +164,11 @@
 
     def approve(self, name: str, version: int) -> ExitStatus:
         """Let the proposed step be made, if the shift is still at the version."""
-        return self._run(self._change, name, version, _approved)
+        return self._at_version(self._change, name, version, _approved)
 
     def reject(self, name: str, version: int) -> ExitStatus:
         """End a shift; no further step is made once this has succeeded."""
-        return self._run(self._change, name, version, _rejected)
+        return self._at_version(self._change, name, version, _rejected)
 
     async def _create(self, store: ObjectStore, name: str, shift: Shift) -> ExitStatus:
         fault = await _shift_fault(store, shift)
@@ -193,7 +210,7 @@
 
     def clear(self, name: str, version: int) -> ExitStatus:
         """Remove a hold, if it is still at the version."""
-        return self._run(self._clear, name, version)
+        return self._at_version(self._clear, name, version)
 
     def list(self) -> ExitStatus:
         """List all holds with their names and versions."""
@@ -240,19 +257,22 @@
         wanted = _scope(scope, tuple(Scope))
         if isinstance(wanted, Failure):
             return self._output.fail(wanted)
+        numbers = _numbers(within_s=within_s)
+        if isinstance(numbers, Failure):
+            return self._output.fail(numbers)
         is_gradual = wanted in {Scope.REGION, Scope.FAILURE_DOMAIN}
         drain = Drain(
             **_stamp('started'),
             scope=wanted,
             target=target,
-            deadline_wall_s=time.time() + within_s,
+            deadline_wall_s=time.time() + numbers['within_s'],
             state=DrainState.SHIFTING if is_gradual else DrainState.LEAVING,
         )
         return self._run(self._start, operation_name(wanted, target), drain)
 
     def cancel(self, name: str, version: int) -> ExitStatus:
         """Let a target take traffic again, if the drain is still at the version."""
-        return self._run(self._cancel, name, version)
+        return self._at_version(self._cancel, name, version)
 
     def list(self) -> ExitStatus:
         """List all drains with their states and what is left."""
@@ -329,6 +349,22 @@
     return {'author': getpass.getuser(), **_change(change)}
 
 
+def _numbers(**given: object) -> dict[str, float] | Failure:
+    """Read numbers from 0 that fire hands over as text."""
+    numbers = {}
+    for name, text in given.items():
+        try:
+            numbers[name] = float(text)
+        except ValueError:
+            numbers[name] = -1.0
+        if not 0 <= numbers[name] < math.inf:
+            return Failure(
+                ErrorKind.BAD_REQUEST,
+                f'{name}: {text!r} is no number from 0',
+            )
+    return numbers
+
+
 def _scope(given: str, allowed: tuple[Scope, ...]) -> Scope | Failure:
     values = {scope.value: scope for scope in allowed}
     if given in values:
--- a/cicadadoor/gate/probing.py
+++ b/cicadadoor/gate/probing.py
@@ -117,8 +117,10 @@
             period_s = self._period_s(service)
             for server in self._servers.local(service):
                 last_s = self._asked_s.get(server.name, -math.inf)
-                if now_s - last_s >= period_s:
+                is_due = now_s - last_s >= period_s
+                if is_due or server.name in self._servers.news:
                     self._asked_s[server.name] = now_s
+                    self._servers.news.discard(server.name)
                     self._kernel.spawn(self.probe, server)
 
     def _period_s(self, service: ConfiguredService) -> float:
--- a/cicadadoor/gate/servers.py
+++ b/cicadadoor/gate/servers.py
@@ -25,6 +25,8 @@
         ErrorKind.ANSWER_TRUNCATED,
     )
 )
+# Evidence that a probe gave itself, or would give again.
+_PROBED = frozenset((Evidence.HEALTH, Evidence.REFUSED))
 # A caller with a short deadline must not make a server look bad.
 _LEAST_TIMEOUT_S = 1.0
 
@@ -43,6 +45,8 @@
         self.ejection = EjectionTable()
         self.leaving = LeavingTable()
         self.orders = BackendUpdate()
+        # Servers to ask for their health soon, so that a later change is seen.
+        self.news: set[str] = set()
 
     async def start(self, kernel: Kernel) -> None:
         """Subscribe to what the platform and operators say."""
@@ -130,6 +134,8 @@
     def note_leaving(self, server: str, evidence: Evidence) -> None:
         """Take evidence that a server is leaving."""
         if self.leaving.note(server, evidence, self._timer.now_s()):
+            if evidence not in _PROBED:
+                self.news.add(server)
             log.info(
                 'backend_server_leaving',
                 backend_server=server,
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -118,6 +118,29 @@
 
         run_gate(check)
 
+    def test_drain_signal_is_followed_by_a_probe(self):
+        """A server that restarts soon after has shown a change of health."""
+        asked = []
+
+        def answer(request: httpx.Request) -> httpx.Response:
+            asked.append(request.url.host)
+            return httpx.Response(200, json={'draining': False})
+
+        async def check(gate, timer):
+            prober = Prober()
+            gate.kernel.register(prober)
+            await prober.start(gate.kernel)
+            prober._client = httpx.AsyncClient(transport=httpx.MockTransport(answer))
+            await timer.advance(0.6)
+            await gate.kernel.run_spawned()
+            asked.clear()
+            gate.servers.note_leaving(SERVER, Evidence.ANSWER)
+            await timer.advance(0.5)
+            await gate.kernel.run_spawned()
+            assert set(asked) == {SERVER}
+
+        run_gate(check)
+
     def test_return_ramps_up(self):
         async def check(gate, timer):
             gate.servers.note_leaving(SERVER, Evidence.REFUSED)
--- /dev/null
+++ b/tests/test_steering_commands.py
@@ -0,0 +1,191 @@
+"""Check operators' commands for shifts, holds and drains, and their races."""
+
+import anyio
+import pytest
+
+from cicadadoor.cli.output import Output
+from cicadadoor.cli.steering_commands import (
+    DrainCommands,
+    HoldCommands,
+    ShiftCommands,
+)
+from cicadadoor.config.acceptance import read_root
+from cicadadoor.config.operations import Drain, Hold, Shift, ShiftState
+from cicadadoor.errors import ExitStatus
+from tests.utils.faulty_calls import FAULTS, Crashed
+from tests.utils.planning import Planning
+
+# fire hands numbers over as text.
+STEPS = {'service': 'kursbuchung', 'source': 'm', 'target': 'n', 'step': '0.2'}
+
+
+class Operators:
+    """Give commands in the names of several operators."""
+
+    def __init__(self, monkeypatch) -> None:
+        self.planning = Planning()
+        anyio.run(self.planning.start)
+        self._monkeypatch = monkeypatch
+        output = Output(as_json=False)
+        self.shift = ShiftCommands(self._open, output)
+        self.hold = HoldCommands(self._open, output)
+        self.drain = DrainCommands(self._open, output)
+        self.act_as('ann')
+
+    def act_as(self, name: str) -> None:
+        """Let another operator give the next commands."""
+        self._monkeypatch.setenv('LOGNAME', name)
+
+    def found(self, wanted, name: str):
+        """Read an operation."""
+        return anyio.run(self.planning.operations(wanted).find, name)
+
+    def drain_version(self, name: str) -> int:
+        """Return the version of a drain."""
+        return self.found(Drain, name).stored.version
+
+    def found_root_version(self) -> int:
+        """Return the version of the root."""
+        return anyio.run(read_root, self.planning.inner).stored.version
+
+    def propose(self) -> int:
+        """Let a planner propose a step of a new shift and return its version."""
+        assert self.shift.create('s', **STEPS) is ExitStatus.SUCCESS
+        anyio.run(self.planning.run, 10)
+        return self.found(Shift, 's').stored.version
+
+    def _open(self):
+        return self.planning.store
+
+
+@pytest.fixture
+def operators(monkeypatch):
+    """Give commands on a store with an accepted configuration."""
+    return Operators(monkeypatch)
+
+
+class TestShiftCommands:
+    """Guard against steps that nobody approved, and against silent losers."""
+
+    @pytest.mark.parametrize(
+        ('fields', 'status', 'text'),
+        [
+            ({'step': 0.5}, ExitStatus.CONFLICT, 'at most 0.25'),
+            ({'step': '0'}, ExitStatus.CONFLICT, 'above 0'),
+            ({'step': 'x'}, ExitStatus.USAGE, "step: 'x'"),
+            ({'keep': 'nan'}, ExitStatus.USAGE, "keep: 'nan'"),
+            ({'target': 'x'}, ExitStatus.USAGE, "no region is named 'x'"),
+            ({'target': 'm'}, ExitStatus.USAGE, 'same region'),
+            ({'service': 'x'}, ExitStatus.USAGE, "no service is named 'x'"),
+            ({'approval': 'x'}, ExitStatus.USAGE, 'manual'),
+        ],
+    )
+    def test_wrong_shift_is_refused(self, operators, capsys, fields, status, text):
+        assert operators.shift.create('s', **{**STEPS, **fields}) is status
+        assert text in capsys.readouterr().err
+
+    def test_approval_names_the_version(self, operators, capsys):
+        version = operators.propose()
+        operators.shift.list()
+        shown = capsys.readouterr().out
+        assert f'shift approve s {version}' in shown
+        assert 'moves 0.200 of m' in shown
+        assert operators.shift.approve('s', version) is ExitStatus.SUCCESS
+        operators.act_as('bob')
+        assert operators.shift.reject('s', version) is ExitStatus.CONFLICT
+        told = capsys.readouterr().err
+        assert 'step 1 is approved, by ann' in told
+        assert 'shift list' in told
+
+    def test_rejected_shift_cannot_be_approved(self, operators, capsys):
+        version = operators.propose()
+        assert operators.shift.reject('s', version) is ExitStatus.SUCCESS
+        operators.act_as('bob')
+        assert operators.shift.approve('s', version) is ExitStatus.CONFLICT
+        assert 'rejected, by ann' in capsys.readouterr().err
+        version = operators.found(Shift, 's').stored.version
+        assert operators.shift.approve('s', version) is ExitStatus.CONFLICT
+        assert operators.found(Shift, 's').operation.state is ShiftState.REJECTED
+
+    def test_second_creator_is_told(self, operators, capsys):
+        operators.shift.create('s', **STEPS)
+        operators.act_as('bob')
+        assert operators.shift.create('s', **STEPS) is ExitStatus.CONFLICT
+        assert 'created, by ann' in capsys.readouterr().err
+
+
+class TestHoldCommands:
+    """Guard against a hold that is reported but not in force."""
+
+    def test_second_holder_is_told_and_the_hold_stays(self, operators, capsys):
+        assert operators.hold.set('region', 'm', 'audit') is ExitStatus.SUCCESS
+        assert operators.hold.set('region', 'm') is ExitStatus.SUCCESS
+        operators.act_as('bob')
+        assert operators.hold.set('region', 'm') is ExitStatus.CONFLICT
+        assert 'held, by ann' in capsys.readouterr().err
+        held = operators.found(Hold, 'region.m')
+        stale = held.stored.version - 1
+        assert operators.hold.clear('region.m', stale) is ExitStatus.CONFLICT
+        version = held.stored.version
+        assert operators.hold.clear('region.m', version) is ExitStatus.SUCCESS
+
+    @pytest.mark.parametrize('scope', ['failure_domain', 'x'])
+    def test_unknown_scope_is_refused(self, operators, scope):
+        assert operators.hold.set(scope, 'm-1') is ExitStatus.USAGE
+
+    def test_platform_down_is_unavailable(self, operators):
+        operators.planning.store.is_down = True
+        assert operators.hold.set('region', 'm') is ExitStatus.UNAVAILABLE
+
+    @pytest.mark.parametrize('fault', FAULTS[:-1])
+    def test_success_means_in_force_at_every_fault(self, monkeypatch, fault):
+        """A repeated command has to complete what the first one left."""
+        for call in range(1, 12):
+            operators = Operators(monkeypatch)
+            store = operators.planning.store
+            store.faults[store.calls + call] = fault
+            before = operators.found_root_version()
+            status = set_hold(operators)
+            if status is ExitStatus.SUCCESS:
+                assert operators.found_root_version() > before
+            store.faults.clear()
+            anyio.run(store.deliver_late)
+            assert set_hold(operators) is ExitStatus.SUCCESS
+            assert operators.found(Hold, 'region.m').operation.author == 'ann'
+            assert operators.found_root_version() > before
+
+
+def set_hold(operators) -> ExitStatus | None:
+    """Set a hold; return None if the command's process ended."""
+    try:
+        return operators.hold.set('region', 'm')
+    except Crashed:
+        return None
+
+
+class TestDrainCommands:
+    """Guard against drains of what is held, and against two drains at once."""
+
+    def test_held_target_is_refused(self, operators, capsys):
+        operators.hold.set('region', 'm')
+        operators.act_as('bob')
+        assert operators.drain.start('region', 'm') is ExitStatus.CONFLICT
+        assert 'held, by ann; clear it first' in capsys.readouterr().err
+
+    def test_second_drain_is_told_and_a_cancelled_one_starts_again(
+        self,
+        operators,
+        capsys,
+    ):
+        server = ('backend_server', 'kb-m-1-0')
+        assert operators.drain.start(*server) is ExitStatus.SUCCESS
+        operators.act_as('bob')
+        assert operators.drain.start(*server) is ExitStatus.CONFLICT
+        assert 'started, by ann' in capsys.readouterr().err
+        name = 'backend_server.kb-m-1-0'
+        assert operators.drain.cancel(name, 1) is ExitStatus.CONFLICT
+        operators.drain.list()
+        assert 'leaving' in capsys.readouterr().out
+        version = operators.drain_version(name)
+        assert operators.drain.cancel(name, version) is ExitStatus.SUCCESS
+        assert operators.drain.start(*server) is ExitStatus.SUCCESS
