Measure balancing and shifts; keep a slot until a stream ends

Cause: no figures compared the ways to balance and to shift; the slot of a backend server was given back when the headers of a long answer came.

Change: measure/steering.py simulates both with fixed seeds. The slot of a streamed answer is released when the stream is closed, and a stream is closed also when the status line cannot be sent.

--- a/cicadadoor/gate/app.py
+++ b/cicadadoor/gate/app.py
@@ -162,16 +162,16 @@
     if answer.stream is None:
         await send_whole(send, answer.status, headers, answer.body)
         return
-    await send(
-        {
-            'type': 'http.response.start',
-            'status': answer.status,
-            'headers': headers,
-        }
-    )
     # An error here ends the connection without the last chunk, so that a truncated
     # body can't be taken for a whole one.
     try:
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': answer.status,
+                'headers': headers,
+            }
+        )
         async for chunk in answer.stream:
             await send({'type': 'http.response.body', 'body': chunk, 'more_body': True})
         await send({'type': 'http.response.body', 'body': b''})
--- a/cicadadoor/gate/pipeline.py
+++ b/cicadadoor/gate/pipeline.py
@@ -238,9 +238,31 @@
         try:
             answer = await self._send(request, target)
         finally:
-            self._finish(request, target, answer, started_s)
+            if target.is_own and _is_stream(answer):
+                # The backend server's slot is taken until the last byte was read.
+                self._finish_on_close(request, target, answer, started_s)
+            else:
+                self._finish(request, target, answer, started_s)
         return answer
 
+    def _finish_on_close(
+        self,
+        request: SteeredRequest,
+        target: Target,
+        answer: SteeredAnswer,
+        started_s: float,
+    ) -> None:
+        close = answer.on_close
+
+        async def finish() -> None:
+            try:
+                if close is not None:
+                    await close()
+            finally:
+                self._finish(request, target, answer, started_s)
+
+        answer.on_close = finish
+
     def _finish(
         self,
         request: SteeredRequest,
@@ -266,6 +288,10 @@
         )
 
 
+def _is_stream(answer: SteeredAnswer | Failure) -> bool:
+    return isinstance(answer, SteeredAnswer) and answer.stream is not None
+
+
 def find_route(service: Service, method: str, path: str) -> Route | None:
     """Return the longest matching route of the service, or None."""
     matching = [
--- /dev/null
+++ b/measure/steering.py
@@ -0,0 +1,316 @@
+"""Compare ways to balance and to shift, in pure simulations with fixed seeds.
+
+Run `python -m measure.steering`; each result is one JSON line.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+
+from cicadadoor.config.model import RegionWeight, SteeringRule, Weights
+from cicadadoor.config.operations import Approval, Shift
+from cicadadoor.decisions import shift_steps
+from cicadadoor.decisions.balancing import Candidate, ServerLoad, choose, seat_share
+from cicadadoor.decisions.shift_steps import LastMove, Measurements, RegionLoad
+from cicadadoor.decisions.weights import weight_of
+from measure.results import Results
+
+SEED = 20_261
+SERVERS = 12
+SLOTS = 8
+GATES = 4
+WORK_S = 0.1
+SLOWNESS = 2.0
+ARRIVALS_PER_S = 0.7 * SERVERS * SLOTS / WORK_S
+BALANCING_S = 30.0
+REPORT_PERIOD_S = 1.0
+
+
+class Gate:
+    """Hold what one gate knows of the backend servers."""
+
+    def __init__(self, number: int, source: random.Random) -> None:
+        self.number = number
+        self.source = source
+        self.turn = number
+        self.candidates = [
+            Candidate(
+                f's{server}',
+                seat_share(SLOTS, [number], GATES, f's{server}'),
+                ServerLoad(),
+            )
+            for server in range(SERVERS)
+        ]
+
+
+Policy = Callable[[Gate, float], int | None]
+
+
+def pick_random(gate: Gate, now_s: float) -> int:
+    """Choose any server."""
+    return gate.source.randrange(SERVERS)
+
+
+def pick_in_turn(gate: Gate, now_s: float) -> int:
+    """Choose the next server."""
+    gate.turn += 1
+    return gate.turn % SERVERS
+
+
+def pick_reported(gate: Gate, now_s: float) -> int:
+    """Choose the server that reported the least load."""
+    least = min(each.load.reported for each in gate.candidates)
+    best = [
+        number
+        for number, each in enumerate(gate.candidates)
+        if each.load.reported == least
+    ]
+    return gate.source.choice(best)
+
+
+def pick_two_choices(gate: Gate, now_s: float) -> int | None:
+    """Choose as the gate does, within its slots."""
+    chosen = choose(gate.candidates, now_s, gate.source)
+    return None if chosen is None else gate.candidates.index(chosen)
+
+
+POLICIES: dict[str, Policy] = {
+    'random': pick_random,
+    'round_robin': pick_in_turn,
+    'reported_load': pick_reported,
+    'two_choices': pick_two_choices,
+}
+
+
+def measure_balancing(results: Results) -> None:
+    """Measure the peak of requests in flight at one server against its slots."""
+    for name, policy in POLICIES.items():
+        for liars in (0, 2):
+            simulation = Balancing(policy, liars)
+            simulation.run()
+            results.add(
+                'balancing',
+                f'{name}, {"misleading" if liars else "honest"} load',
+                seed=SEED,
+                slots=SLOTS,
+                peak_in_flight=max(simulation.peak),
+                over_slots_share=simulation.over_slots / simulation.arrived,
+                refused_share=simulation.refused / simulation.arrived,
+            )
+
+
+class Balancing:
+    """Send requests of several gates to servers, one of which is slow.
+
+    The liars report no load. A server takes what it is sent.
+    """
+
+    def __init__(self, policy: Policy, liars: int) -> None:
+        self._policy = policy
+        self._liars = liars
+        self._source = random.Random(SEED)
+        self._gates = [
+            Gate(number, random.Random(SEED + number)) for number in range(GATES)
+        ]
+        self._in_flight = [0 for _ in range(SERVERS)]
+        self.peak = [0 for _ in range(SERVERS)]
+        self.arrived = 0
+        self.over_slots = 0
+        self.refused = 0
+        self._ends: list[tuple[float, int, int, float]] = []
+
+    def run(self) -> None:
+        """Run until the end of the time."""
+        now_s = 0.0
+        next_report_s = 0.0
+        while now_s < BALANCING_S:
+            now_s += self._source.expovariate(ARRIVALS_PER_S)
+            self._finish_until(now_s)
+            if now_s >= next_report_s:
+                next_report_s += REPORT_PERIOD_S
+                self._report(now_s)
+            self._arrive(now_s)
+
+    def _arrive(self, now_s: float) -> None:
+        self.arrived += 1
+        gate = self._source.choice(self._gates)
+        server = self._policy(gate, now_s)
+        if server is None:
+            self.refused += 1
+            return
+        self.peak[server] = max(self.peak[server], self._in_flight[server] + 1)
+        self._in_flight[server] += 1
+        self.over_slots += int(self._in_flight[server] > SLOTS)
+        gate.candidates[server].load.in_flight += 1
+        slowness = SLOWNESS if server == SERVERS - 1 else 1.0
+        # Requests beyond the slots share them.
+        slowness *= max(1.0, self._in_flight[server] / SLOTS)
+        took_s = self._source.expovariate(1 / WORK_S) * slowness
+        heapq.heappush(self._ends, (now_s + took_s, server, gate.number, took_s))
+
+    def _finish_until(self, now_s: float) -> None:
+        while self._ends and self._ends[0][0] <= now_s:
+            _, server, gate, took_s = heapq.heappop(self._ends)
+            self._in_flight[server] -= 1
+            candidate = self._gates[gate].candidates[server]
+            load = candidate.load
+            load.in_flight -= 1
+            load.note_latency(took_s)
+
+    def _report(self, now_s: float) -> None:
+        for server, in_flight in enumerate(self._in_flight):
+            told = 0 if server < self._liars else in_flight / SLOTS
+            for gate in self._gates:
+                gate.candidates[server].load.note_report(told, now_s)
+
+
+REGIONS = ('a', 'b', 'c')
+CAPACITY = 100.0
+LOADS = {'a': 45.0, 'b': 38.0, 'c': 8.0}
+MAX_STEP = 0.1
+TTL_S = 5.0
+REPORT_LAG_S = 2.0
+COLD_S = 10.0
+COLD_EXTRA = 0.5
+DRAINED_SHARE = 0.999
+SHIFT_S = 400
+TICK_S = 0.5
+CAPPED_BY_MOVE = 'capped by what moved'
+CAPPED_BY_REQUEST = 'capped by request'
+UNCAPPED = 'uncapped'
+
+
+class ShiftSimulation:
+    """Move the load of region a to b while callers keep answers and caches are cold.
+
+    Callers follow weights evenly within the time-to-live. What moved costs more
+    until its caches are warm; measurements lag.
+    """
+
+    def __init__(self, variant: str) -> None:
+        self._variant = variant
+        self._weights = Weights(
+            rules=(
+                SteeringRule(
+                    service='s',
+                    home_region='a',
+                    weights=(RegionWeight(region='a', weight=1.0),),
+                ),
+            ),
+            max_step=1.0 if variant == UNCAPPED else MAX_STEP,
+        )
+        self._history: list[tuple[float, float]] = [(-1000.0, 0.0)]
+        self._last = LastMove(0, -1000.0)
+        self._shift = Shift(
+            author='measure',
+            changed_by='measure',
+            change='',
+            wall_s=0,
+            service='s',
+            source='a',
+            target='b',
+            step_size=self._weights.max_step,
+            interval_s=0,
+            approval=Approval.AUTOMATIC,
+        )
+        self.peak_share = 0.0
+        self.drained_s: float | None = None
+        self.least_headroom = 1.0
+
+    def run(self) -> None:
+        """Run for a fixed time, or until all callers have moved."""
+        for tick in range(int(SHIFT_S / TICK_S)):
+            now_s = tick * TICK_S
+            self._plan(now_s)
+            load = self._load('b', now_s)
+            self.peak_share = max(self.peak_share, load / CAPACITY)
+            worst = max(self._load('a', now_s), self._load('c', now_s)) / 2
+            headroom = (CAPACITY - load - worst) / CAPACITY
+            self.least_headroom = min(self.least_headroom, headroom)
+            moved, _ = self._parts(now_s)
+            if self.drained_s is None and moved > DRAINED_SHARE:
+                self.drained_s = now_s
+
+    def _plan(self, now_s: float) -> None:
+        measured_s = now_s - REPORT_LAG_S
+        loads = {
+            ('s', region): RegionLoad(self._load(region, measured_s), CAPACITY)
+            for region in REGIONS
+        }
+        links = {('a', 'b'): 1e9, ('b', 'a'): 1e9}
+        measurements = Measurements(loads, {}, REPORT_LAG_S, 0, [])
+        if self._variant == CAPPED_BY_MOVE:
+            if shift_steps.check_complete(self._last, 0, TTL_S, measurements, now_s):
+                return
+        elif not now_s.is_integer():
+            return
+        planned = shift_steps.plan_step(
+            'shift',
+            self._shift,
+            self._weights,
+            measurements,
+            links,
+        )
+        if isinstance(planned, shift_steps.PlannedStep):
+            self._weights = planned.weights
+            self._last = LastMove(0, now_s)
+            share = weight_of(self._weights.rules[0].weights, 'b')
+            self._history.append((now_s, share))
+        elif self._variant == UNCAPPED and planned is not None:
+            self._weights = self._all_moved()
+            self._history.append((now_s, 1.0))
+
+    def _all_moved(self) -> Weights:
+        rule = SteeringRule(
+            service='s',
+            home_region='a',
+            weights=(RegionWeight(region='b', weight=1.0),),
+        )
+        return Weights(rules=(rule,), max_step=1.0)
+
+    def _parts(self, now_s: float) -> tuple[float, float]:
+        """Return the share of callers that moved, and that of them with cold caches."""
+        moved = 0.0
+        cold = 0.0
+        before = 0.0
+        for at_s, share in self._history:
+            elapsed_s = max(0.0, now_s - at_s)
+            part = share - before
+            before = share
+            went = part * min(1.0, elapsed_s / TTL_S)
+            warm = part * min(1.0, max(0.0, elapsed_s - COLD_S) / TTL_S)
+            moved += went
+            cold += went - warm
+        return moved, cold
+
+    def _load(self, region: str, now_s: float) -> float:
+        moved, cold = self._parts(now_s)
+        if region == 'a':
+            return LOADS['a'] * (1 - moved)
+        if region == 'c':
+            return LOADS['c']
+        return LOADS['b'] + LOADS['a'] * (moved + cold * COLD_EXTRA)
+
+
+def measure_shifts(results: Results) -> None:
+    """Measure peak load, time to drain and headroom for a region's failure."""
+    for variant in (UNCAPPED, CAPPED_BY_REQUEST, CAPPED_BY_MOVE):
+        simulation = ShiftSimulation(variant)
+        simulation.run()
+        results.add(
+            'shift',
+            variant,
+            peak_load_over_capacity=simulation.peak_share,
+            drained_s=simulation.drained_s,
+            least_headroom_at_failure=simulation.least_headroom,
+        )
+
+
+def measure(results: Results) -> None:
+    """Run all simulations of steering."""
+    measure_balancing(results)
+    measure_shifts(results)
+
+
+if __name__ == '__main__':
+    measure(Results())
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -17,6 +17,8 @@
 from cicadadoor.decisions.ejection import EjectionTable
 from cicadadoor.decisions.link_budget import LinkBudget
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.pipeline import Pipeline
+from cicadadoor.gate.quarantine import NoQuarantine
 from cicadadoor.gate.request import CANCELLED, SteeredAnswer
 from cicadadoor.links.steering_messages import BackendUpdate
 from tests.utils.gates import (
@@ -176,6 +178,38 @@
         run_gate(check, servers=3)
 
 
+class StreamingForwarder:
+    """Answer with a stream, as for a body that is too long to buffer."""
+
+    async def forward(self, request, server) -> SteeredAnswer:
+        """Return an answer whose body is still to be read."""
+
+        async def stream():
+            yield b'long'
+
+        return SteeredAnswer(status=200, headers=[], stream=stream())
+
+
+class TestStreams:
+    """Guard against a slot that is given back while the server still sends."""
+
+    def test_slot_is_taken_until_the_stream_is_closed(self):
+        async def check(gate, timer):
+            pipeline = Pipeline()
+            pipeline._timer = timer
+            pipeline._queue = gate.router
+            pipeline._quarantine = NoQuarantine()
+            pipeline._forwarder = StreamingForwarder()
+            request = gate.request()
+            target = gate.router.try_acquire(request)
+            answer = await pipeline._forward(request, target)
+            assert gate.servers.in_flight()[target.server.name] == 1
+            await answer.on_close()
+            assert gate.servers.in_flight()[target.server.name] == 0
+
+        run_gate(check)
+
+
 class TestLinkBudget:
     """Guard against deferrable traffic that fills a link."""
 
