--- a/cicadadoor/agent/daemon.py
+++ b/cicadadoor/agent/daemon.py
@@ -4,6 +4,7 @@
 
 from cicadadoor import core
 from cicadadoor.agent.config_sender import ConfigSender
+from cicadadoor.agent.gate_watch import GateWatch
 from cicadadoor.agent.holds import OperatorOrders
 from cicadadoor.agent.isolation import Isolation
 from cicadadoor.agent.loads import PeerLoads
@@ -48,6 +49,7 @@
         WithdrawalRecords(),
         Relay(),
         Isolation(),
+        GateWatch(),
     )
     for service in services:
         kernel.register(service)
--- a/cicadadoor/agent/operator_api.py
+++ b/cicadadoor/agent/operator_api.py
@@ -14,12 +14,12 @@
 from cicadadoor.decisions.withdrawn_keys import is_key_hash
 from cicadadoor.http_server import (
     JSON_HEADER,
+    HttpServer,
     Receive,
     Scope,
     Send,
     answer_lifespan,
     send_whole,
-    serve_forever,
 )
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.membership_messages import DomainSummary
@@ -87,6 +87,7 @@
         self._membership: Membership
         self._withdrawals: Withdrawals
         self._records: WithdrawalRecords
+        self._server: HttpServer
 
     async def start(self, kernel: Kernel) -> None:
         """Listen at the operators' address."""
@@ -98,13 +99,17 @@
         self._withdrawals = kernel.find('withdrawals')
         self._records = kernel.find('withdrawal_records')
         settings = self._state.settings
-        kernel.spawn(
-            serve_forever,
+        self._server = HttpServer(
             self.handle,
             str(settings.operators),
             settings.tls_certificate_file,
             settings.tls_key_file,
         )
+        kernel.spawn(self._server.serve)
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop listening and end the connections."""
+        await self._server.close()
 
     async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one HTTP request."""
--- a/cicadadoor/agent/peer_updates.py
+++ b/cicadadoor/agent/peer_updates.py
@@ -3,7 +3,7 @@
 from cicadadoor.agent.membership import Membership
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.daemon_link import DaemonLink
-from cicadadoor.links.messages import GateReport, PeerUpdate
+from cicadadoor.links.messages import AgentAlive, GateReport, PeerUpdate
 from cicadadoor.timer import TimerService
 
 _PERIOD_S = 1.0
@@ -42,6 +42,7 @@
             gates.extend(summary.gates[:_GATES_PER_DOMAIN])
         update = PeerUpdate(gates=gates)
         if update == self._sent:
+            await self._link.send(AgentAlive())
             return
         failure = await self._link.send(update)
         self._sent = update if failure is None else None
--- a/cicadadoor/gate/state.py
+++ b/cicadadoor/gate/state.py
@@ -30,6 +30,9 @@
         self.withdrawn_keys: set[str] = set()
         # The first whole set of withdrawn keys has to come before a configuration.
         self.knows_withdrawals = False
+        # Callers are told of other hosts, but requests are still served.
+        self.is_leaving = False
+        # New requests are refused.
         self.is_stopping = False
         self.in_flight = 0
         self.counters = LoadCounters(by_region={}, by_link={}, by_organisation={})
@@ -66,7 +69,7 @@
             peer_address=str(settings.gate_peers),
             failure_domain=settings.failure_domain,
             region=settings.region,
-            takes_callers=self.view is not None and not self.is_stopping,
+            takes_callers=self.view is not None and not self.is_leaving,
         )
 
     async def _follow_weights(self) -> None:
--- a/cicadadoor/links/transport.py
+++ b/cicadadoor/links/transport.py
@@ -1,6 +1,7 @@
 """Send messages over pynng."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from pathlib import Path
 
 import anyio
@@ -120,6 +121,14 @@
             self._socket = None
 
     async def _serve(self, context: pynng.Context) -> None:
+        try:
+            await self._serve_requests(context)
+        finally:
+            # The context of a closed socket can't be closed again.
+            with suppress(pynng.NNGException):
+                context.close()
+
+    async def _serve_requests(self, context: pynng.Context) -> None:
         while True:
             try:
                 encoded = await context.arecv()
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -262,6 +262,19 @@
 
         run_gates(check)
 
+    def test_request_that_the_link_cannot_carry_is_not_sent(self):
+        async def check(gates):
+            sender = gates.gates['m-1']
+            sender.fill()
+            await gates.ask_for_credits(sender)
+            near = [sender.router.try_acquire(sender.request()) for _ in range(6)]
+            assert {target.gate.failure_domain for target in near} == {'m-2'}
+            sender.links.charge_answer('n', 10**10)
+            refused = sender.router.try_acquire(sender.request())
+            assert refused.kind is ErrorKind.LINK_BUDGET_EXCEEDED
+
+        run_gates(check)
+
     def test_unused_credits_go_back(self):
         async def check(gates):
             sender = gates.gates['m-1']
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -15,6 +15,11 @@
     Shift,
     ShiftState,
 )
+from cicadadoor.decisions.shift_steps import (
+    LastMove,
+    Measurements,
+    check_complete,
+)
 from cicadadoor.decisions.weights import steering_of, weight_of
 from cicadadoor.object_store.writes import ObjectWriter
 from tests.utils.faulty_calls import FAULTS
@@ -113,6 +118,28 @@
 
         run(check)
 
+    def test_planner_between_two_reads_of_another(self):
+        """The other's step must not look like weights that were replaced."""
+
+        async def check(planning, call):
+            await planning.shift()
+            first = await planning.planner()
+            second = await planning.planner()
+            for planner in (first, second):
+                planner._lease.hold = always
+            planning.store.on_pause = second.tick
+            for _ in range(45):
+                planning.timer.jump(1)
+                await second.read()
+                planning.store.faults = {planning.store.calls + call: 'pause'}
+                await first.tick()
+            await check_steps(planning, 1)
+            shift = (await planning.operations(Shift).find('s')).operation
+            assert shift.state is ShiftState.DONE, (call, shift)
+
+        for call in range(1, 16):
+            run(check, call=call)
+
     def test_paused_planner_writes_nothing_after_a_takeover(self):
         """Its figures may be wrong by now although the weights have not moved."""
 
@@ -194,6 +221,13 @@
 
         run(check)
 
+    @pytest.mark.parametrize(('age_s', 'waits'), [(1.5, False), (3.5, True)])
+    def test_measurement_has_to_be_newer_than_the_step(self, age_s, waits):
+        """A report from before the move shows room that is taken by now."""
+        measurements = Measurements({}, {}, age_s, 7, [])
+        refusal = check_complete(LastMove(7, 100), 0, TTL_S, measurements, 105)
+        assert (refusal is not None) is waits
+
     def test_step_shrinks_to_what_fits(self):
         async def check(planning):
             await planning.shift()
@@ -261,6 +295,8 @@
 
     def test_hold_stops_a_drain_at_every_call(self):
         async def check(planning, call):
+            # Without load the domain may leave although the region has no other.
+            planning.loads.busy['m'] = 0
             await planning.drain(Scope.FAILURE_DOMAIN, 'm-1', DrainState.SHIFTING)
             states = []
 
@@ -275,10 +311,15 @@
             await planning.run(8)
             drain = (await planning.operations(Drain).find('d')).operation
             if states:
-                assert drain.state is states[0]
-
-        for call in range(1, 40):
-            run(check, call=call)
+                assert drain.state is states[0], call
+            return drain.state
+
+        reached = [run(check, call=call) for call in range(1, 40)]
+        assert set(reached) == {
+            DrainState.SHIFTING,
+            DrainState.LEAVING,
+            DrainState.DONE,
+        }
 
 
 async def set_hold(planning, operation):
