--- a/cicadadoor/gate/app.py
+++ b/cicadadoor/gate/app.py
@@ -19,6 +19,7 @@
     Scope,
     Send,
     answer_lifespan,
+    listen,
     send_whole,
 )
 from cicadadoor.kernel import Kernel, Service
@@ -62,10 +63,11 @@
         settings = self._state.settings
         self._server = HttpServer(
             self.handle,
-            str(settings.callers),
+            listen(str(settings.callers)),
             settings.tls_certificate_file,
             settings.tls_key_file,
         )
+        self._state.is_bound = True
         kernel.spawn(self._server.serve)
 
     def work_left(self) -> int:
@@ -125,7 +127,7 @@
         await send_whole(send, HTTPStatus.OK, [JSON_HEADER], _encoder.encode(found))
 
     async def _answer_health(self, send: Send) -> None:
-        is_ready = self._state.view is not None and not self._state.is_leaving
+        is_ready = self._state.takes_callers
         status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
         await send_whole(
             send, status, [JSON_HEADER], _encoder.encode({'ready': is_ready})
--- a/cicadadoor/gate/daemon.py
+++ b/cicadadoor/gate/daemon.py
@@ -3,7 +3,7 @@
 import sys
 
 from cicadadoor import core
-from cicadadoor.gate.admission import FloorAdmission
+from cicadadoor.gate.admission import SeatAdmission
 from cicadadoor.gate.app import CallerServer
 from cicadadoor.gate.at_most_once import PassThrough
 from cicadadoor.gate.config_receiver import ConfigReceiver
@@ -22,8 +22,10 @@
 from cicadadoor.gate.queueing import NoQueue
 from cicadadoor.gate.routing import TwoChoicesRouter
 from cicadadoor.gate.servers import BackendServers
-from cicadadoor.gate.slot_share import ConfiguredSeat
+from cicadadoor.gate.shares import GateShares, SeatReturner
+from cicadadoor.gate.slot_share import HeldSeats
 from cicadadoor.gate.state import GateState
+from cicadadoor.gate.token_exchange import TokenExchange
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.peer_hub import PeerHub
@@ -43,10 +45,11 @@
         BootTimer(),
         state,
         KeyCheck(),
-        FloorAdmission(),
+        GateShares(),
+        SeatAdmission(),
         PassThrough(),
         NoQuarantine(),
-        ConfiguredSeat(),
+        HeldSeats(),
         BackendServers(),
         LinkBudgets(),
         TwoChoicesRouter(),
@@ -56,6 +59,7 @@
         PeerForwarder(),
         Lookup(),
         GateDirectory(),
+        TokenExchange(),
         Prober(),
         LoadReport(),
         ConfigReceiver(),
@@ -66,6 +70,7 @@
         kernel.register(service)
     # Links and listeners start last, when all services have subscribed.
     kernel.register(link)
+    kernel.register(SeatReturner())
     kernel.register(peers)
     kernel.register(CallerServer())
     return kernel
--- a/cicadadoor/gate/state.py
+++ b/cicadadoor/gate/state.py
@@ -34,6 +34,8 @@
         self.is_leaving = False
         # New requests are refused.
         self.is_stopping = False
+        self.is_bound = False
+        self.seats: tuple[int, ...] = ()
         self.in_flight = 0
         self.counters = LoadCounters(by_region={}, by_link={}, by_organisation={})
 
@@ -59,6 +61,11 @@
         log.info('config_in_force', generation=view.generation, digest=view.digest)
         return True
 
+    @property
+    def takes_callers(self) -> bool:
+        """Tell whether callers may be sent to this gate."""
+        return self.view is not None and bool(self.seats) and not self.is_leaving
+
     def info(self) -> GateInfo:
         """Return where this gate takes callers and other gates."""
         settings = self.settings
@@ -69,7 +76,7 @@
             peer_address=str(settings.gate_peers),
             failure_domain=settings.failure_domain,
             region=settings.region,
-            takes_callers=self.view is not None and not self.is_leaving,
+            takes_callers=self.takes_callers,
         )
 
     async def _follow_weights(self) -> None:
