--- a/cicadadoor/agent/daemon.py
+++ b/cicadadoor/agent/daemon.py
@@ -6,11 +6,14 @@
 from cicadadoor.agent.claims import ClaimKeeper
 from cicadadoor.agent.config_sender import ConfigSender
 from cicadadoor.agent.gate_watch import GateWatch
+from cicadadoor.agent.holds import OperatorOrders
 from cicadadoor.agent.isolation import Isolation
 from cicadadoor.agent.limits_view import LimitsView
+from cicadadoor.agent.loads import PeerLoads
 from cicadadoor.agent.membership import Membership
 from cicadadoor.agent.operator_api import OperatorApi
 from cicadadoor.agent.peer_updates import PeerUpdates
+from cicadadoor.agent.planner import Planner
 from cicadadoor.agent.quarantine_relay import QuarantineRelay
 from cicadadoor.agent.relay import Relay
 from cicadadoor.agent.seat_reclaim import SeatReclaimer
@@ -48,6 +51,9 @@
         Membership(),
         ClaimKeeper(),
         QuarantineRelay(),
+        OperatorOrders(),
+        PeerLoads(),
+        Planner(),
         LimitsView(),
         SeatWitness(),
         SeatKeeper(),
--- a/cicadadoor/cli/commands.py
+++ b/cicadadoor/cli/commands.py
@@ -8,6 +8,11 @@
 from cicadadoor.cli.context import Context, whole_number
 from cicadadoor.cli.key_commands import KeyCommands
 from cicadadoor.cli.status_command import show_status
+from cicadadoor.cli.steering_commands import (
+    DrainCommands,
+    HoldCommands,
+    ShiftCommands,
+)
 from cicadadoor.config import acceptance, canonical, checks, chunks, diff, model
 from cicadadoor.config.submission import Change, merge_printed, read_present
 from cicadadoor.errors import ErrorKind, ExitStatus, Failure
@@ -29,6 +34,9 @@
         self._context = context
         self._output = context.output
         self.key = KeyCommands(context)
+        self.shift = ShiftCommands(context.store, context.output)
+        self.hold = HoldCommands(context.store, context.output)
+        self.drain = DrainCommands(context.store, context.output)
 
     def validate(self, file: str) -> ExitStatus:
         """Check a printed configuration and print its digest."""
--- a/cicadadoor/gate/daemon.py
+++ b/cicadadoor/gate/daemon.py
@@ -11,6 +11,7 @@
 from cicadadoor.gate.directory import GateDirectory
 from cicadadoor.gate.keys import KeyCheck
 from cicadadoor.gate.link_budgets import LinkBudgets
+from cicadadoor.gate.load_report import LoadReport
 from cicadadoor.gate.lookup import Lookup
 from cicadadoor.gate.probing import Prober
 from cicadadoor.gate.queueing import FairRequestQueue
@@ -52,6 +53,7 @@
         GateDirectory(),
         TokenExchange(),
         Prober(),
+        LoadReport(),
         ConfigReceiver(),
         Departure(),
         *request_services(),
--- a/cicadadoor/gate/pipeline.py
+++ b/cicadadoor/gate/pipeline.py
@@ -224,6 +224,10 @@
         return self._keys.is_withdrawn(request.key_hash)
 
 
+def _is_stream(answer: SteeredAnswer | Failure) -> bool:
+    return isinstance(answer, SteeredAnswer) and answer.stream is not None
+
+
 def find_route(service: Service, method: str, path: str) -> Route | None:
     """Return the longest matching route of the service, or None."""
     matching = [
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -56,7 +56,7 @@
             self.own.peak(self.now_s),
         )
         grant_id = f'g{len(self.grants)}'
-        count = self.issuer.give(grant_id, 's', sender, wanted, free, self.now_s)
+        count = self.issuer.give(grant_id, 's', (sender, 'n'), wanted, free, self.now_s)
         self.grants.append((sender, grant_id, count, self.now_s))
 
     @precondition(lambda machine: machine.grants)
@@ -262,6 +262,19 @@
 
         run_gates(check)
 
+    def test_request_that_the_link_cannot_carry_is_not_sent(self):
+        async def check(gates):
+            sender = gates.gates['m-1']
+            sender.fill()
+            await gates.ask_for_credits(sender)
+            near = [sender.router.try_acquire(sender.request()) for _ in range(6)]
+            assert {target.gate.failure_domain for target in near} == {'m-2'}
+            sender.links.charge_answer('n', 10**10)
+            refused = sender.router.try_acquire(sender.request())
+            assert refused.kind is ErrorKind.LINK_BUDGET_EXCEEDED
+
+        run_gates(check)
+
     def test_unused_credits_go_back(self):
         async def check(gates):
             sender = gates.gates['m-1']
