Add the demo

It compares what callers saw with what ran and prints one line. The withdrawal changes the accepted configuration directly until the command for it exists. Proof that the audit sees faults: tests/test_audit.py.

--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,72 @@
+"""Check that the demo's and the scenarios' audit sees each kind of fault."""
+
+import pytest
+
+from tests.demo import WITHDRAWAL_LIMIT_S, WITHDRAWN, Verdict
+from tests.utils.backend_server import Execution
+from tests.utils.load import Audit, Outcome, Seen
+
+
+def _execution(target: str) -> Execution:
+    return Execution(
+        server='kb-1',
+        request_id='',
+        organisation='',
+        idempotency_key='',
+        method='POST',
+        target=target,
+        headers={},
+        body='',
+    )
+
+
+class TestAudit:
+    """Guard against an audit that passes whatever happened."""
+
+    @pytest.mark.parametrize(
+        ('seen', 'targets', 'expected'),
+        (
+            (Seen.SERVED, ['/enrol/a'], 'lost=0 doubled=0 withdrawn_served=0 exit=0'),
+            (Seen.SERVED, [], 'lost=1 doubled=0 withdrawn_served=0 exit=1'),
+            (
+                Seen.NO_ANSWER,
+                ['/enrol/a'],
+                'lost=1 doubled=0 withdrawn_served=0 exit=1',
+            ),
+            (
+                Seen.SERVED,
+                ['/enrol/a?', '/enrol/a?'],
+                'lost=0 doubled=1 withdrawn_served=0 exit=1',
+            ),
+            (
+                Seen.SERVED,
+                ['/timetable/a', '/timetable/a'],
+                'lost=0 doubled=0 withdrawn_served=0 exit=0',
+            ),
+        ),
+    )
+    def test_lost_and_doubled_requests_are_counted(self, seen, targets, expected):
+        """A lost answer, a lost run and a second run each fail the demo."""
+        outcome = Outcome('a', 'handwerkskammer', seen, '', '')
+        audit = Audit([outcome], [_execution(target) for target in targets])
+        assert Verdict(audit, 0, {}).line().endswith(expected)
+
+    def test_use_of_a_withdrawn_key_is_counted_after_the_limit(self):
+        """A withdrawal has to be in force within seconds, not at once."""
+        early = Outcome('a', WITHDRAWN, Seen.SERVED, '', '')
+        late = Outcome('b', WITHDRAWN, Seen.SERVED, '', '')
+        late.ended_s = early.ended_s + WITHDRAWAL_LIMIT_S + 1
+        ran = [_execution('/enrol/a'), _execution('/enrol/b')]
+        verdict = Verdict(Audit([early, late], ran), early.ended_s, {})
+        assert verdict.withdrawn_served == [late]
+
+    def test_refusal_of_a_request_that_ran_is_found(self):
+        """If a refusal says that a request was not run, it was not run."""
+        outcome = Outcome('a', 'handwerkskammer', Seen.REFUSED, '', '')
+        audit = Audit([outcome], [_execution('/timetable/a')])
+        assert audit.run_but_refused() == [outcome]
+
+    def test_stop_with_work_left_fails_the_demo(self):
+        """Each planned stop has to be graceful."""
+        verdict = Verdict(Audit([], []), 0, {'muenchen-1-0-gate': 8})
+        assert verdict.exit_status() == 1
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -2,14 +2,22 @@
 
 import json
 import os
+import signal
 import subprocess
 from pathlib import Path
 from types import TracebackType
 
+import anyio
 import httpx
+import msgspec
 
-from cicadadoor.config import Deployment, canonical, model
+from cicadadoor.config import Deployment, acceptance, canonical, chunks, model
+from cicadadoor.errors import Failure
+from cicadadoor.ids import digest_of
+from cicadadoor.object_store.http import HttpObjectStore
+from cicadadoor.object_store.writes import ObjectWriter
 from tests.utils import control
+from tests.utils.backend_server import Execution, read_executions
 from tests.utils.processes import Ports, TestProcess, program, python_module
 from tests.utils.waiting import wait_until
 
@@ -36,6 +44,17 @@
             folder,
         )
 
+    def status(self) -> dict:
+        """Return what the agent tells operators."""
+        return httpx.get(f'{self.operators_url}/v1/status').json()
+
+    def wait_generation(self, generation: int) -> None:
+        """Wait until the gate uses the generation or a later one."""
+        wait_until(
+            lambda: self.status()['gate_generation'] >= generation,
+            f'{self.name} uses generation {generation}',
+        )
+
     def is_ready(self) -> bool:
         """Tell whether the gate takes requests."""
         try:
@@ -147,6 +166,31 @@
         output = self.operate('key_grant', organisation, '--json')
         return json.loads(output.splitlines()[-1])['key']
 
+    def withdraw_key(self, key: str) -> None:
+        """Take a key out of the accepted configuration."""
+        anyio.run(self._withdraw_key, digest_of(key.encode()))
+
+    def wait_in_force(self) -> None:
+        """Wait until each gate uses the accepted generation."""
+        accepted = anyio.run(self._accepted_generation)
+        for host in self.hosts.values():
+            host.wait_generation(accepted)
+
+    async def _accepted_generation(self) -> int:
+        accepted = await acceptance.read_root(HttpObjectStore(self.platform_url))
+        return accepted.root.generation
+
+    async def _withdraw_key(self, key_hash: str) -> None:
+        store = HttpObjectStore(self.platform_url)
+        accepted = await acceptance.read_root(store)
+        sections = await acceptance.read_sections(store, accepted.root.section_digests)
+        present = chunks.join(sections)
+        kept = tuple(key for key in present.keys if key.key_hash != key_hash)
+        changed = msgspec.structs.replace(present, keys=kept)
+        submitter = acceptance.Submitter(store, ObjectWriter(store, 'test'))
+        result = await submitter.submit(accepted, chunks.split(changed), 'test', 0)
+        assert not isinstance(result, Failure), result
+
     def operate(self, *arguments: str, expect: int = 0) -> str:
         """Run the operators' command and return its standard output."""
         finished = subprocess.run(
@@ -164,6 +208,26 @@
         """Switch faults of the platform on or off."""
         control.set_faults(self.platform_url, **faults)
 
+    def executions(self) -> list[Execution]:
+        """Return what all backend servers ran."""
+        return [
+            execution
+            for backend in self.backends.values()
+            for execution in read_executions(backend.records_file)
+        ]
+
+    def stop_hosts(self) -> dict[str, int]:
+        """Stop all gates and agents gracefully and return their exit codes."""
+        processes = [
+            process
+            for host in self.hosts.values()
+            for process in (host.gate, host.agent)
+            if process.is_running()
+        ]
+        for process in processes:
+            process.send(signal.SIGTERM)
+        return {process.name: process.wait() for process in processes}
+
     def close(self) -> None:
         """End all processes that this cluster started."""
         processes = [self.platform, *self.extra_processes]
--- /dev/null
+++ b/tests/utils/load.py
@@ -0,0 +1,287 @@
+"""Send requests the way callers do, and compare what they saw with what ran."""
+
+import random
+import secrets
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterable
+from enum import Enum, unique
+
+import anyio
+import httpx
+
+from tests.utils.backend_server import Execution
+
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+_ANSWER_LIMIT_S = 30.0
+
+
+@unique
+class Seen(Enum):
+    """Tell what a caller learned about one request."""
+
+    SERVED = 'served'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+    NO_ANSWER = 'no_answer'
+
+
+class Outcome:
+    """Hold what a caller saw for one request; times are on the monotonic clock."""
+
+    __slots__ = ('detail', 'ended_s', 'name', 'organisation', 'seen', 'url')
+
+    def __init__(
+        self,
+        name: str,
+        organisation: str,
+        seen: Seen,
+        detail: str,
+        url: str,
+    ) -> None:
+        self.name = name
+        self.organisation = organisation
+        self.seen = seen
+        self.detail = detail
+        self.url = url
+        self.ended_s = time.monotonic()
+
+    def __repr__(self) -> str:
+        return f'{self.name} {self.seen.value} at {self.url}: {self.detail}'
+
+
+class CallerGroup:
+    """Describe the callers of one organisation at one place.
+
+    Each of `callers` sends one request, waits for its answer and pauses.
+    """
+
+    __slots__ = (
+        'callers',
+        'client_ip',
+        'enrol_part',
+        'key',
+        'organisation',
+        'pause_s',
+        'work_ms',
+    )
+
+    def __init__(
+        self,
+        organisation: str,
+        key: str,
+        client_ip: str,
+        *,
+        callers: int,
+        pause_s: float,
+        enrol_part: float = 0.3,
+        work_ms: int = 5,
+    ) -> None:
+        self.organisation = organisation
+        self.key = key
+        self.client_ip = client_ip
+        self.callers = callers
+        self.pause_s = pause_s
+        self.enrol_part = enrol_part
+        self.work_ms = work_ms
+
+
+class Load:
+    """Run callers in a thread until the load is stopped."""
+
+    def __init__(
+        self,
+        lookup_urls: Iterable[str],
+        groups: Iterable[CallerGroup],
+        service: str = 'kursbuchung',
+        seed: int = 1,
+    ) -> None:
+        self.outcomes: list[Outcome] = []
+        self._lookup_urls = list(lookup_urls)
+        self._groups = list(groups)
+        self._service = service
+        self._random = random.Random(seed)
+        self._is_stopping = False
+        self._error: BaseException | None = None
+        self._thread = threading.Thread(target=self._run)
+
+    def start(self) -> None:
+        """Begin to send."""
+        self._thread.start()
+
+    def stop(self) -> list[Outcome]:
+        """Let each caller wait for its last answer, and return all outcomes."""
+        self._is_stopping = True
+        self._thread.join()
+        if self._error is not None:
+            raise self._error
+        return self.outcomes
+
+    def served(self) -> int:
+        """Return how many requests were served so far."""
+        return sum(outcome.seen is Seen.SERVED for outcome in self.outcomes)
+
+    def _run(self) -> None:
+        # The thread that stops the load raises the error.
+        try:
+            anyio.run(self._run_all)
+        except BaseException as error:
+            self._error = error
+
+    async def _run_all(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for group in self._groups:
+                for number in range(group.callers):
+                    tasks.start_soon(self._run_caller, group, number)
+
+    async def _run_caller(self, group: CallerGroup, number: int) -> None:
+        count = 0
+        async with httpx.AsyncClient(timeout=_ANSWER_LIMIT_S) as client:
+            hosts = CachedHosts(client, self._lookup_urls, self._service, self._random)
+            while not self._is_stopping:
+                await anyio.sleep(self._random.uniform(0, 2 * group.pause_s))
+                count += 1
+                name = f'{group.organisation}-{group.client_ip}-{number}-{count}'
+                outcome = await self._send(client, hosts, group, name)
+                self.outcomes.append(outcome)
+
+    async def _send(
+        self,
+        client: httpx.AsyncClient,
+        hosts: 'CachedHosts',
+        group: CallerGroup,
+        name: str,
+    ) -> Outcome:
+        urls = await hosts.get(group.client_ip)
+        is_enrolment = self._random.random() < group.enrol_part
+        method, path = ('POST', 'enrol') if is_enrolment else ('GET', 'timetable')
+        headers = {'x-api-key': group.key, 'x-work-ms': str(group.work_ms)}
+        if is_enrolment and hosts.prefix:
+            headers['idempotency-key'] = f'{hosts.prefix}{secrets.token_hex(8)}'
+        outcome = Outcome(name, group.organisation, Seen.REFUSED, 'no host named', '')
+        for url in urls:
+            target = f'{url}/s/{self._service}/{path}/{name}'
+            try:
+                answer = await client.request(method, target, headers=headers)
+            except _NOT_SENT as error:
+                outcome = _outcome(name, group, Seen.REFUSED, repr(error), url)
+                hosts.forget(url)
+                continue
+            except httpx.HTTPError as error:
+                hosts.forget(url)
+                return _outcome(name, group, Seen.NO_ANSWER, repr(error), url)
+            outcome = _outcome(name, group, _read(answer), answer.text[:300], url)
+            # Only run=no allows another attempt.
+            if outcome.seen is not Seen.REFUSED:
+                return outcome
+        return outcome
+
+
+class CachedHosts:
+    """Look hosts up and keep the answer for its time-to-live."""
+
+    def __init__(
+        self,
+        client: httpx.AsyncClient,
+        lookup_urls: list[str],
+        service: str,
+        generator: random.Random,
+    ) -> None:
+        self.prefix = ''
+        self._client = client
+        self._lookup_urls = lookup_urls
+        self._service = service
+        self._random = generator
+        self._urls: list[str] = []
+        self._until_s = 0.0
+
+    async def get(self, client_ip: str) -> list[str]:
+        """Return the hosts to use, best first."""
+        if time.monotonic() < self._until_s and self._urls:
+            return list(self._urls)
+        lookup_urls = [*self._urls, *self._shuffled(self._lookup_urls)]
+        for url in lookup_urls:
+            try:
+                answer = await self._client.get(
+                    f'{url}/cicadadoor/v1/hosts',
+                    params={'service': self._service, 'client': client_ip},
+                    timeout=2,
+                )
+            except httpx.HTTPError:
+                continue
+            if answer.status_code == 200 and answer.json()['hosts']:
+                return self._keep(answer.json())
+        return list(self._urls)
+
+    def forget(self, url: str) -> None:
+        """Leave a host out that can't be reached."""
+        self._urls = [kept for kept in self._urls if kept != url]
+
+    def _keep(self, found: dict) -> list[str]:
+        self.prefix = found['idempotency_prefix']
+        self._until_s = time.monotonic() + found['ttl_ms'] / 1000
+        best = found['hosts'][0]['region']
+        near = [host['url'] for host in found['hosts'] if host['region'] == best]
+        far = [host['url'] for host in found['hosts'] if host['region'] != best]
+        # Callers spread over the hosts of the region that is named first.
+        self._urls = [*self._shuffled(near), *far]
+        return list(self._urls)
+
+    def _shuffled(self, urls: list[str]) -> list[str]:
+        return self._random.sample(urls, len(urls))
+
+
+class Audit:
+    """Compare what callers saw with what backend servers ran."""
+
+    __slots__ = ('_enrolments', '_runs', 'outcomes')
+
+    def __init__(
+        self,
+        outcomes: list[Outcome],
+        executions: Iterable[Execution],
+    ) -> None:
+        self.outcomes = outcomes
+        self._runs: Counter[str] = Counter()
+        self._enrolments: Counter[str] = Counter()
+        for execution in executions:
+            path, _, name = execution.target.rstrip('?').rpartition('/')
+            self._runs[name] += 1
+            if path.endswith('enrol'):
+                self._enrolments[name] += 1
+
+    def seen(self, seen: Seen) -> list[Outcome]:
+        """Return the requests with the outcome."""
+        return [outcome for outcome in self.outcomes if outcome.seen is seen]
+
+    def never_run(self) -> list[Outcome]:
+        """Return requests that were answered as served but did not run."""
+        served = self.seen(Seen.SERVED)
+        return [outcome for outcome in served if not self._runs[outcome.name]]
+
+    def run_but_refused(self) -> list[Outcome]:
+        """Return requests that ran although run=no was answered."""
+        refused = self.seen(Seen.REFUSED)
+        return [outcome for outcome in refused if self._runs[outcome.name]]
+
+    def doubled(self) -> list[str]:
+        """Return the names of enrolments that ran more than once."""
+        return [name for name, runs in self._enrolments.items() if runs > 1]
+
+
+def _outcome(
+    name: str,
+    group: CallerGroup,
+    seen: Seen,
+    detail: str,
+    url: str,
+) -> Outcome:
+    return Outcome(name, group.organisation, seen, detail, url)
+
+
+def _read(answer: httpx.Response) -> Seen:
+    if answer.is_success:
+        return Seen.SERVED
+    run = answer.headers.get('x-cicadadoor-run')
+    return {'no': Seen.REFUSED, 'yes': Seen.SERVED}.get(run, Seen.UNKNOWN)
