--- a/cicadadoor/agent/gate_watch.py
+++ b/cicadadoor/agent/gate_watch.py
@@ -2,6 +2,9 @@
 
 from cicadadoor.agent.state import AgentState
 from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.daemon_link import DaemonLink
+from cicadadoor.links.departure_messages import DepartureNoted
+from cicadadoor.links.messages import GateReport
 from cicadadoor.timer import TimerService
 
 # A gate that was told to stop at the same time has reported it by then.
@@ -22,11 +25,14 @@
     def __init__(self) -> None:
         self._state: AgentState
         self._timer: TimerService
+        self._link: DaemonLink
 
     async def start(self, kernel: Kernel) -> None:
-        """Find the gate's reports."""
+        """Subscribe to the gate's reports."""
         self._state = kernel.find('state')
         self._timer = kernel.find('timer')
+        self._link = kernel.find('daemon_link')
+        self._link.on(GateReport, self._take_report)
 
     async def leave(self) -> None:
         """Return when no gate that is about to end needs this agent."""
@@ -34,8 +40,17 @@
         while self._gate_is_leaving():
             await self._timer.sleep(_POLL_S)
 
+    async def _take_report(self, report: GateReport) -> None:
+        if _is_leaving(report):
+            await self._link.send(DepartureNoted())
+
     def _gate_is_leaving(self) -> bool:
         report = self._state.gate_report
-        if report is None or report.generation == 0 or report.gate.takes_callers:
+        if report is None or not _is_leaving(report):
             return False
         return self._timer.now_s() - self._state.gate_report_s < GATE_SILENCE_S
+
+
+def _is_leaving(report: GateReport) -> bool:
+    # A gate without a configuration takes no callers either.
+    return report.generation > 0 and not report.gate.takes_callers
--- a/cicadadoor/gate/departure.py
+++ b/cicadadoor/gate/departure.py
@@ -1,19 +1,19 @@
 """Take this gate out of look-ups before it refuses requests."""
 
 from cicadadoor.gate.config_receiver import ConfigReceiver
-from cicadadoor.gate.directory import GateDirectory
 from cicadadoor.gate.lookup import Lookup
 from cicadadoor.gate.state import GateState
 from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.daemon_link import DaemonLink
+from cicadadoor.links.departure_messages import DepartureNoted
+from cicadadoor.links.messages import Message
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
 
 log = logs.logger('departure')
 
 _MS_PER_S = 1000
-# Heartbeats to peers and their updates to gates are sent once a second each.
-LEAVE_MARGIN_S = 3.0
-# An agent sends an update each second; after three it is taken as gone.
+# A leaving gate reports twice a second, and its agent answers each report.
 AGENT_SILENCE_S = 3.0
 # Peers drop a host that they have not heard for this long.
 PEERS_FORGET_S = 10.0
@@ -28,30 +28,35 @@
         self._state: GateState
         self._timer: TimerService
         self._lookup: Lookup
-        self._directory: GateDirectory
         self._receiver: ConfigReceiver
+        self._noted_s = float('-inf')
 
     async def start(self, kernel: Kernel) -> None:
         """Find the services that tell others of this gate."""
         self._state = kernel.find('state')
         self._timer = kernel.find('timer')
         self._lookup = kernel.find('lookup')
-        self._directory = kernel.find('directory')
         self._receiver = kernel.find('config_receiver')
+        link: DaemonLink = kernel.find('daemon_link')
+        link.on(DepartureNoted, self._note)
 
     async def leave(self) -> None:
         """Stop being named, and return when no cached look-up names this gate."""
         self._state.is_leaving = True
         self._lookup.remove_self()
-        kept_s = self._state.settings.answer_ttl_ms / _MS_PER_S
-        log.info('left_lookups', serves_s=kept_s + LEAVE_MARGIN_S)
+        settings = self._state.settings
+        serves_s = settings.answer_ttl_ms / _MS_PER_S + settings.leave_margin_s
+        log.info('left_lookups', serves_s=serves_s)
         await self._receiver.report()
-        await self._timer.sleep(kept_s + LEAVE_MARGIN_S)
-        if self._directory.agent_silence_s() > AGENT_SILENCE_S:
+        await self._timer.sleep(serves_s)
+        if self._timer.now_s() - self._noted_s > AGENT_SILENCE_S:
             # Nobody told the peers, so they name this gate until they forget it.
             log.warning('agent_not_heard', serves_s=PEERS_FORGET_S)
             await self._timer.sleep(PEERS_FORGET_S)
 
+    async def _note(self, _: Message) -> None:
+        self._noted_s = self._timer.now_s()
+
     def refuse(self) -> None:
         """Let the pipeline refuse new requests."""
         self._state.is_stopping = True
--- a/cicadadoor/gate/state.py
+++ b/cicadadoor/gate/state.py
@@ -24,6 +24,8 @@
         self.is_leaving = False
         # New requests are refused.
         self.is_stopping = False
+        # The first whole set of withdrawn keys has to come before a configuration.
+        self.knows_withdrawals = False
         self.in_flight = 0
         self.counters = LoadCounters(by_region={}, by_link={}, by_organisation={})
 
--- a/cicadadoor/settings.py
+++ b/cicadadoor/settings.py
@@ -45,12 +45,14 @@
         'gate_peers',
         'grace_s',
         'host',
+        'leave_margin_s',
         'log_level',
         'operators',
         'peer_ca_file',
         'peer_certificate_file',
         'platform_url',
         'region',
+        'seat_index',
         'seed_peers',
         'store_calls_per_s',
         'tls_certificate_file',
@@ -205,6 +207,11 @@
     return parse
 
 
+def _parse_seat(given: Any) -> int | None:
+    is_number = isinstance(given, int) and not isinstance(given, bool)
+    return given if is_number and given >= 0 else None
+
+
 _NAME = 'lower-case letters, digits and hyphens, at most 63'
 _ADDRESS = 'IP number and port, as in "127.0.0.1:8080"'
 _URL = 'a URL that starts with http:// or https://'
@@ -222,6 +229,11 @@
     'agent_peers': FieldRule(parse_address, _ADDRESS, required=True),
     'operators': FieldRule(parse_address, _ADDRESS, required=True),
     'seed_peers': FieldRule(_parse_addresses, f'a list of {_ADDRESS}', []),
+    'seat_index': FieldRule(
+        _parse_seat,
+        'a whole number from 0',
+        0,
+    ),
     'answer_ttl_ms': FieldRule(
         _number_between(100, 600_000),
         'milliseconds from 100 to 600000',
@@ -232,6 +244,12 @@
         'seconds from 0 to 3600',
         30,
     ),
+    # Time for the word of a departure to reach the gates of all domains.
+    'leave_margin_s': FieldRule(
+        _number_between(0, 600),
+        'seconds from 0 to 600',
+        10,
+    ),
     'store_calls_per_s': FieldRule(
         _number_between(0.1, 1000),
         'calls per second from 0.1 to 1000',
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -163,7 +163,7 @@
 
     def grant_key(self, organisation: str) -> str:
         """Grant a key and return it."""
-        output = self.operate('key_grant', organisation, '--json')
+        output = self.operate('key', 'grant', organisation, '--json')
         return json.loads(output.splitlines()[-1])['key']
 
     def withdraw_key(self, key: str) -> None:
@@ -251,6 +251,7 @@
             for number in range(count):
                 name = f'{domain}-{number}'
                 all_settings[name] = self._settings(name, region, domain)
+                all_settings[name]['seat_index'] = number
         return all_settings
 
     def _settings(self, name: str, region: str, domain: str) -> dict:
