--- a/cicadadoor/config/builder.py
+++ b/cicadadoor/config/builder.py
@@ -22,8 +22,8 @@
     ) -> None:
         self._delay_between_domains_us = _to_us(delay_between_domains_ms)
         self._delay_to_clients_us = _to_us(delay_to_clients_ms)
-        self._floor_fraction = floor_fraction
-        self._max_weight_step = max_weight_step
+        self._floor_fraction = float(floor_fraction)
+        self._max_weight_step = float(max_weight_step)
         self._regions: list[model.Region] = []
         self._domains: list[model.FailureDomain] = []
         self._links: list[model.Link] = []
@@ -185,7 +185,7 @@
                 stays_home = model.SteeringRule(
                     service=service,
                     home_region=region.name,
-                    weights=(model.RegionWeight(region=region.name, weight=1),),
+                    weights=(model.RegionWeight(region=region.name, weight=1.0),),
                 )
                 given.setdefault((service, region.name), stays_home)
         return tuple(rule for _, rule in sorted(given.items()))
--- a/cicadadoor/gate/daemon.py
+++ b/cicadadoor/gate/daemon.py
@@ -7,8 +7,8 @@
 from cicadadoor.gate.app import CallerServer
 from cicadadoor.gate.at_most_once import PassThrough
 from cicadadoor.gate.config_receiver import ConfigReceiver
-from cicadadoor.gate.departure import Departure
 from cicadadoor.gate.credits import CreditDesk
+from cicadadoor.gate.departure import Departure
 from cicadadoor.gate.directory import GateDirectory
 from cicadadoor.gate.forwarding import Forwarder
 from cicadadoor.gate.keys import KeyCheck
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -25,7 +25,8 @@
     def test_output_is_valid(self, name, tmp_path):
         """An operator starts from an example, so it has to be accepted as it is."""
         printed = tmp_path / 'configuration.json'
-        printed.write_bytes(_run(name, '0'))
+        ran = _run(name, '0')
+        printed.write_bytes(ran.stdout)
         checked = subprocess.run(
             program('cicadadoor', 'validate', str(printed)),
             capture_output=True,
@@ -33,11 +34,13 @@
             check=False,
         )
         assert checked.returncode == 0, checked.stderr
-        assert checked.stdout.startswith('valid, digest ')
+        # The program prints the digest that a review of the file shows.
+        digest = ran.stderr.decode().removeprefix('digest: ').strip()
+        assert checked.stdout == f'valid, digest {digest}\n'
 
     def test_output_has_the_sizes_of_today(self, name):
         """Scenarios and measurements use these sizes."""
-        configuration = canonical.parse(_run(name, '0'))
+        configuration = canonical.parse(_run(name, '0').stdout)
         assert not checks.find_faults(configuration)
         domains = Counter(
             domain.region for domain in configuration.topology.failure_domains
@@ -62,10 +65,10 @@
 
     def test_printing_is_deterministic(self, name):
         """A review compares digests, so the same program has to print the same."""
-        assert _run(name, '1') == _run(name, '2')
+        assert _run(name, '1').stdout == _run(name, '2').stdout
 
 
-def _run(name: str, hash_seed: str) -> bytes:
+def _run(name: str, hash_seed: str) -> subprocess.CompletedProcess[bytes]:
     finished = subprocess.run(
         [sys.executable, str(EXAMPLES / f'{name}.py')],
         env={'PYTHONHASHSEED': hash_seed},
@@ -73,4 +76,4 @@
         check=False,
     )
     assert finished.returncode == 0, finished.stderr
-    return finished.stdout
+    return finished
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,18 @@
+"""Run the scenario files over the real daemons."""
+
+from pathlib import Path
+
+import pytest
+
+from tests.scenario_runner import load_scenario, run_scenario
+
+FILES = sorted((Path(__file__).parent / 'scenarios').glob('*.json5'))
+
+
+class TestScenarios:
+    """Guard against what each file names in `guards_against`."""
+
+    @pytest.mark.parametrize('path', FILES, ids=lambda path: path.stem)
+    def test_scenario_holds(self, path, tmp_path):
+        """Callers' requests are never lost, doubled or wrongly refused by a fault."""
+        run_scenario(load_scenario(path), tmp_path)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -9,23 +9,29 @@
 
 import anyio
 import httpx
-import msgspec
 
-from cicadadoor.config import Deployment, acceptance, canonical, chunks, model
-from cicadadoor.errors import Failure
+from cicadadoor.config import Deployment, acceptance, canonical, model
 from cicadadoor.ids import digest_of
 from cicadadoor.object_store.http import HttpObjectStore
-from cicadadoor.object_store.writes import ObjectWriter
 from tests.utils import control
 from tests.utils.backend_server import Execution, read_executions
+from tests.utils.network import Network, source_ip
 from tests.utils.processes import Ports, TestProcess, program, python_module
 from tests.utils.waiting import wait_until
 
+PLATFORM = 'platform'
+
 
 class EntryHostProcesses:
     """Hold the two daemons of one entry host."""
 
-    def __init__(self, name: str, settings: dict, folder: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        settings: dict,
+        folder: Path,
+        relay_ip: str = '',
+    ) -> None:
         self.name = name
         self.settings = settings
         self.callers_url = settings['callers_url']
@@ -35,12 +41,12 @@
         path.write_text(f'// Settings of {name}.\n{json.dumps(settings, indent=2)}')
         self.agent = TestProcess(
             f'{name}-agent',
-            program('cicadadoor-agent', str(path)),
+            _daemon('agent', str(path), relay_ip),
             folder,
         )
         self.gate = TestProcess(
             f'{name}-gate',
-            program('cicadadoor-gate', str(path)),
+            _daemon('gate', str(path), relay_ip),
             folder,
         )
 
@@ -96,6 +102,7 @@
         self,
         folder: Path,
         domains: dict[str, tuple[str, int]],
+        network: Network | None = None,
         **host_settings: object,
     ) -> None:
         self.folder = folder
@@ -110,6 +117,7 @@
         self.backends: dict[str, BackendProcess] = {}
         self.extra_processes: list[TestProcess] = []
         self.hosts: dict[str, EntryHostProcesses] = {}
+        self._network = network
         self._host_settings = host_settings
         wait_until(self._platform_answers, 'the platform stand-in answers')
 
@@ -138,7 +146,13 @@
             settings['seed_peers'] = [
                 peer for other, peer in peers.items() if other != name
             ]
-            self.hosts[name] = EntryHostProcesses(name, settings, self.folder)
+            relay_ip = self._relay(name, all_settings)
+            self.hosts[name] = EntryHostProcesses(
+                name,
+                settings,
+                self.folder,
+                relay_ip,
+            )
 
     def wait_ready(self) -> None:
         """Wait until each gate takes requests."""
@@ -167,8 +181,8 @@
         return json.loads(output.splitlines()[-1])['key']
 
     def withdraw_key(self, key: str) -> None:
-        """Take a key out of the accepted configuration."""
-        anyio.run(self._withdraw_key, digest_of(key.encode()))
+        """Withdraw a key for ever."""
+        self.operate('key', 'withdraw', digest_of(key.encode()))
 
     def wait_in_force(self) -> None:
         """Wait until each gate uses the accepted generation."""
@@ -180,30 +194,22 @@
         accepted = await acceptance.read_root(HttpObjectStore(self.platform_url))
         return accepted.root.generation
 
-    async def _withdraw_key(self, key_hash: str) -> None:
-        store = HttpObjectStore(self.platform_url)
-        accepted = await acceptance.read_root(store)
-        sections = await acceptance.read_sections(store, accepted.root.section_digests)
-        present = chunks.join(sections)
-        kept = tuple(key for key in present.keys if key.key_hash != key_hash)
-        changed = msgspec.structs.replace(present, keys=kept)
-        submitter = acceptance.Submitter(store, ObjectWriter(store, 'test'))
-        result = await submitter.submit(accepted, chunks.split(changed), 'test', 0)
-        assert not isinstance(result, Failure), result
-
     def operate(self, *arguments: str, expect: int = 0) -> str:
         """Run the operators' command and return its standard output."""
-        finished = subprocess.run(
-            program('cicadadoor', *arguments),
-            env={**os.environ, 'CICADADOOR_PLATFORM': self.platform_url},
-            capture_output=True,
-            text=True,
-            timeout=120,
-            check=False,
-        )
+        finished = subprocess.run(**self.command(*arguments), check=False)
         assert finished.returncode == expect, (arguments, finished)
         return finished.stdout
 
+    def command(self, *arguments: str) -> dict:
+        """Return how to run the operators' command with `subprocess.run`."""
+        return {
+            'args': program('cicadadoor', *arguments),
+            'env': {**os.environ, 'CICADADOOR_PLATFORM': self.platform_url},
+            'capture_output': True,
+            'text': True,
+            'timeout': 120,
+        }
+
     def set_platform(self, **faults: object) -> None:
         """Switch faults of the platform on or off."""
         control.set_faults(self.platform_url, **faults)
@@ -245,6 +251,21 @@
             return False
         return True
 
+    def _relay(self, source: str, all_settings: dict[str, dict]) -> str:
+        if self._network is None:
+            return ''
+        number = list(all_settings).index(source) + 1
+        for target, settings in all_settings.items():
+            for name in ('agent_peers', 'gate_peers'):
+                port = _port(settings[name])
+                self._network.relay(source, number, target, port)
+        platform_port = _port(self.platform_address)
+        self._network.relay(source, number, PLATFORM, platform_port)
+        relay_ip = source_ip(number)
+        url = f'http://{relay_ip}:{platform_port}'
+        all_settings[source]['platform_url'] = url
+        return relay_ip
+
     def _all_settings(self) -> dict[str, dict]:
         all_settings = {}
         for domain, (region, count) in self.domains.items():
@@ -270,3 +291,14 @@
             'trace_sample_ratio': 1,
             **self._host_settings,
         }
+
+
+def _daemon(role: str, settings_file: str, relay_ip: str) -> list[str]:
+    if not relay_ip:
+        return program(f'cicadadoor-{role}', settings_file)
+    module = 'tests.utils.relayed_daemon'
+    return python_module(module, role, relay_ip, settings_file)
+
+
+def _port(address: str) -> int:
+    return int(address.rpartition(':')[2])
