--- a/cicadadoor/config/acceptance.py
+++ b/cicadadoor/config/acceptance.py
@@ -296,6 +296,9 @@
                 outcome = await self._writer.update(outcome, content)
             if isinstance(outcome, StoredObject):
                 return None
+            if outcome.kind is ErrorKind.STORE_CONFLICT:
+                # Another submission has just given the same content a new version.
+                return None
         return _before_acceptance(outcome)
 
     async def _describe(
--- a/cicadadoor/kernel.py
+++ b/cicadadoor/kernel.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 import anyio
-from anyio.abc import CancelScope, TaskGroup
+from anyio import CancelScope
+from anyio.abc import TaskGroup
 
 from cicadadoor.telemetry import logs
 
@@ -69,7 +70,20 @@
         """Run the coroutine function in the background until the kernel stops."""
         if self._tasks is None:
             raise RuntimeError('spawn was called while the kernel is not running')
-        self._tasks.start_soon(work, *arguments)
+        self._tasks.start_soon(self._watch_over, work, *arguments)
+
+    async def _watch_over(
+        self,
+        work: Callable[..., Awaitable[None]],
+        *arguments: Any,
+    ) -> None:
+        try:
+            await work(*arguments)
+        except BaseException:
+            # A task that fails ends the process, so the log has to tell which it was.
+            if self._tasks is not None and not self._tasks.cancel_scope.cancel_called:
+                log.exception('task_failed', task=work.__qualname__)
+            raise
 
     async def run(self, wait_for_signal: WaitForSignal, grace_s: float) -> str:
         """Run all services until the first signal, then stop them in phases.
--- a/cicadadoor/links/transport.py
+++ b/cicadadoor/links/transport.py
@@ -1,7 +1,9 @@
 """Send messages over pynng."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
 import anyio
 import msgspec
@@ -26,12 +28,28 @@
 _PAIR_SEND_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT_S = 0.5
 _CONNECT_POLL_S = 0.01
+_CANCELLED = 'the operation was cancelled by the library'
 _DIAL_RETRY_MS = 100
 _DIAL_RETRY_MAX_MS = 1000
 
 Handler = Callable[[Message], Awaitable[Message]]
 
 
+async def complete(operation: Awaitable[Any]) -> Any:
+    """Wait for an operation; raise pynng.Canceled if the library cancelled it.
+
+    pynng raises CancelledError in that case, which would pass for the cancellation of
+    the task and end all tasks of the process.
+    """
+    try:
+        return await operation
+    except asyncio.CancelledError as error:
+        task = asyncio.current_task()
+        if task is None or task.cancelling():
+            raise
+        raise pynng.Canceled(_CANCELLED, pynng.lib.NNG_ECANCELED) from error
+
+
 class PeerSecurity:
     """Hold the certificates of links between hosts, or none on loopback."""
 
@@ -122,8 +140,8 @@
     async def _serve(self, context: pynng.Context) -> None:
         while True:
             try:
-                encoded = await context.arecv()
-                await context.asend(await self._answer(encoded))
+                encoded = await complete(context.arecv())
+                await complete(context.asend(await self._answer(encoded)))
             except pynng.Closed:
                 return
             except pynng.NNGException as error:
@@ -185,8 +203,8 @@
         stamped = self._stamp.apply(message)
         try:
             with anyio.fail_after(timeout_s), self._socket.new_context() as context:
-                await context.asend(encode(stamped))
-                encoded = await context.arecv()
+                await complete(context.asend(encode(stamped)))
+                encoded = await complete(context.arecv())
         except (TimeoutError, pynng.NNGException) as error:
             return Failure(
                 ErrorKind.OUTCOME_UNKNOWN,
@@ -256,7 +274,9 @@
     async def send(self, message: Message) -> None | Failure:
         """Send a message; PEER_UNREACHABLE if the other daemon is not there."""
         try:
-            await self._socket.asend(encode(self._stamp.apply(message)))
+            await complete(
+                self._socket.asend(encode(self._stamp.apply(message))),
+            )
         except pynng.NNGException as error:
             return Failure(
                 ErrorKind.PEER_UNREACHABLE,
@@ -268,7 +288,7 @@
         """Return the next well-formed message, or None when the link is closed."""
         while True:
             try:
-                encoded = await self._socket.arecv()
+                encoded = await complete(self._socket.arecv())
             except pynng.Closed:
                 return None
             except pynng.NNGException as error:
--- a/tests/utils/network.py
+++ b/tests/utils/network.py
@@ -61,6 +61,15 @@
 
     def close(self) -> None:
         """End all relays."""
+
+        async def end_tasks() -> None:
+            others = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in others:
+                task.cancel()
+            await asyncio.gather(*others, return_exceptions=True)
+
+        ending = asyncio.run_coroutine_threadsafe(end_tasks(), self._loop)
+        ending.result(_START_LIMIT_S)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
