Refuse ambiguous paths, and test settings and bad input

Cause: a path with dot segments, plain or encoded, was matched against an open route and then sent as it was, so a backend server that resolves it would run a route that needs a key; a service name with percent signs reached the backend server as part of the path. Change: gate/paths.py refuses both with bad_request.

--- a/cicadadoor/gate/app.py
+++ b/cicadadoor/gate/app.py
@@ -9,6 +9,7 @@
 
 from cicadadoor.errors import ANSWERS, ErrorKind, Failure, Run
 from cicadadoor.gate.lookup import Lookup
+from cicadadoor.gate.paths import path_at_service
 from cicadadoor.gate.pipeline import Pipeline, RawRequest
 from cicadadoor.gate.request import SteeredAnswer
 from cicadadoor.gate.state import GateState
@@ -142,10 +143,14 @@
             await self._send_failure(send, body)
             return
         service = scope['path'].removeprefix(_SERVICE_PREFIX).partition('/')[0]
+        path = _path_at_service(scope, service)
+        if isinstance(path, Failure):
+            await self._send_failure(send, path)
+            return
         raw = RawRequest(
             method=scope['method'],
             service=service,
-            path=_raw_path(scope, service),
+            path=path,
             query=scope['query_string'].decode('latin-1'),
             headers=headers,
             body=body,
@@ -242,10 +247,10 @@
     return headers
 
 
-def _raw_path(scope: Scope, service: str) -> str:
+def _path_at_service(scope: Scope, service: str) -> str | Failure:
     raw_path = scope.get('raw_path') or scope['path'].encode()
     path: str = raw_path.decode('latin-1').partition('?')[0]
-    return path.removeprefix(f'{_SERVICE_PREFIX}{service}') or '/'
+    return path_at_service(path, f'{_SERVICE_PREFIX}{service}')
 
 
 def _client_ip(scope: Scope) -> str:
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,176 @@
+"""Send a gate what no well-behaved caller sends."""
+
+import socket
+
+import httpx
+import pytest
+
+from tests.utils.cluster import Cluster
+from tests.utils.deployments import small_deployment
+from tests.utils.waiting import wait_until
+
+DOMAINS = {'muenchen-1': ('muenchen', 1)}
+HOSTS = '/cicadadoor/v1/hosts'
+READ_LIMIT_S = 30
+
+
+@pytest.fixture(scope='module')
+def gate(tmp_path_factory):
+    """Run one entry host with one backend server, and one key."""
+    with Cluster(tmp_path_factory.mktemp('bad'), DOMAINS) as running:
+        backend = running.add_backend('kb-1', slots=8)
+        running.start_hosts()
+        deployment = small_deployment(DOMAINS)
+        deployment.backend_server(
+            'kursbuchung',
+            'kb-1',
+            url=backend.url,
+            failure_domain='muenchen-1',
+            slots=8,
+            connections=330,
+        )
+        running.submit(deployment)
+        running.wait_ready()
+        running.key = running.grant_key('guild-a')
+        running.wait_in_force()
+        wait_until(lambda: _is_served(running), 'the host serves')
+        yield running
+
+
+class TestBadInput:
+    """Guard against input that runs, crashes the gate or gets an unclear answer."""
+
+    @pytest.mark.parametrize(
+        ('target', 'headers', 'error'),
+        (
+            ('/', {}, 'bad_request'),
+            ('/nothing/here', {}, 'bad_request'),
+            (HOSTS, {}, 'unknown_service'),
+            (f'{HOSTS}?service=none', {}, 'unknown_service'),
+            (f'{HOSTS}?service=kursbuchung&client=x', {}, 'bad_request'),
+            ('/s/none/timetable', {}, 'unknown_service'),
+            ('/s/', {}, 'unknown_service'),
+            ('/s/kursbuchung/timetable', {}, 'key_missing'),
+            ('/s/kursbuchung/timetable', {'x-api-key': ''}, 'key_missing'),
+            ('/s/kursbuchung/timetable', {'x-api-key': 'wrong'}, 'key_unknown'),
+            ('/s/kursbuchung/timetable', {'x-api-key': 'x' * 300}, 'bad_request'),
+            ('/s/kursbuchung/timetable', {'authorization': 'Basic a'}, 'key_missing'),
+            ('/s/kursbuchung/timetable?api_key=wrong', {}, 'key_unknown'),
+            ('/s/kursbuchung/timetable?api%5Fkey=wrong', {}, 'key_unknown'),
+            ('/s/kursbuchung/timetable?api_key=a&api_key=b', {}, 'bad_request'),
+            (
+                '/s/kursbuchung/timetable?api_key=a',
+                {'x-api-key': 'b'},
+                'bad_request',
+            ),
+        ),
+    )
+    def test_refusal_is_of_the_right_kind(self, gate, target, headers, error):
+        """A caller has to learn what is wrong, and that nothing ran."""
+        answer = httpx.get(f'{_url(gate)}{target}', headers=headers)
+        assert answer.json()['error'] == error
+        assert answer.headers['x-cicadadoor-run'] == 'no'
+
+    @pytest.mark.parametrize('wanted', ('soon', '-5', '1.5', '²'))
+    def test_deadline_that_is_no_number_is_refused(self, gate, wanted):
+        """A deadline that is ignored would be a promise that is not kept."""
+        answer = httpx.get(
+            f'{_url(gate)}/s/kursbuchung/timetable',
+            headers={
+                b'x-api-key': gate.key.encode(),
+                b'x-deadline-ms': wanted.encode('latin-1'),
+            },
+        )
+        assert answer.json()['error'] == 'bad_request'
+
+    @pytest.mark.parametrize(
+        'path',
+        (
+            '/public/../enrol/a',
+            '/public//../enrol/a',
+            '/public/%2e%2e/enrol/a',
+            '/public/%2E%2E%2Fenrol/a',
+            '/public/..',
+            '/./public',
+            '//public',
+            '/public%2f..%2fenrol',
+            '/public/..%5cenrol',
+            '/public/..;a=b/enrol',
+        ),
+    )
+    def test_path_tricks_do_not_reach_an_open_route(self, gate, path):
+        """A backend server may resolve the path and run a route that needs a key."""
+        status = _send_raw(gate, f'GET /s/kursbuchung{path} HTTP/1.1')
+        assert status in {400, 401}
+
+    @pytest.mark.parametrize(
+        'head',
+        (
+            'GET',
+            'GET / HTTP/9.9',
+            'GET /\x00 HTTP/1.1',
+            f'GET /{"x" * 100_000} HTTP/1.1',
+            'GET / HTTP/1.1\r\nx: y\r\nx' + 'y' * 100_000,
+            'POST /s/kursbuchung/enrol HTTP/1.1\r\ncontent-length: -1',
+            'POST /s/a HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2',
+        ),
+    )
+    def test_malformed_request_gets_a_client_error(self, gate, head):
+        """A request that two parties read differently must not run."""
+        assert 400 <= _send_raw(gate, head) < 500
+
+    def test_unknown_transfer_encoding_is_not_implemented(self, gate):
+        """The end of the body is not known, so nothing may run (RFC 9112, 6.1)."""
+        assert _send_raw(gate, 'POST /s/a HTTP/1.1\r\ntransfer-encoding: x') == 501
+
+    def test_encoded_service_name_is_refused(self, gate):
+        """The prefix would have been sent to the backend server as part of the path."""
+        head = 'GET /s/kurs%62uchung/public/a HTTP/1.1'
+        assert _send_raw(gate, head) == 400
+
+    def test_body_over_the_limit_is_refused(self, gate):
+        """Unbounded bodies would fill the memory of a small host."""
+        answer = httpx.post(
+            f'{_url(gate)}/s/kursbuchung/enrol',
+            headers={'x-api-key': gate.key},
+            content=bytes(17_000_000),
+        )
+        assert answer.status_code == 413
+        assert answer.json()['error'] == 'request_too_large'
+
+    def test_chunked_body_arrives_whole(self, gate):
+        """A body without a declared length is as good as one with."""
+        answer = httpx.post(
+            f'{_url(gate)}/s/kursbuchung/enrol/chunked',
+            headers={'x-api-key': gate.key},
+            content=iter((b'first ', b'second')),
+        )
+        assert answer.status_code == 200
+        assert gate.executions()[-1].body == 'first second'
+
+    def test_gate_goes_on_serving(self, gate):
+        """Nothing above may have ended the process."""
+        assert gate.hosts['muenchen-1-0'].gate.is_running()
+        assert 'level=ERROR' not in gate.hosts['muenchen-1-0'].gate.log_text()
+        assert _is_served(gate)
+
+
+def _url(gate) -> str:
+    return gate.hosts['muenchen-1-0'].callers_url
+
+
+def _is_served(gate) -> bool:
+    answer = httpx.get(
+        f'{_url(gate)}/s/kursbuchung/timetable',
+        headers={'x-api-key': gate.key},
+    )
+    return answer.status_code == 200
+
+
+def _send_raw(gate, head) -> int:
+    address = gate.hosts['muenchen-1-0'].settings['callers'].rpartition(':')
+    with socket.create_connection((address[0], int(address[2])), READ_LIMIT_S) as link:
+        request = f'{head}\r\nhost: gate\r\nconnection: close\r\n\r\n'
+        link.sendall(request.encode('latin-1'))
+        received = link.recv(65_536)
+    return int(received.split()[1])
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,124 @@
+"""Start daemons with settings that are wrong."""
+
+import json
+import socket
+import subprocess
+
+import pytest
+
+from cicadadoor import settings
+from cicadadoor.errors import ExitStatus, Failure
+from tests.utils.processes import Ports, program
+
+NAMES = ('callers', 'gate_peers', 'agent_link', 'agent_peers', 'operators')
+NAME_RULE = 'lower-case letters, digits and hyphens, at most 63'
+ADDRESS_RULE = 'IP number and port, as in "127.0.0.1:8080"'
+WRONG = (
+    # Changed field, its content, what the line has to say.
+    ('colour', 'red', 'colour: red is not allowed; allowed: one of the fields '),
+    (
+        'grace_ms',
+        5,
+        'grace_ms: 5 is not allowed; allowed: field grace_s (check the unit)',
+    ),
+    ('answer_ttl_s', 5, 'allowed: field answer_ttl_ms (check the unit)'),
+    ('answer_ttl_ms', 5, 'answer_ttl_ms: 5 is not allowed; allowed: milliseconds from'),
+    ('answer_ttl_ms', True, 'answer_ttl_ms: True is not allowed'),
+    ('answer_ttl_ms', '5000', 'answer_ttl_ms: 5000 is not allowed'),
+    ('grace_s', -1, 'grace_s: -1 is not allowed; allowed: seconds from 0 to 3600'),
+    ('host', 'Host 1', f'host: Host 1 is not allowed; allowed: {NAME_RULE}'),
+    (
+        'region',
+        None,
+        f'region: nothing is not allowed; allowed: {NAME_RULE} (required)',
+    ),
+    (
+        'callers',
+        'localhost:80',
+        f'callers: localhost:80 is not allowed; allowed: {ADDRESS_RULE}',
+    ),
+    ('callers', '127.0.0.1:0', 'callers: 127.0.0.1:0 is not allowed'),
+    ('callers', '127.0.0.1:70000', 'callers: 127.0.0.1:70000 is not allowed'),
+    ('platform_url', 'ftp://x', 'platform_url: ftp://x is not allowed; allowed: a URL'),
+    ('seed_peers', ['x'], "seed_peers: ['x'] is not allowed"),
+    (
+        'agent_link',
+        '192.0.2.1:80',
+        'agent_link: 192.0.2.1:80 is not allowed; allowed: a loopback',
+    ),
+    (
+        'agent_peers',
+        '192.0.2.1:80',
+        'agent_peers: 192.0.2.1:80 is not allowed; allowed: a loopback',
+    ),
+    (
+        'operators',
+        '192.0.2.1:80',
+        'operators: 192.0.2.1:80 is not allowed; allowed: a loopback',
+    ),
+    ('tls_certificate_file', '/none', 'tls_certificate_file: /none is not allowed'),
+    ('log_level', 'LOUD', 'log_level: LOUD is not allowed; allowed: DEBUG'),
+)
+
+
+class TestSettings:
+    """Guard against a host that starts with settings nobody intended."""
+
+    @pytest.mark.parametrize(('field', 'content', 'says'), WRONG)
+    def test_fault_is_told_in_one_line(self, tmp_path, field, content, says):
+        """The line names file, field, value and what is allowed."""
+        path = _write(tmp_path, {**_right(), field: content})
+        failure = settings.load(path)
+        assert isinstance(failure, Failure)
+        assert says in failure.reason
+        assert failure.reason.startswith(f'{path}: ')
+        assert '\n' not in failure.reason
+
+    @pytest.mark.parametrize('text', ('{', '[]', '', '{"host": }'))
+    def test_file_that_is_no_object_is_refused(self, tmp_path, text):
+        """A truncated file must not start a host with defaults."""
+        path = tmp_path / 'settings.json'
+        path.write_text(text)
+        assert isinstance(settings.load(str(path)), Failure)
+
+    @pytest.mark.parametrize('name', ('cicadadoor-gate', 'cicadadoor-agent'))
+    def test_daemon_ends_before_it_opens_a_socket(self, tmp_path, name):
+        """A fault has to show at once, not after the host took callers."""
+        right = _right()
+        path = _write(tmp_path, {**right, 'colour': 'red'})
+        held = []
+        try:
+            for field in NAMES:
+                ip, _, port = right[field].rpartition(':')
+                held.append(socket.create_server((ip, int(port))))
+            ended = subprocess.run(
+                program(name, path),
+                capture_output=True,
+                text=True,
+                timeout=60,
+                check=False,
+            )
+        finally:
+            for listener in held:
+                listener.close()
+        assert ended.returncode == ExitStatus.USAGE
+        assert ended.stderr.startswith(f'{name}: {path}: colour: red is not allowed')
+        assert ended.stderr.count('\n') == 1
+
+
+def _right() -> dict:
+    addresses = {name: Ports.address() for name in NAMES}
+    return {
+        'host': 'muenchen-1-0',
+        'region': 'muenchen',
+        'failure_domain': 'muenchen-1',
+        'platform_url': 'http://127.0.0.1:1',
+        'callers_url': f'http://{addresses["callers"]}',
+        **addresses,
+    }
+
+
+def _write(folder, content) -> str:
+    path = folder / 'settings.json'
+    path.write_text(json.dumps(content))
+    return str(path)
--- a/tests/utils/processes.py
+++ b/tests/utils/processes.py
@@ -1,5 +1,6 @@
 """Start, signal and end the processes of a test."""
 
+import random
 import signal
 import socket
 import subprocess
@@ -7,6 +8,8 @@
 from pathlib import Path
 
 _END_LIMIT_S = 60
+# Below the range from which the system gives ports to outgoing connections.
+_PORTS = (15_000, 32_000)
 
 
 class TestProcess:
@@ -86,8 +89,11 @@
         """Return a port that is free now."""
         while True:
             with socket.socket() as probe:
-                probe.bind(('127.0.0.1', 0))
-                port = probe.getsockname()[1]
+                port = random.randrange(*_PORTS)
+                try:
+                    probe.bind(('', port))
+                except OSError:
+                    continue
             if port not in cls._given:
                 cls._given.add(port)
                 return port
