--- a/cicadadoor/agent/daemon.py
+++ b/cicadadoor/agent/daemon.py
@@ -39,11 +39,11 @@
         ConfigSender(),
         StatusBoard(),
         Membership(),
-        GateWatch(),
         PeerUpdates(),
         WithdrawalRecords(),
         Relay(),
         Isolation(),
+        GateWatch(),
     )
     for service in services:
         kernel.register(service)
--- a/cicadadoor/agent/gate_watch.py
+++ b/cicadadoor/agent/gate_watch.py
@@ -2,8 +2,6 @@
 
 from cicadadoor.agent.state import AgentState
 from cicadadoor.kernel import Kernel, Service
-from cicadadoor.links.daemon_link import DaemonLink
-from cicadadoor.links.departure_messages import DepartureNoted
 from cicadadoor.links.messages import GateReport
 from cicadadoor.timer import TimerService
 
@@ -25,14 +23,11 @@
     def __init__(self) -> None:
         self._state: AgentState
         self._timer: TimerService
-        self._link: DaemonLink
 
     async def start(self, kernel: Kernel) -> None:
-        """Subscribe to the gate's reports."""
+        """Find the gate's reports."""
         self._state = kernel.find('state')
         self._timer = kernel.find('timer')
-        self._link = kernel.find('daemon_link')
-        self._link.on(GateReport, self._take_report)
 
     async def leave(self) -> None:
         """Return when no gate that is about to end needs this agent."""
@@ -40,10 +35,6 @@
         while self._gate_is_leaving():
             await self._timer.sleep(_POLL_S)
 
-    async def _take_report(self, report: GateReport) -> None:
-        if _is_leaving(report):
-            await self._link.send(DepartureNoted())
-
     def _gate_is_leaving(self) -> bool:
         report = self._state.gate_report
         if report is None or not _is_leaving(report):
--- a/cicadadoor/agent/operator_api.py
+++ b/cicadadoor/agent/operator_api.py
@@ -83,11 +83,11 @@
         self._state: AgentState
         self._sync: ConfigSync
         self._timer: TimerService
-        self._server: HttpServer
         self._board: StatusBoard
         self._membership: Membership
         self._withdrawals: Withdrawals
         self._records: WithdrawalRecords
+        self._server: HttpServer
 
     async def start(self, kernel: Kernel) -> None:
         """Listen at the operators' address."""
--- a/cicadadoor/core.py
+++ b/cicadadoor/core.py
@@ -30,7 +30,11 @@
         return ExitStatus.USAGE
     logs.configure(settings.log_level)
     tracing.configure(program, settings.trace_sample_ratio)
-    return anyio.run(_run, program, settings, build)
+    try:
+        return anyio.run(_run, program, settings, build)
+    except Exception:
+        log.exception('ended_by_fault', program=program)
+        raise
 
 
 async def _run(program: str, settings: Settings, build: BuildKernel) -> ExitStatus:
--- a/cicadadoor/gate/departure.py
+++ b/cicadadoor/gate/departure.py
@@ -1,19 +1,17 @@
 """Take this gate out of look-ups before it refuses requests."""
 
 from cicadadoor.gate.config_receiver import ConfigReceiver
+from cicadadoor.gate.directory import GateDirectory
 from cicadadoor.gate.lookup import Lookup
 from cicadadoor.gate.state import GateState
 from cicadadoor.kernel import Kernel, Service
-from cicadadoor.links.daemon_link import DaemonLink
-from cicadadoor.links.departure_messages import DepartureNoted
-from cicadadoor.links.messages import Message
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
 
 log = logs.logger('departure')
 
 _MS_PER_S = 1000
-# A leaving gate reports twice a second, and its agent answers each report.
+# An agent tells its gate each second that it is alive.
 AGENT_SILENCE_S = 3.0
 # Peers drop a host that they have not heard for this long.
 PEERS_FORGET_S = 10.0
@@ -28,8 +26,8 @@
         self._state: GateState
         self._timer: TimerService
         self._lookup: Lookup
+        self._directory: GateDirectory
         self._receiver: ConfigReceiver
-        self._noted_s = float('-inf')
 
     async def start(self, kernel: Kernel) -> None:
         """Find the services that tell others of this gate."""
@@ -37,8 +35,7 @@
         self._timer = kernel.find('timer')
         self._lookup = kernel.find('lookup')
         self._receiver = kernel.find('config_receiver')
-        link: DaemonLink = kernel.find('daemon_link')
-        link.on(DepartureNoted, self._note)
+        self._directory = kernel.find('directory')
 
     async def leave(self) -> None:
         """Stop being named, and return when no cached look-up names this gate."""
@@ -49,14 +46,11 @@
         log.info('left_lookups', serves_s=serves_s)
         await self._receiver.report()
         await self._timer.sleep(serves_s)
-        if self._timer.now_s() - self._noted_s > AGENT_SILENCE_S:
+        if self._directory.agent_silence_s() > AGENT_SILENCE_S:
             # Nobody told the peers, so they name this gate until they forget it.
             log.warning('agent_not_heard', serves_s=PEERS_FORGET_S)
             await self._timer.sleep(PEERS_FORGET_S)
 
-    async def _note(self, _: Message) -> None:
-        self._noted_s = self._timer.now_s()
-
     def refuse(self) -> None:
         """Let the pipeline refuse new requests."""
         self._state.is_stopping = True
--- a/cicadadoor/links/messages.py
+++ b/cicadadoor/links/messages.py
@@ -73,6 +73,10 @@
     gates: list[GateInfo]
 
 
+class AgentAlive(Message, frozen=True, kw_only=True, tag=True):
+    """Tell the gate that its agent runs and that its peers are unchanged."""
+
+
 class GateReport(Message, frozen=True, kw_only=True, tag=True):
     """Report what a gate has in use."""
 
--- a/cicadadoor/links/transport.py
+++ b/cicadadoor/links/transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -140,6 +141,14 @@
             self._socket = None
 
     async def _serve(self, context: pynng.Context) -> None:
+        try:
+            await self._serve_requests(context)
+        finally:
+            # The context of a closed socket can't be closed again.
+            with suppress(pynng.NNGException):
+                context.close()
+
+    async def _serve_requests(self, context: pynng.Context) -> None:
         while True:
             try:
                 encoded = await complete(context.arecv())
