--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,48 @@
+"""Compare the operators' pages with the program."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+from cicadadoor import settings
+from cicadadoor.cli.commands import Commands
+from cicadadoor.cli.context import Context
+from cicadadoor.errors import ANSWERS, ErrorKind
+
+ROOT = Path(__file__).parent.parent
+PAGES = ('README.md', 'docs/install.md', 'docs/operating.md')
+COMMAND = re.compile(r'cicadadoor ((?:key )?[a-z]+)\b(?![/.:])')
+
+
+class TestPages:
+    """Guard against pages that describe what the program no longer does."""
+
+    @pytest.mark.parametrize('kind', ErrorKind)
+    def test_each_kind_has_one_row_with_its_answer(self, kind):
+        """An operator looks a refusal up at night and has to find it."""
+        page = (ROOT / 'docs/operating.md').read_text(encoding='utf-8')
+        answer = ANSWERS[kind]
+        row = f'| `{kind.value}` | {answer.status.value} | {answer.run.value} | '
+        assert page.count(row) == 1
+        assert page.count(f'| `{kind.value}` |') == 1
+
+    @pytest.mark.parametrize('page', PAGES)
+    def test_each_command_exists(self, page):
+        """A command that does not exist costs time when there is none."""
+        commands = Commands(Context('', [], as_json=False))
+        text = (ROOT / page).read_text(encoding='utf-8')
+        for block in re.findall(r'```\n(.*?)```|`([^`\n]+)`', text, re.DOTALL):
+            for name in COMMAND.findall(''.join(block)):
+                found = commands
+                for part in name.split():
+                    found = getattr(found, part)
+                assert callable(found)
+
+    def test_settings_of_the_page_are_accepted(self, tmp_path):
+        """The example is copied as it stands."""
+        page = (ROOT / 'docs/install.md').read_text(encoding='utf-8')
+        example = tmp_path / 'settings.json5'
+        example.write_text(re.search(r'```json5\n(.*?)```', page, re.DOTALL)[1])
+        loaded = settings.load(str(example))
+        assert isinstance(loaded, settings.Settings), loaded
