--- a/cicadadoor/settings.py
+++ b/cicadadoor/settings.py
@@ -10,6 +10,7 @@
 
 _MAX_PORT = 65535
 _NAME_MAX_LENGTH = 63
+_LEAST_RECLAIM_RATIO = 1.5
 _LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 
 
@@ -52,6 +53,8 @@
         'peer_certificate_file',
         'platform_url',
         'region',
+        'seat_isolation_s',
+        'seat_reclaim_s',
         'seat_index',
         'seed_peers',
         'store_calls_per_s',
@@ -133,6 +136,19 @@
             settings.operators,
             'a loopback address, or tls_certificate_file set',
         )
+    return _check_seat_times(path, settings)
+
+
+def _check_seat_times(path: str, settings: Settings) -> Settings | Failure:
+    # The difference covers the rounds in which hosts hear of each other.
+    least_s = settings.seat_isolation_s * _LEAST_RECLAIM_RATIO
+    if settings.seat_reclaim_s < least_s:
+        return _fault(
+            path,
+            'seat_reclaim_s',
+            settings.seat_reclaim_s,
+            f'at least {_LEAST_RECLAIM_RATIO} times seat_isolation_s, here {least_s}',
+        )
     return settings
 
 
@@ -250,6 +266,16 @@
         'seconds from 0 to 600',
         10,
     ),
+    'seat_isolation_s': FieldRule(
+        _number_between(1, 86_400),
+        'seconds from 1 to 86400',
+        1800,
+    ),
+    'seat_reclaim_s': FieldRule(
+        _number_between(1, 172_800),
+        'seconds from 1 to 172800',
+        3600,
+    ),
     'store_calls_per_s': FieldRule(
         _number_between(0.1, 1000),
         'calls per second from 0.1 to 1000',
