Let each race submit content of its own

Cause: in the second race of operators_race an operator could submit what the first race had accepted; that changes nothing and ends with success, so two operators counted as winners (one failure in a run after the merge). Change: names contain the base.

--- a/tests/scenario_runner.py
+++ b/tests/scenario_runner.py
@@ -230,7 +230,7 @@
 
     def _submit(self, number: int, base: int) -> subprocess.CompletedProcess[str]:
         changed = self._describe()
-        changed.organisation(f'guild-race-{number}', rate_per_s=1, burst=1)
+        changed.organisation(f'guild-race-{base}-{number}', rate_per_s=1, burst=1)
         configuration = changed.build()
         path = self._cluster.folder / f'race-{number}.json'
         path.write_bytes(canonical.render(configuration))
