--- a/cicadadoor/agent/gate_watch.py
+++ b/cicadadoor/agent/gate_watch.py
@@ -2,6 +2,7 @@
 
 from cicadadoor.agent.state import AgentState
 from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.messages import GateReport
 from cicadadoor.timer import TimerService
 
 # A gate that was told to stop at the same time has reported it by then.
@@ -36,6 +37,11 @@
 
     def _gate_is_leaving(self) -> bool:
         report = self._state.gate_report
-        if report is None or report.generation == 0 or report.gate.takes_callers:
+        if report is None or not _is_leaving(report):
             return False
         return self._timer.now_s() - self._state.gate_report_s < GATE_SILENCE_S
+
+
+def _is_leaving(report: GateReport) -> bool:
+    # A gate without a configuration takes no callers either.
+    return report.generation > 0 and not report.gate.takes_callers
--- a/cicadadoor/gate/credits.py
+++ b/cicadadoor/gate/credits.py
@@ -124,10 +124,14 @@
         answer: SteeredAnswer | Failure,
     ) -> None:
         """Charge the answer to the link that carries it."""
-        region = self._answer_regions.pop(message.credit_id, None)
+        region = self.take_answer_region(message)
         if region is not None and isinstance(answer, SteeredAnswer):
             self._links.charge_answer(region, len(answer.body))
 
+    def take_answer_region(self, message: ForwardRequest) -> str | None:
+        """Return the region that a forwarded request's answer goes to, once."""
+        return self._answer_regions.pop(message.credit_id, None)
+
     async def give(self, message: CreditRequest) -> CreditGrant:
         """Give credits from this gate's own free slots."""
         grants = {}
--- a/cicadadoor/gate/departure.py
+++ b/cicadadoor/gate/departure.py
@@ -11,9 +11,7 @@
 log = logs.logger('departure')
 
 _MS_PER_S = 1000
-# Heartbeats to peers and their updates to gates are sent once a second each.
-LEAVE_MARGIN_S = 3.0
-# An agent sends an update each second; after three it is taken as gone.
+# An agent tells its gate each second that it is alive.
 AGENT_SILENCE_S = 3.0
 # Peers drop a host that they have not heard for this long.
 PEERS_FORGET_S = 10.0
@@ -36,17 +34,18 @@
         self._state = kernel.find('state')
         self._timer = kernel.find('timer')
         self._lookup = kernel.find('lookup')
-        self._directory = kernel.find('directory')
         self._receiver = kernel.find('config_receiver')
+        self._directory = kernel.find('directory')
 
     async def leave(self) -> None:
         """Stop being named, and return when no cached look-up names this gate."""
         self._state.is_leaving = True
         self._lookup.remove_self()
-        kept_s = self._state.settings.answer_ttl_ms / _MS_PER_S
-        log.info('left_lookups', serves_s=kept_s + LEAVE_MARGIN_S)
+        settings = self._state.settings
+        serves_s = settings.answer_ttl_ms / _MS_PER_S + settings.leave_margin_s
+        log.info('left_lookups', serves_s=serves_s)
         await self._receiver.report()
-        await self._timer.sleep(kept_s + LEAVE_MARGIN_S)
+        await self._timer.sleep(serves_s)
         if self._directory.agent_silence_s() > AGENT_SILENCE_S:
             # Nobody told the peers, so they name this gate until they forget it.
             log.warning('agent_not_heard', serves_s=PEERS_FORGET_S)
--- a/cicadadoor/gate/directory.py
+++ b/cicadadoor/gate/directory.py
@@ -6,6 +6,9 @@
 from cicadadoor.links.messages import AgentAlive, GateInfo, PeerUpdate
 from cicadadoor.timer import TimerService
 
+# Gates of all failure domains at the target size, twice.
+_MAX_REMEMBERED = 1000
+
 
 class GateDirectory(Service):
     """Find gates by process instance and failure domain."""
@@ -17,6 +20,7 @@
         self._timer: TimerService
         self._heard_s = 0.0
         self._by_instance: dict[str, GateInfo] = {}
+        self._remembered: dict[str, GateInfo] = {}
 
     async def start(self, kernel: Kernel) -> None:
         """Subscribe to what the agent hears."""
@@ -27,8 +31,12 @@
         link.on(AgentAlive, self._note_alive)
 
     def find(self, instance: str) -> GateInfo | None:
-        """Return the gate process with the instance id, or None if not heard."""
-        return self._by_instance.get(instance)
+        """Return the gate process with the instance id, also if no longer heard.
+
+        A gate whose agent has died is not heard any more, but still serves, and only
+        it knows what ran under its idempotency prefixes.
+        """
+        return self._by_instance.get(instance) or self._remembered.get(instance)
 
     def in_domain(self, failure_domain: str) -> list[GateInfo]:
         """Return the gates of a failure domain that are heard."""
@@ -46,11 +54,19 @@
         """Return for how long the agent has not told of its peers."""
         return self._timer.now_s() - self._heard_s
 
+    def _remember(self) -> None:
+        for instance, gate in self._by_instance.items():
+            self._remembered.pop(instance, None)
+            self._remembered[instance] = gate
+        while len(self._remembered) > _MAX_REMEMBERED:
+            self._remembered.pop(next(iter(self._remembered)))
+
     async def _note_alive(self, alive: AgentAlive) -> None:
         self._heard_s = self._timer.now_s()
 
     async def _apply(self, update: PeerUpdate) -> None:
         self._heard_s = self._timer.now_s()
+        self._remember()
         self._by_instance = {gate.instance: gate for gate in update.gates}
         hosts = [
             EntryHost(
--- a/cicadadoor/gate/forward_server.py
+++ b/cicadadoor/gate/forward_server.py
@@ -1,12 +1,12 @@
 """Run the requests that other gates hand over."""
 
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
 
 import anyio
 
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.gate.credits import CreditDesk
+from cicadadoor.gate.link_budgets import LinkBudgets
 from cicadadoor.gate.peer_forwarding import pack
 from cicadadoor.gate.request import SteeredAnswer
 from cicadadoor.gate.streams import StoredStream, read_part
@@ -44,6 +44,7 @@
         self._timer: TimerService
         self._run: RunForwarded
         self._credits: CreditDesk
+        self._links: LinkBudgets
         self._streams: dict[str, StoredStream] = {}
         self._running: dict[tuple[str, str], anyio.CancelScope] = {}
         # Messages that were taken, so that a duplicate does not run again.
@@ -53,6 +54,7 @@
         """Answer other gates."""
         self._timer = kernel.find('timer')
         self._credits = kernel.find('credits')
+        self._links = kernel.find('link_budgets')
         self._run = kernel.find('pipeline').run_forwarded
         peers: PeerHub = kernel.find('peers')
         peers.on(ForwardRequest, self.handle, ForwardAnswer)
@@ -101,7 +103,7 @@
             return ForwardPart(is_broken=True)
         stored.is_busy = False
         stored.used_s = self._timer.now_s()
-        self._charge(message, body)
+        self._charge(stored.region, body)
         is_last = len(body) < PART_BYTES
         if is_last:
             await self._close(message.stream_id)
@@ -140,9 +142,10 @@
             await answer.close()
             failure = Failure(ErrorKind.ANSWER_TRUNCATED, type(error).__name__)
             return pack(failure)
-        self._charge(message, body)
+        region = self._credits.take_answer_region(message)
+        self._charge(region, body)
         stream_id = new_nonce()
-        self._streams[stream_id] = StoredStream(answer, self._timer.now_s())
+        self._streams[stream_id] = StoredStream(answer, self._timer.now_s(), region)
         return ForwardAnswer(
             status=answer.status,
             headers=answer.headers,
@@ -151,9 +154,9 @@
             stream_id=stream_id,
         )
 
-    def _charge(self, message: ForwardRequest | ForwardNext, body: bytes) -> None:
-        part = SteeredAnswer(status=HTTPStatus.OK, headers=[], body=body)
-        self._credits.note_answer(message, part)
+    def _charge(self, region: str | None, body: bytes) -> None:
+        if region is not None:
+            self._links.charge_answer(region, len(body))
 
     async def _close(self, stream_id: str) -> None:
         stored = self._streams.pop(stream_id, None)
--- a/cicadadoor/gate/streams.py
+++ b/cicadadoor/gate/streams.py
@@ -101,10 +101,17 @@
 class StoredStream:
     """Hold a long answer that another gate pulls in parts."""
 
-    __slots__ = ('answer', 'is_busy', 'next_part', 'used_s')
-
-    def __init__(self, answer: SteeredAnswer, now_s: float) -> None:
+    __slots__ = ('answer', 'is_busy', 'next_part', 'region', 'used_s')
+
+    def __init__(
+        self,
+        answer: SteeredAnswer,
+        now_s: float,
+        region: str | None,
+    ) -> None:
         self.answer = answer
+        # The link to this region carries the answer; None inside a region.
+        self.region = region
         self.next_part = 1
         self.used_s = now_s
         self.is_busy = False
--- a/cicadadoor/links/transport.py
+++ b/cicadadoor/links/transport.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
+from typing import Any
 
 import anyio
 import msgspec
@@ -31,12 +32,29 @@
 _PAIR_SEND_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT_S = 0.5
 _CONNECT_POLL_S = 0.01
+_CANCELLED = 'the operation was cancelled by the library'
 _DIAL_RETRY_MS = 100
 _DIAL_RETRY_MAX_MS = 1000
 
 Handler = Callable[[Message], Awaitable[Message]]
 
 
+async def complete(operation: Awaitable[Any]) -> Any:
+    """Wait for an operation; raise pynng.Canceled if the library cancelled it.
+
+    pynng raises a CancelledError of its own, also when a deadline of anyio has
+    passed. anyio would not take it for the deadline's, and would end all tasks.
+    """
+    try:
+        return await operation
+    except asyncio.CancelledError as error:
+        await lowlevel.checkpoint_if_cancelled()
+        task = asyncio.current_task()
+        if task is None or task.cancelling():
+            raise
+        raise pynng.Canceled(_CANCELLED, pynng.lib.NNG_ECANCELED) from error
+
+
 class PeerSecurity:
     """Hold the certificates of links between hosts, or none on loopback."""
 
@@ -140,8 +158,8 @@
     async def _serve_requests(self, context: pynng.Context) -> None:
         while True:
             try:
-                encoded = await context.arecv()
-                await context.asend(await self._answer(encoded))
+                encoded = await complete(context.arecv())
+                await complete(context.asend(await self._answer(encoded)))
             except pynng.Closed:
                 return
             except pynng.NNGException as error:
@@ -203,7 +221,8 @@
         stamped = self._stamp.apply(message)
         try:
             with anyio.fail_after(timeout_s), self._socket.new_context() as context:
-                encoded = await _exchange(context, encode(stamped))
+                await complete(context.asend(encode(stamped)))
+                encoded = await complete(context.arecv())
         except (TimeoutError, pynng.NNGException) as error:
             return Failure(
                 ErrorKind.OUTCOME_UNKNOWN,
@@ -241,17 +260,6 @@
         return answer
 
 
-async def _exchange(context: pynng.Context, encoded: bytes) -> bytes:
-    try:
-        await context.asend(encoded)
-        return await context.arecv()
-    except asyncio.CancelledError:
-        # pynng raises a new error in place of the one that carries anyio's mark; it
-        # would pass through the cancel scope and end the task group.
-        await lowlevel.checkpoint_if_cancelled()
-        raise
-
-
 def _refused(refusal: Refusal) -> Failure:
     try:
         kind = ErrorKind(refusal.kind)
@@ -284,7 +292,9 @@
     async def send(self, message: Message) -> None | Failure:
         """Send a message; PEER_UNREACHABLE if the other daemon is not there."""
         try:
-            await self._socket.asend(encode(self._stamp.apply(message)))
+            await complete(
+                self._socket.asend(encode(self._stamp.apply(message))),
+            )
         except pynng.NNGException as error:
             return Failure(
                 ErrorKind.PEER_UNREACHABLE,
@@ -296,7 +306,7 @@
         """Return the next well-formed message, or None when the link is closed."""
         while True:
             try:
-                encoded = await self._socket.arecv()
+                encoded = await complete(self._socket.arecv())
             except pynng.Closed:
                 return None
             except pynng.NNGException as error:
--- a/cicadadoor/settings.py
+++ b/cicadadoor/settings.py
@@ -46,6 +46,7 @@
         'gate_peers',
         'grace_s',
         'host',
+        'leave_margin_s',
         'log_level',
         'operators',
         'peer_ca_file',
@@ -259,6 +260,12 @@
         'seconds from 0 to 3600',
         30,
     ),
+    # Time for the word of a departure to reach the gates of all domains.
+    'leave_margin_s': FieldRule(
+        _number_between(0, 600),
+        'seconds from 0 to 600',
+        10,
+    ),
     'seat_isolation_s': FieldRule(
         _number_between(1, 86_400),
         'seconds from 1 to 86400',
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -1,6 +1,7 @@
 """Check the choice of a backend server, its bounds, and ejection."""
 
 import random
+from types import SimpleNamespace
 
 import anyio
 import pytest
@@ -17,8 +18,7 @@
 from cicadadoor.decisions.ejection import EjectionTable
 from cicadadoor.decisions.link_budget import LinkBudget
 from cicadadoor.errors import ErrorKind, Failure
-from cicadadoor.gate.pipeline import Pipeline
-from cicadadoor.gate.quarantine import NoQuarantine
+from cicadadoor.gate.attempts import Attempts
 from cicadadoor.gate.request import CANCELLED, SteeredAnswer
 from cicadadoor.links.steering_messages import BackendUpdate
 from tests.utils.gates import (
@@ -190,21 +190,29 @@
         return SteeredAnswer(status=200, headers=[], stream=stream())
 
 
+def _ignore(*arguments) -> None:
+    """Take the place of a service that this test is not about."""
+
+
 class TestStreams:
     """Guard against a slot that is given back while the server still sends."""
 
     def test_slot_is_taken_until_the_stream_is_closed(self):
         async def check(gate, timer):
-            pipeline = Pipeline()
-            pipeline._timer = timer
-            pipeline._queue = gate.router
-            pipeline._quarantine = NoQuarantine()
-            pipeline._forwarder = StreamingForwarder()
+            attempts = Attempts()
+            attempts._kernel = gate.kernel
+            attempts._state = gate.state
+            attempts._timer = timer
+            attempts._queue = gate.router
+            attempts._keys = SimpleNamespace(guard=_ignore)
+            attempts._quarantine = SimpleNamespace(began=_ignore, ended=_ignore)
+            attempts._forwarder = StreamingForwarder()
             request = gate.request()
             target = gate.router.try_acquire(request)
-            answer = await pipeline._forward(request, target)
+            answer, _ = await attempts._attempt(request, target)
             assert gate.servers.in_flight()[target.server.name] == 1
-            await answer.on_close()
+            await answer.close()
+            await gate.kernel.run_spawned()
             assert gate.servers.in_flight()[target.server.name] == 0
 
         run_gate(check)
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -21,7 +21,7 @@
 @pytest.fixture
 def cluster(tmp_path):
     """Run three entry hosts with short look-up answers, and a backend server each."""
-    settings = {'answer_ttl_ms': 500, 'grace_s': 4}
+    settings = {'answer_ttl_ms': 500, 'leave_margin_s': 3, 'grace_s': 4}
     with Cluster(tmp_path, DOMAINS, **settings) as running:
         deployment = small_deployment(DOMAINS)
         for domain in DOMAINS:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,6 +1,9 @@
-"""Send requests to peers that do not answer."""
+"""Send requests to peers that do not answer, and end operations of the library."""
+
+import asyncio
 
 import anyio
+import pynng
 import pytest
 
 from cicadadoor.errors import ErrorKind, Failure
@@ -11,6 +14,7 @@
     PeerClient,
     PeerSecurity,
     PeerServer,
+    complete,
 )
 from cicadadoor.settings import Address
 from tests.utils.processes import Ports
@@ -73,3 +77,33 @@
 
         anyio.run(with_silent_peer, use)
         assert reached
+
+
+async def _cancelled_by_library() -> None:
+    raise asyncio.CancelledError
+
+
+class TestComplete:
+    """Guard against a lost connection that ends the whole daemon."""
+
+    def test_cancellation_by_the_library_is_an_error_of_the_link(self):
+        """A CancelledError of a task without a cancelled scope ended the agent."""
+
+        async def work() -> None:
+            async with anyio.create_task_group():
+                with pytest.raises(pynng.Canceled):
+                    await complete(_cancelled_by_library())
+                await anyio.sleep(0)
+
+        anyio.run(work)
+
+    def test_deadline_ends_the_wait_and_nothing_else(self):
+        """A peer that is connected and silent ended the agent of each other host."""
+
+        async def work() -> None:
+            with pynng.Pair0(listen=f'tcp://{Ports.address()}') as silent:
+                with anyio.move_on_after(0.01) as scope:
+                    await complete(silent.arecv())
+            assert scope.cancelled_caught
+
+        anyio.run(work)
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -2,22 +2,36 @@
 
 import json
 import os
+import signal
 import subprocess
 from pathlib import Path
 from types import TracebackType
 
+import anyio
 import httpx
 
-from cicadadoor.config import Deployment, canonical, model
+from cicadadoor.config import Deployment, acceptance, canonical, model
+from cicadadoor.ids import digest_of
+from cicadadoor.object_store.http import HttpObjectStore
 from tests.utils import control
+from tests.utils.backend_server import Execution, read_executions
+from tests.utils.network import Network, source_ip
 from tests.utils.processes import Ports, TestProcess, program, python_module
 from tests.utils.waiting import wait_until
 
+PLATFORM = 'platform'
+
 
 class EntryHostProcesses:
     """Hold the two daemons of one entry host."""
 
-    def __init__(self, name: str, settings: dict, folder: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        settings: dict,
+        folder: Path,
+        relay_ip: str = '',
+    ) -> None:
         self.name = name
         self.settings = settings
         self.callers_url = settings['callers_url']
@@ -27,15 +41,26 @@
         path.write_text(f'// Settings of {name}.\n{json.dumps(settings, indent=2)}')
         self.agent = TestProcess(
             f'{name}-agent',
-            program('cicadadoor-agent', str(path)),
+            _daemon('agent', str(path), relay_ip),
             folder,
         )
         self.gate = TestProcess(
             f'{name}-gate',
-            program('cicadadoor-gate', str(path)),
+            _daemon('gate', str(path), relay_ip),
             folder,
         )
 
+    def status(self) -> dict:
+        """Return what the agent tells operators."""
+        return httpx.get(f'{self.operators_url}/v1/status').json()
+
+    def wait_generation(self, generation: int) -> None:
+        """Wait until the gate uses the generation or a later one."""
+        wait_until(
+            lambda: self.status()['gate_generation'] >= generation,
+            f'{self.name} uses generation {generation}',
+        )
+
     def is_ready(self) -> bool:
         """Tell whether the gate takes requests."""
         try:
@@ -77,6 +102,7 @@
         self,
         folder: Path,
         domains: dict[str, tuple[str, int]],
+        network: Network | None = None,
         **host_settings: object,
     ) -> None:
         self.folder = folder
@@ -91,6 +117,7 @@
         self.backends: dict[str, BackendProcess] = {}
         self.extra_processes: list[TestProcess] = []
         self.hosts: dict[str, EntryHostProcesses] = {}
+        self._network = network
         self._host_settings = host_settings
         wait_until(self._platform_answers, 'the platform stand-in answers')
 
@@ -119,7 +146,13 @@
             settings['seed_peers'] = [
                 peer for other, peer in peers.items() if other != name
             ]
-            self.hosts[name] = EntryHostProcesses(name, settings, self.folder)
+            relay_ip = self._relay(name, all_settings)
+            self.hosts[name] = EntryHostProcesses(
+                name,
+                settings,
+                self.folder,
+                relay_ip,
+            )
 
     def wait_ready(self) -> None:
         """Wait until each gate takes requests."""
@@ -147,23 +180,60 @@
         output = self.operate('key', 'grant', organisation, '--json')
         return json.loads(output.splitlines()[-1])['key']
 
+    def withdraw_key(self, key: str) -> None:
+        """Withdraw a key for ever."""
+        self.operate('key', 'withdraw', digest_of(key.encode()))
+
+    def wait_in_force(self) -> None:
+        """Wait until each gate uses the accepted generation."""
+        accepted = anyio.run(self._accepted_generation)
+        for host in self.hosts.values():
+            host.wait_generation(accepted)
+
+    async def _accepted_generation(self) -> int:
+        accepted = await acceptance.read_root(HttpObjectStore(self.platform_url))
+        return accepted.root.generation
+
     def operate(self, *arguments: str, expect: int = 0) -> str:
         """Run the operators' command and return its standard output."""
-        finished = subprocess.run(
-            program('cicadadoor', *arguments),
-            env={**os.environ, 'CICADADOOR_PLATFORM': self.platform_url},
-            capture_output=True,
-            text=True,
-            timeout=120,
-            check=False,
-        )
+        finished = subprocess.run(**self.command(*arguments), check=False)
         assert finished.returncode == expect, (arguments, finished)
         return finished.stdout
 
+    def command(self, *arguments: str) -> dict:
+        """Return how to run the operators' command with `subprocess.run`."""
+        return {
+            'args': program('cicadadoor', *arguments),
+            'env': {**os.environ, 'CICADADOOR_PLATFORM': self.platform_url},
+            'capture_output': True,
+            'text': True,
+            'timeout': 120,
+        }
+
     def set_platform(self, **faults: object) -> None:
         """Switch faults of the platform on or off."""
         control.set_faults(self.platform_url, **faults)
 
+    def executions(self) -> list[Execution]:
+        """Return what all backend servers ran."""
+        return [
+            execution
+            for backend in self.backends.values()
+            for execution in read_executions(backend.records_file)
+        ]
+
+    def stop_hosts(self) -> dict[str, int]:
+        """Stop all gates and agents gracefully and return their exit codes."""
+        processes = [
+            process
+            for host in self.hosts.values()
+            for process in (host.gate, host.agent)
+            if process.is_running()
+        ]
+        for process in processes:
+            process.send(signal.SIGTERM)
+        return {process.name: process.wait() for process in processes}
+
     def close(self) -> None:
         """End all processes that this cluster started."""
         processes = [self.platform, *self.extra_processes]
@@ -181,6 +251,21 @@
             return False
         return True
 
+    def _relay(self, source: str, all_settings: dict[str, dict]) -> str:
+        if self._network is None:
+            return ''
+        number = list(all_settings).index(source) + 1
+        for target, settings in all_settings.items():
+            for name in ('agent_peers', 'gate_peers'):
+                port = _port(settings[name])
+                self._network.relay(source, number, target, port)
+        platform_port = _port(self.platform_address)
+        self._network.relay(source, number, PLATFORM, platform_port)
+        relay_ip = source_ip(number)
+        url = f'http://{relay_ip}:{platform_port}'
+        all_settings[source]['platform_url'] = url
+        return relay_ip
+
     def _all_settings(self) -> dict[str, dict]:
         all_settings = {}
         for domain, (region, count) in self.domains.items():
@@ -206,3 +291,14 @@
             'trace_sample_ratio': 1,
             **self._host_settings,
         }
+
+
+def _daemon(role: str, settings_file: str, relay_ip: str) -> list[str]:
+    if not relay_ip:
+        return program(f'cicadadoor-{role}', settings_file)
+    module = 'tests.utils.relayed_daemon'
+    return python_module(module, role, relay_ip, settings_file)
+
+
+def _port(address: str) -> int:
+    return int(address.rpartition(':')[2])
--- a/tests/utils/sync_fleet.py
+++ b/tests/utils/sync_fleet.py
@@ -226,6 +226,7 @@
         fields = dict.fromkeys(Settings.__slots__)
         address = parse_address(self.address)
         fields.update(host=host, failure_domain=domain, region=region, seed_peers=[])
+        fields.update(answer_ttl_ms=5000)
         fields.update(agent_peers=address, gate_peers=address, callers_url='http://x')
         self.settings = Settings(**fields)
 
