--- a/tests/test_keyed_once.py
+++ b/tests/test_keyed_once.py
@@ -91,7 +91,12 @@
             self.link,
             FakeHub(network, self.state.instance, address),
             Named('lookup', set_hosts=lambda hosts: None),
-            Named('credits', note_answer=lambda message, answer: None),
+            Named(
+                'credits',
+                note_answer=lambda message, answer: None,
+                take_answer_region=lambda message: None,
+            ),
+            Named('link_budgets'),
             Named('pipeline', run_forwarded=self.run_forwarded),
             GateDirectory(),
             PeerForwarder(),
