Give a gate without a seat no slots, drain the demo by command, measure all at once

A suspended gate used the slots of the seat that its settings name, 0 by default, beside the gate that holds this seat; both together could exceed the slots of a backend server.

--- a/cicadadoor/gate/slot_share.py
+++ b/cicadadoor/gate/slot_share.py
@@ -57,12 +57,12 @@
 
 
 class HeldSeats(ConfiguredSeat):
-    """Take the seats of this gate, or the one that the settings name without any.
+    """Take the seats granted to this gate.
 
-    A gate without a seat still serves routes open to all; an error in slots is met
-    by the backend server's own shed answer.
+    A suspended gate has no slots: another gate may hold its seat by now, and the
+    two together would exceed the slots of a backend server.
     """
 
     def seats(self) -> tuple[int, ...]:
-        """Return the seats granted, or the one that the settings name."""
-        return self._state.seats or super().seats()
+        """Return the seats granted, none before the first grant."""
+        return self._state.seats
--- a/measure/limits.py
+++ b/measure/limits.py
@@ -4,7 +4,6 @@
 """
 
 import random
-import sys
 from collections.abc import Iterator
 
 import msgspec
@@ -15,6 +14,7 @@
 from cicadadoor.decisions.gate_limits import GateLimits, Verdict
 from cicadadoor.decisions.token_trade import TokenTrade
 from cicadadoor.links.share_messages import SeatGrant, ShareGrant
+from measure.results import Results
 
 GATES = 11
 STEP_S = 0.05
@@ -230,6 +230,15 @@
     return sum(chooser.random() < mean / trials for _ in range(trials))
 
 
-if __name__ == '__main__':
+def measure(results: Results) -> None:
+    """Report each strategy in each scenario."""
     for outcome in compare():
-        sys.stdout.write(f'{msgspec.json.encode(outcome).decode()}\n')
+        figures = msgspec.to_builtins(outcome)
+        case = f'{figures.pop("scenario")} {figures.pop("strategy")}'
+        results.add('limits', case, **figures)
+
+
+if __name__ == '__main__':
+    collected = Results()
+    measure(collected)
+    collected.print_table()
--- a/measure/results.py
+++ b/measure/results.py
@@ -10,18 +10,18 @@
     """Collect results of one run of `make measure`."""
 
     def __init__(self) -> None:
-        self._rows: list[dict[str, Any]] = []
+        self.rows: list[dict[str, Any]] = []
 
     def add(self, experiment: str, case: str, **figures: Any) -> None:
         """Print one result as a JSON line and keep it for the table."""
         row = {'experiment': experiment, 'case': case, **figures}
-        self._rows.append(row)
+        self.rows.append(row)
         sys.stdout.write(f'{msgspec.json.encode(row).decode()}\n')
         sys.stdout.flush()
 
     def print_table(self) -> None:
         """Print all results, one line each, figures side by side."""
-        for row in self._rows:
+        for row in self.rows:
             figures = [
                 f'{name}={_rounded(figure)}'
                 for name, figure in row.items()
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -13,7 +13,6 @@
 from cicadadoor.config import Deployment
 from cicadadoor.errors import ExitStatus
 from tests.utils.cluster import Cluster
-from tests.utils.control import set_faults
 from tests.utils.deployments import BOOKING_ROUTES
 from tests.utils.load import Audit, CallerGroup, Load, Outcome, Seen
 from tests.utils.waiting import wait_until
@@ -25,6 +24,7 @@
 }
 CLIENT_IPS = {'muenchen': '198.51.100.7', 'nuernberg': '203.0.113.7'}
 # Requests per second over all hosts, and whether the callers stay inside it.
+DRAINED = 'kb-muenchen-1-0'
 RATES_PER_S = {
     'handwerkskammer': 400,
     'volkshochschule': 400,
@@ -99,7 +99,7 @@
 
     def _act(self, load: Load) -> None:
         _wait_served(load, REQUESTS_BEFORE_FAULTS)
-        set_faults(self._cluster.backends['kb-muenchen-1-0'].url, draining=True)
+        self._cluster.operate('drain', 'start', 'backend_server', DRAINED)
         self._cluster.withdraw_key(self._keys[WITHDRAWN])
         self._withdrawn_s = time.monotonic()
         time.sleep(WITHDRAWAL_LIMIT_S + 1)
