--- a/measure/plots.py
+++ b/measure/plots.py
@@ -13,6 +13,7 @@
     'balancing': 'peak_in_flight',
     'shift': 'peak_load_over_capacity',
     'blocks': 'change_ms',
+    'distribution': 'messages_to_all_per_host',
     'lookup': 'rate_per_s',
     'forward': 'rate_per_s',
 }
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,7 +12,7 @@
 
 ROOT = Path(__file__).parent.parent
 PAGES = ('README.md', 'docs/install.md', 'docs/operating.md')
-COMMAND = re.compile(r'cicadadoor ((?:key )?[a-z]+)\b(?![/.:])')
+COMMAND = re.compile(r'cicadadoor ((?:(?:key|shift|hold|drain) )?[a-z]+)\b(?![/.:])')
 
 
 class TestPages:
