--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -46,3 +46,12 @@
         example.write_text(re.search(r'```json5\n(.*?)```', page, re.DOTALL)[1])
         loaded = settings.load(str(example))
         assert isinstance(loaded, settings.Settings), loaded
+
+    def test_guarantees_name_tests_that_exist(self):
+        """A row that names no test would claim a proof that nobody can run."""
+        page = (ROOT / 'docs/GUARANTEES.md').read_text(encoding='utf-8')
+        for name in re.findall(r'`(test_[a-z_]+)`', page):
+            assert (ROOT / f'tests/{name}.py').is_file(), name
+        for names in re.findall(r'scenarios? ((?:`[a-z_]+`(?:, )?)+)', page):
+            for name in re.findall(r'`([a-z_]+)`', names):
+                assert (ROOT / f'tests/scenarios/{name}.json5').is_file(), name
--- a/tests/utils/processes.py
+++ b/tests/utils/processes.py
@@ -34,6 +34,11 @@
                 stdin=subprocess.DEVNULL,
             )
 
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._child.pid
+
     def is_running(self) -> bool:
         """Tell whether the process has not ended."""
         return self._child.poll() is None
