--- a/cicadadoor/gate/queueing.py
+++ b/cicadadoor/gate/queueing.py
@@ -44,36 +44,6 @@
         """Give the target back and let a waiting request have it."""
 
 
-class NoQueue(RequestQueue):
-    """Refuse at once when no target is free."""
-
-    def __init__(self) -> None:
-        self._router: Router
-
-    async def start(self, kernel: Kernel) -> None:
-        """Find the router."""
-        self._router = kernel.find('router')
-
-    async def acquire(
-        self,
-        request: SteeredRequest,
-        avoid: frozenset[str] = AVOID_NONE,
-        *,
-        is_local_only: bool = False,
-    ) -> Target | Failure:
-        """Return a target if one is free now."""
-        return self._router.try_acquire(request, avoid, is_local_only=is_local_only)
-
-    def release(
-        self,
-        target: Target,
-        answer: SteeredAnswer | Failure,
-        took_s: float,
-    ) -> None:
-        """Give the target back."""
-        self._router.release(target, answer, took_s)
-
-
 class _Pending:
     """Hold what a waiting request needs, and its outcome once there is one."""
 
--- a/cicadadoor/http_server.py
+++ b/cicadadoor/http_server.py
@@ -54,7 +54,7 @@
 
 
 def listen(address: str) -> str:
-    """Listen at an address and return it in the form that `serve_forever` takes.
+    """Listen at an address and return it as hypercorn takes a bound socket.
 
     Raise OSError if another process, even a paused one, holds the address.
     """
