--- a/cicadadoor/agent/operator_api.py
+++ b/cicadadoor/agent/operator_api.py
@@ -20,6 +20,7 @@
     Scope,
     Send,
     answer_lifespan,
+    listen,
     send_whole,
 )
 from cicadadoor.kernel import Kernel, Service
@@ -103,7 +104,7 @@
         settings = self._state.settings
         self._server = HttpServer(
             self.handle,
-            str(settings.operators),
+            listen(str(settings.operators)),
             settings.tls_certificate_file,
             settings.tls_key_file,
         )
--- a/cicadadoor/core.py
+++ b/cicadadoor/core.py
@@ -8,7 +8,7 @@
 import anyio
 
 from cicadadoor import settings as settings_module
-from cicadadoor.errors import ExitStatus, Failure
+from cicadadoor.errors import AddressInUseError, ExitStatus, Failure
 from cicadadoor.kernel import Kernel
 from cicadadoor.settings import Settings
 from cicadadoor.telemetry import logs, tracing
@@ -32,11 +32,25 @@
     tracing.configure(program, settings.trace_sample_ratio)
     try:
         return anyio.run(_run, program, settings, build)
-    except Exception:
+    except Exception as error:
+        in_use = _find_in_use(error)
+        if in_use is not None:
+            sys.stderr.write(f'{program}: {in_use}\n')
+            return ExitStatus.UNAVAILABLE
         log.exception('ended_by_fault', program=program)
         raise
 
 
+def _find_in_use(error: BaseException) -> AddressInUseError | None:
+    if isinstance(error, AddressInUseError):
+        return error
+    for inner in getattr(error, 'exceptions', ()):
+        found = _find_in_use(inner)
+        if found is not None:
+            return found
+    return None
+
+
 async def _run(program: str, settings: Settings, build: BuildKernel) -> ExitStatus:
     kernel = build(settings)
     log.info('started', program=program, host=settings.host, pid=os.getpid())
--- a/cicadadoor/errors.py
+++ b/cicadadoor/errors.py
@@ -109,6 +109,16 @@
         return f'Failure({self.kind.value}: {self.reason})'
 
 
+class AddressInUseError(Exception):
+    """Raise when another process, even a paused one, holds a listen address."""
+
+    def __init__(self, address: object) -> None:
+        super().__init__(
+            f'address {address} is in use by another process; '
+            'stop that process or change the settings',
+        )
+
+
 @unique
 class ExitStatus(IntEnum):
     """Give each outcome of a command its own exit code."""
--- a/cicadadoor/http_server.py
+++ b/cicadadoor/http_server.py
@@ -8,6 +8,8 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from cicadadoor.errors import AddressInUseError
+
 _BACKLOG = 1024
 _KEEP_ALIVE_S = 75
 _CLOSE_S = 2.0
@@ -56,7 +58,7 @@
 def listen(address: str) -> str:
     """Listen at an address and return it as hypercorn takes a bound socket.
 
-    Raise OSError if another process, even a paused one, holds the address.
+    Raise AddressInUseError if another process holds the address.
     """
     host_ip, _, port = address.rpartition(':')
     host_ip = host_ip.strip('[]')
@@ -64,7 +66,11 @@
     listener = socket.socket(family, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    listener.bind((host_ip, int(port)))
+    try:
+        listener.bind((host_ip, int(port)))
+    except OSError as error:
+        listener.close()
+        raise AddressInUseError(address) from error
     listener.listen(_BACKLOG)
     return f'fd://{listener.detach()}'
 
--- a/cicadadoor/links/transport.py
+++ b/cicadadoor/links/transport.py
@@ -11,7 +11,7 @@
 import pynng
 from anyio import lowlevel
 
-from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.errors import AddressInUseError, ErrorKind, Failure
 from cicadadoor.kernel import Kernel
 from cicadadoor.links.messages import (
     MAX_MESSAGE_BYTES,
@@ -132,11 +132,11 @@
         self._socket: pynng.Rep0 | None = None
 
     def start(self, kernel: Kernel, address: Address) -> None:
-        """Listen and answer until closed; raise pynng.NNGException if in use."""
+        """Listen and answer until closed; raise AddressInUseError if in use."""
         socket = pynng.Rep0()
         socket.recv_max_size = MAX_MESSAGE_BYTES
         self._security.apply(socket)
-        socket.listen(self._security.url(address))
+        _listen(socket, self._security.url(address))
         self._socket = socket
         for _ in range(_SERVER_CONTEXTS):
             kernel.spawn(self._serve, socket.new_context())
@@ -260,6 +260,13 @@
         return answer
 
 
+def _listen(socket: pynng.Socket, url: str) -> None:
+    try:
+        socket.listen(url)
+    except pynng.AddressInUse as error:
+        raise AddressInUseError(url) from error
+
+
 def _refused(refusal: Refusal) -> Failure:
     try:
         kind = ErrorKind(refusal.kind)
@@ -282,8 +289,8 @@
         self._socket.recv_max_size = MAX_MESSAGE_BYTES
 
     def listen(self, address: Address) -> None:
-        """Wait for the other daemon; raise pynng.NNGException if in use."""
-        self._socket.listen(f'tcp://{address}')
+        """Wait for the other daemon; raise AddressInUseError if in use."""
+        _listen(self._socket, f'tcp://{address}')
 
     def dial(self, address: Address) -> None:
         """Connect to the other daemon, now or when it is there."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -105,6 +105,33 @@
         assert ended.stderr.startswith(f'{name}: {path}: colour: red is not allowed')
         assert ended.stderr.count('\n') == 1
 
+    @pytest.mark.parametrize(
+        ('name', 'field'),
+        [
+            ('cicadadoor-gate', 'callers'),
+            ('cicadadoor-gate', 'gate_peers'),
+            ('cicadadoor-agent', 'agent_link'),
+            ('cicadadoor-agent', 'agent_peers'),
+            ('cicadadoor-agent', 'operators'),
+        ],
+    )
+    def test_address_in_use_is_named(self, tmp_path, name, field):
+        """A second daemon on a host ended with a trace and no address."""
+        right = _right()
+        path = _write(tmp_path, right)
+        ip, _, port = right[field].rpartition(':')
+        with socket.create_server((ip, int(port))):
+            ended = subprocess.run(
+                program(name, path),
+                capture_output=True,
+                text=True,
+                timeout=60,
+                check=False,
+            )
+        assert ended.returncode == ExitStatus.UNAVAILABLE
+        last_line = ended.stderr.splitlines()[-1]
+        assert f'{right[field]} is in use by another process' in last_line
+
 
 def _right() -> dict:
     addresses = {name: Ports.address() for name in NAMES}
