--- /dev/null
+++ b/tests/test_platform_stand_in.py
@@ -0,0 +1,26 @@
+"""Check the platform stand-in where other tests would not notice a fault of it."""
+
+import threading
+
+import httpx
+
+from tests.utils.cluster import Cluster
+from tests.utils.waiting import wait_until
+
+
+class TestHostList:
+    """Guard against a list of hosts that is never late in tests."""
+
+    def test_list_follows_late(self, tmp_path):
+        """The real list lags, and decisions must not rely on it alone."""
+        with Cluster(tmp_path, {}) as cluster:
+            cluster.set_platform(host_lag_ms=2000)
+            url = f'{cluster.platform_url}/api/v1/host'
+            listed = {'kind': 'host', 'name': 'kb-1', 'body': 'e30='}
+            late = threading.Thread(
+                target=httpx.post, args=(url,), kwargs={'json': listed}
+            )
+            late.start()
+            assert httpx.get(url).json()['objects'] == []
+            wait_until(lambda: httpx.get(url).json()['objects'], 'the list has it')
+            late.join()
--- a/tests/utils/platform.py
+++ b/tests/utils/platform.py
@@ -38,6 +38,8 @@
     lose_answers: int = 0
     # A new number ends all open watches.
     watch_epoch: int = 0
+    # The list of hosts follows what happens so much later.
+    host_lag_ms: int = 0
     reads: int = 0
     writes: int = 0
     watches: int = 0
@@ -82,6 +84,8 @@
             await _answer(send, await reading)
             return
         self.faults.writes += 1
+        if kind == 'host':
+            await anyio.sleep(self.faults.host_lag_ms / 1000)
         answer = await self._write(method, kind, name, query, receive)
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
