--- a/cicadadoor/core.py
+++ b/cicadadoor/core.py
@@ -4,27 +4,33 @@
 import signal
 import sys
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 
 from cicadadoor import settings as settings_module
 from cicadadoor.errors import AddressInUseError, ExitStatus, Failure
 from cicadadoor.kernel import Kernel
-from cicadadoor.settings import Settings
 from cicadadoor.telemetry import logs, tracing
 
 log = logs.logger('core')
 
-BuildKernel = Callable[[Settings], Kernel]
+BuildKernel = Callable[[Any], Kernel]
+LoadSettings = Callable[[str], Any]
 
 
-def run_daemon(program: str, arguments: list[str], build: BuildKernel) -> ExitStatus:
+def run_daemon(
+    program: str,
+    arguments: list[str],
+    build: BuildKernel,
+    load: LoadSettings = settings_module.load,
+) -> ExitStatus:
     """Run until SIGTERM or SIGINT; bad settings end before any socket opens."""
     if len(arguments) != 1 or arguments[0].startswith('-'):
         sys.stderr.write(f'usage: {program} SETTINGS_FILE\n')
         asked_for_help = arguments in (['--help'], ['-h'])
         return ExitStatus.SUCCESS if asked_for_help else ExitStatus.USAGE
-    settings = settings_module.load(arguments[0])
+    settings = load(arguments[0])
     if isinstance(settings, Failure):
         sys.stderr.write(f'{program}: {settings.reason}\n')
         return ExitStatus.USAGE
@@ -51,7 +57,7 @@
     return None
 
 
-async def _run(program: str, settings: Settings, build: BuildKernel) -> ExitStatus:
+async def _run(program: str, settings: Any, build: BuildKernel) -> ExitStatus:
     kernel = build(settings)
     log.info('started', program=program, host=settings.host, pid=os.getpid())
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- /dev/null
+++ b/cicadadoor/decisions/host_shares.py
@@ -0,0 +1,110 @@
+"""Share limits that bind over all hosts among them, without asking.
+
+Answers uneven demand: each host hears the demand of the others and takes the part
+that follows from it. A part shrinks at once and grows only after every other host has
+had time to hear of it, so that the parts do not add up to more than the whole.
+"""
+
+import math
+from collections import deque
+from collections.abc import Mapping
+
+# Part of the limit that is split evenly; it serves the first requests of a host.
+EVEN_PART = 0.3
+
+
+def wanted_share(own: float, others: Mapping[str, float], host_count: int) -> float:
+    """Return this host's part of a limit by its part of the demand."""
+    even = 1 / max(1, host_count)
+    total = own + sum(others.values())
+    if total <= 0:
+        return even
+    return EVEN_PART * even + (1 - EVEN_PART) * own / total
+
+
+class SlowGrowth:
+    """Hand out the smallest of the values of the last while."""
+
+    __slots__ = ('_recent', 'delay_s')
+
+    def __init__(self, delay_s: float) -> None:
+        self.delay_s = delay_s
+        self._recent: deque[tuple[float, float]] = deque()
+
+    def update(self, value: float, now_s: float) -> float:
+        """Add a value, and return the smallest within the delay."""
+        while self._recent and self._recent[-1][1] >= value:
+            self._recent.pop()
+        self._recent.append((now_s, value))
+        while self._recent[0][0] < now_s - self.delay_s and len(self._recent) > 1:
+            self._recent.popleft()
+        return self._recent[0][1]
+
+
+class Demand:
+    """Measure requests per second as an exponential average."""
+
+    __slots__ = ('_count', '_since_s', 'rate_per_s')
+
+    def __init__(self, now_s: float) -> None:
+        self.rate_per_s = 0.0
+        self._count = 0
+        self._since_s = now_s
+
+    def add(self) -> None:
+        """Count a request."""
+        self._count += 1
+
+    def update(self, now_s: float, memory_s: float) -> None:
+        """Fold what was counted into the average."""
+        elapsed_s = now_s - self._since_s
+        if elapsed_s <= 0:
+            return
+        gain = 1 - math.exp(-elapsed_s / memory_s)
+        self.rate_per_s += gain * (self._count / elapsed_s - self.rate_per_s)
+        self._count = 0
+        self._since_s = now_s
+
+
+class Pace:
+    """Space sends of all hosts to one cold backend server.
+
+    Within any second all hosts together may send its rate times the overrun plus a
+    slack. Each of the few hosts that may send at all keeps a gap of its own.
+    """
+
+    __slots__ = ('_next_s',)
+
+    def __init__(self) -> None:
+        self._next_s = -math.inf
+
+    def may_send(self, now_s: float) -> bool:
+        """Tell whether this host's gap has passed."""
+        return now_s >= self._next_s
+
+    def send(self, now_s: float, gap_s: float) -> None:
+        """Note a send."""
+        self._next_s = now_s + gap_s
+
+
+def senders_to_cold(
+    rate_per_s: float,
+    overrun: float,
+    slack: float,
+    host_count: int,
+) -> int:
+    """Return how many hosts may send to a cold server, one request a gap each."""
+    allowed = rate_per_s * overrun + slack
+    return max(1, min(host_count, int(allowed * _COLD_USE)))
+
+
+def cold_gap_s(rate_per_s: float, senders: int) -> float:
+    """Return the time between two sends of one host."""
+    if rate_per_s <= 0:
+        return math.inf
+    # No host sends twice within a second.
+    return max(1.01, senders / rate_per_s)
+
+
+# A request that waits on the way may arrive in the next one's second.
+_COLD_USE = 0.6
--- a/cicadadoor/decisions/retries.py
+++ b/cicadadoor/decisions/retries.py
@@ -24,15 +24,25 @@
 class RetryBudget:
     """Bound the retries of one service to a share of its requests."""
 
-    __slots__ = ('_earned_s', '_left')
+    __slots__ = ('_earned_s', '_left', '_reserve', '_reserve_per_s', '_share')
 
-    def __init__(self, now_s: float) -> None:
-        self._left = _RESERVE
+    def __init__(
+        self,
+        now_s: float,
+        *,
+        share: float = _SHARE,
+        reserve: float = _RESERVE,
+        reserve_per_s: float = _RESERVE_PER_S,
+    ) -> None:
+        self._left = reserve
         self._earned_s = now_s
+        self._share = share
+        self._reserve = reserve
+        self._reserve_per_s = reserve_per_s
 
     def earn(self, now_s: float) -> None:
         """Count one request."""
-        self._add(_SHARE, now_s)
+        self._add(self._share, now_s)
 
     def spend(self, now_s: float) -> bool:
         """Take one retry; tell whether there was one left."""
@@ -45,8 +55,8 @@
     def _add(self, retries: float, now_s: float) -> None:
         elapsed_s = max(0, now_s - self._earned_s)
         self._earned_s = max(self._earned_s, now_s)
-        earned = retries + elapsed_s * _RESERVE_PER_S
-        self._left = min(_RESERVE, self._left + earned)
+        earned = retries + elapsed_s * self._reserve_per_s
+        self._left = min(self._reserve, self._left + earned)
 
 
 def is_repeatable(kind: ErrorKind, run: Run, *, is_idempotent: bool) -> bool:
--- /dev/null
+++ b/cicadadoor/entry/daemon.py
@@ -0,0 +1,67 @@
+"""Run an entry host."""
+
+import sys
+
+from cicadadoor import core
+from cicadadoor.entry import settings as entry_settings
+from cicadadoor.entry.backends import Backends
+from cicadadoor.entry.directory import Directory
+from cicadadoor.entry.dispatch import Dispatcher
+from cicadadoor.entry.forwarding import Forwarder
+from cicadadoor.entry.membership import Membership
+from cicadadoor.entry.mirror import Mirror
+from cicadadoor.entry.neighbours import Neighbours
+from cicadadoor.entry.policy import PolicyKeeper
+from cicadadoor.entry.quarantine import CrashWatch
+from cicadadoor.entry.quotas import Quotas
+from cicadadoor.entry.server import EntryServer
+from cicadadoor.entry.settings import EntrySettings
+from cicadadoor.entry.state import EntryState
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.links.transport import PeerSecurity
+from cicadadoor.platform import build_source, dialect, paths
+from cicadadoor.timer import BootTimer
+
+# Neighbours ask one topic at a time.
+_PEER_CONTEXTS = 4
+
+
+def build(settings: EntrySettings) -> Kernel:
+    """Register the services in the order in which they start."""
+    kernel = Kernel()
+    state = EntryState(settings)
+    services: tuple[Service, ...] = (
+        BootTimer(),
+        state,
+        build_source(str(settings.store)),
+        Mirror(),
+        PolicyKeeper(),
+        Membership(),
+        Backends(),
+        Quotas(),
+        CrashWatch(),
+        Forwarder(dialect()),
+        Dispatcher(),
+        Directory(),
+    )
+    for service in services:
+        kernel.register(service)
+    # The hub starts after the services that answer through it.
+    hub = PeerHub(state.instance, settings.peers, PeerSecurity(), _PEER_CONTEXTS)
+    kernel.register(Neighbours(hub))
+    kernel.register(hub)
+    kernel.register(EntryServer(dialect(), paths()))
+    return kernel
+
+
+def main() -> None:
+    """Run `cicadadoor-entry SETTINGS_FILE`."""
+    sys.exit(
+        core.run_daemon(
+            'cicadadoor-entry',
+            sys.argv[1:],
+            build,
+            entry_settings.load,
+        )
+    )
--- /dev/null
+++ b/cicadadoor/entry/forwarding.py
@@ -0,0 +1,241 @@
+"""Send a request to one backend server, once."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+import anyio
+
+from cicadadoor.entry.backends import Backend, Backends
+from cicadadoor.entry.connections import (
+    AnswerInvalidError,
+    BackendConnection,
+    ConnectionBrokenError,
+    ConnectionPool,
+    RawAnswer,
+    connect,
+)
+from cicadadoor.entry.messages import AnswerHead, BackendAnswer, CallerRequest, Headers
+from cicadadoor.errors import ErrorKind, Failure, Run
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.telemetry import metrics
+from cicadadoor.timer import TimerService
+
+# A round trip between regions takes 40 ms; a lost opening packet is sent again only
+# after a second, and another server is tried sooner than that.
+CONNECT_TIMEOUT_S = 0.3
+_MS_PER_S = 1000
+_PRUNE_S = 1.0
+# A failure that a server answered itself, and that another server may not share.
+_SERVER_FAULT = HTTPStatus.INTERNAL_SERVER_ERROR
+
+BuildHeaders = Callable[..., Headers]
+ReadAnswer = Callable[[int, Headers], AnswerHead]
+
+
+class Dialect:
+    """Hold how headers of requests and answers are spelled."""
+
+    __slots__ = ('backend_headers', 'read_answer', 'read_request', 'retry_after')
+
+    def __init__(
+        self,
+        *,
+        read_request: Callable[[str, bytes, Headers], CallerRequest],
+        backend_headers: BuildHeaders,
+        read_answer: ReadAnswer,
+        retry_after: Callable[[float], tuple[bytes, bytes]],
+    ) -> None:
+        self.read_request = read_request
+        self.backend_headers = backend_headers
+        self.read_answer = read_answer
+        self.retry_after = retry_after
+
+
+class Outgoing:
+    """Hold what is sent of a request, and what it is bound by."""
+
+    __slots__ = ('body', 'deadline_s', 'is_idempotent', 'organisation', 'request')
+
+    def __init__(
+        self,
+        *,
+        request: CallerRequest,
+        body: bytes,
+        organisation: str,
+        deadline_s: float,
+        is_idempotent: bool,
+    ) -> None:
+        self.request = request
+        self.body = body
+        self.organisation = organisation
+        self.deadline_s = deadline_s
+        self.is_idempotent = is_idempotent
+
+
+class Forwarder(Service):
+    """Exchange requests and answers over kept connections."""
+
+    name = 'forwarder'
+
+    def __init__(self, dialect: Dialect) -> None:
+        self._dialect = dialect
+        self._timer: TimerService
+        self._backends: Backends
+        self._pool = ConnectionPool()
+
+    async def start(self, kernel: Kernel) -> None:
+        """Close connections that have been idle for too long, from time to time."""
+        self._timer = kernel.find('timer')
+        self._backends = kernel.find('backends')
+        self._timer.subscribe('prune_connections', _PRUNE_S, self._prune)
+
+    async def stop(self, grace_s: float) -> None:
+        """Close the idle connections."""
+        self._pool.close()
+
+    async def attempt(
+        self,
+        outgoing: Outgoing,
+        backend: Backend,
+        timeout_s: float,
+    ) -> BackendAnswer | Failure:
+        """Send the request; a failure tells whether it may have run.
+
+        The answer is whole. After the time-out the connection is closed, so that the
+        server drops the request.
+        """
+        sent_s = self._timer.now_s()
+        try:
+            connection = await self._open(backend, min(timeout_s, CONNECT_TIMEOUT_S))
+        except (OSError, TimeoutError) as error:
+            backend.health.note_unreachable(self._timer.now_s(), sent_s)
+            return _unreached(backend, error)
+        left_s = outgoing.deadline_s - self._timer.now_s()
+        if left_s <= 0:
+            self._give_back(backend, connection, None)
+            return Failure(ErrorKind.DEADLINE_PASSED, 'no time was left to send')
+        raw = await self._exchange(outgoing, backend, connection, timeout_s)
+        if isinstance(raw, Failure):
+            # A reset ends one connection; the next one tells whether the server lives.
+            if raw.kind is ErrorKind.ANSWER_TIMED_OUT:
+                backend.health.note_unreachable(self._timer.now_s(), sent_s)
+            return raw
+        return self._judge(outgoing, backend, connection, raw)
+
+    async def _open(self, backend: Backend, timeout_s: float) -> BackendConnection:
+        kept = self._pool.take(backend.pool_key, self._timer.now_s())
+        if kept is not None:
+            return kept
+        connection = await connect(backend.record.address, timeout_s)
+        metrics.BACKEND_CONNECTIONS.inc()
+        return connection
+
+    async def _exchange(
+        self,
+        outgoing: Outgoing,
+        backend: Backend,
+        connection: BackendConnection,
+        timeout_s: float,
+    ) -> RawAnswer | Failure:
+        request = outgoing.request
+        left_s = outgoing.deadline_s - self._timer.now_s()
+        headers = self._dialect.backend_headers(
+            request,
+            left_ms=max(1, int(left_s * _MS_PER_S)),
+            instance_id=backend.record.instance_id,
+            organisation=outgoing.organisation,
+            body_bytes=len(outgoing.body),
+        )
+        name = backend.record.instance_id
+        try:
+            with anyio.fail_after(min(timeout_s, left_s)):
+                return await connection.exchange(
+                    request.method,
+                    request.target,
+                    headers,
+                    outgoing.body,
+                )
+        except TimeoutError:
+            return Failure(
+                ErrorKind.ANSWER_TIMED_OUT,
+                f'backend server {name}: no answer within the time',
+            )
+        except ConnectionBrokenError as error:
+            if not connection.has_sent:
+                return Failure(ErrorKind.CONNECT_FAILED, f'{name}: {error}')
+            return Failure(ErrorKind.OUTCOME_UNKNOWN, f'{name}: {error}')
+        except AnswerInvalidError as error:
+            return Failure(ErrorKind.ANSWER_INVALID, f'{name}: {error}')
+
+    def _judge(
+        self,
+        outgoing: Outgoing,
+        backend: Backend,
+        connection: BackendConnection,
+        raw: RawAnswer,
+    ) -> BackendAnswer | Failure:
+        now_s = self._timer.now_s()
+        head = self._dialect.read_answer(raw.status, raw.headers)
+        fault = _find_fault(outgoing.request, head, backend)
+        is_foreign = fault is not None and fault.kind is ErrorKind.ANSWER_INVALID
+        if is_foreign or head.is_last:
+            connection.abort()
+        else:
+            self._give_back(backend, connection, head.idle_limit_s)
+        if fault is not None and fault.kind is ErrorKind.BACKEND_MOVED:
+            backend.health.note_unreachable(now_s, now_s)
+            return fault
+        was_paused = backend.health.is_paused
+        backend.health.note_answer(
+            now_s,
+            is_bad=is_foreign or raw.status >= _SERVER_FAULT,
+        )
+        if was_paused:
+            self._backends.note_return(backend)
+        backend.note_load(head.load, now_s)
+        return fault or BackendAnswer(head, raw.body)
+
+    def _give_back(
+        self,
+        backend: Backend,
+        connection: BackendConnection,
+        idle_limit_s: float | None,
+    ) -> None:
+        self._pool.give_back(
+            backend.pool_key,
+            connection,
+            self._timer.now_s(),
+            idle_limit_s,
+        )
+
+    async def _prune(self) -> None:
+        self._pool.prune(self._backends.pool_keys(), self._timer.now_s())
+
+
+def _find_fault(
+    request: CallerRequest,
+    head: AnswerHead,
+    backend: Backend,
+) -> Failure | None:
+    name = backend.record.instance_id
+    if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return Failure(
+            ErrorKind.BACKEND_MOVED,
+            f'{name}: its address belongs to {head.instance_id or "another"}',
+        )
+    if head.request_id != request.request_id and (head.request_id or head.is_signed):
+        # The answer to an earlier request on this connection.
+        return Failure(ErrorKind.ANSWER_INVALID, f'{name}: answered another request')
+    if head.is_not_run:
+        return Failure(ErrorKind.BACKEND_SHED, f'{name}: shed with {head.status}')
+    if head.is_encoded or not head.is_signed:
+        return Failure(ErrorKind.ANSWER_INVALID, f'{name}: not its own answer')
+    return None
+
+
+def _unreached(backend: Backend, error: Exception) -> Failure:
+    return Failure(
+        ErrorKind.CONNECT_FAILED,
+        f'backend server {backend.record.instance_id}: {type(error).__name__}',
+        run=Run.NO,
+    )
--- /dev/null
+++ b/cicadadoor/entry/messages.py
@@ -0,0 +1,103 @@
+"""Define requests and answers as they travel through an entry host."""
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class CallerRequest:
+    """Hold a caller's request head, without its key among the headers.
+
+    `deadline_ms` is None if the caller named none.
+    """
+
+    __slots__ = (
+        'affinity_key',
+        'api_key',
+        'deadline_ms',
+        'headers',
+        'host_name',
+        'method',
+        'request_id',
+        'target',
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        method: str,
+        target: bytes,
+        host_name: str,
+        affinity_key: str,
+        api_key: str,
+        deadline_ms: int | None,
+        headers: Headers,
+    ) -> None:
+        self.request_id = request_id
+        self.method = method
+        self.target = target
+        self.host_name = host_name
+        self.affinity_key = affinity_key
+        self.api_key = api_key
+        self.deadline_ms = deadline_ms
+        self.headers = headers
+
+    @property
+    def path(self) -> str:
+        """Return the path as the caller spelled it, without the query."""
+        return self.target.partition(b'?')[0].decode('latin-1')
+
+
+class AnswerHead:
+    """Hold what the head of a backend server's answer says.
+
+    `load` holds running requests, waiting requests and slots. `is_last` means that the
+    connection takes no further request.
+    """
+
+    __slots__ = (
+        'headers',
+        'idle_limit_s',
+        'instance_id',
+        'is_encoded',
+        'is_last',
+        'is_not_run',
+        'is_signed',
+        'load',
+        'request_id',
+        'status',
+    )
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        request_id: str,
+        is_signed: bool,
+        is_not_run: bool,
+        is_encoded: bool,
+        instance_id: str,
+        load: tuple[int, int, int] | None,
+        idle_limit_s: float | None,
+        is_last: bool,
+        headers: Headers,
+    ) -> None:
+        self.status = status
+        self.request_id = request_id
+        self.is_signed = is_signed
+        self.is_not_run = is_not_run
+        self.is_encoded = is_encoded
+        self.instance_id = instance_id
+        self.load = load
+        self.idle_limit_s = idle_limit_s
+        self.is_last = is_last
+        self.headers = headers
+
+
+class BackendAnswer:
+    """Hold a whole answer of a backend server."""
+
+    __slots__ = ('body', 'head')
+
+    def __init__(self, head: AnswerHead, body: bytes) -> None:
+        self.head = head
+        self.body = body
--- /dev/null
+++ b/cicadadoor/entry/mirror.py
@@ -0,0 +1,236 @@
+"""Keep a copy of the shared records, from the store or from other hosts."""
+
+import math
+import random
+import zlib
+from collections.abc import Callable
+
+import anyio
+import msgspec
+
+from cicadadoor.entry.model import Changes, Record, Snapshot, Topic
+from cicadadoor.entry.source import RecordSource
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.telemetry import logs
+from cicadadoor.timer import TimerService
+
+log = logs.logger('mirror')
+
+# Each wait that ends without a change costs a call. Hosts begin their waits at
+# different moments and tell each other revisions, so that a connection that went
+# silent is noticed sooner than after one wait.
+WAIT_S = 6.0
+_FIRST_BACKOFF_S = 0.1
+_LONGEST_BACKOFF_S = 1.0
+# A later revision that another host holds and that has not come by the watch within
+# this time means that the watch is no longer served.
+BEHIND_S = 0.4
+
+OnChange = Callable[[Topic], None]
+
+
+class _Copy:
+    """Hold the copy of one topic; times on the boot clock."""
+
+    __slots__ = (
+        'behind_since_s',
+        'digest',
+        'failing_since_s',
+        'read_s',
+        'records',
+        'restart',
+        'returned_s',
+        'revision',
+    )
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.records: dict[str, Record | None] = {}
+        # When the store last answered, or another host's copy was taken.
+        self.read_s = -math.inf
+        self.failing_since_s: float | None = None
+        self.returned_s = -math.inf
+        self.behind_since_s: float | None = None
+        self.restart: anyio.CancelScope | None = None
+        self.digest = 0
+
+
+class Mirror(Service):
+    """Read and watch every topic for as long as the process runs."""
+
+    name = 'mirror'
+
+    def __init__(self) -> None:
+        self._source: RecordSource
+        self._timer: TimerService
+        self._copies = {topic: _Copy() for topic in Topic}
+        self._subscribers: list[OnChange] = []
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to read."""
+        self._source = kernel.find('source')
+        self._timer = kernel.find('timer')
+        for topic in Topic:
+            kernel.spawn(self._follow, topic)
+
+    def subscribe(self, on_change: OnChange) -> None:
+        """Call back after each change, within the same step of the loop."""
+        self._subscribers.append(on_change)
+
+    def records(self, topic: Topic) -> dict[str, Record | None]:
+        """Return the current records of a topic."""
+        return self._copies[topic].records
+
+    def revision(self, topic: Topic) -> int:
+        """Return the revision of the copy, or 0 if there is none yet."""
+        return self._copies[topic].revision
+
+    def age_s(self, topic: Topic) -> float:
+        """Return the time since the copy was last known to be current."""
+        copy = self._copies[topic]
+        if copy.failing_since_s is None and copy.revision:
+            return 0.0
+        return self._timer.now_s() - copy.read_s
+
+    def digest(self, topic: Topic) -> int:
+        """Return a digest of the records, equal on hosts with the same records."""
+        return self._copies[topic].digest
+
+    def returned_s(self, topic: Topic) -> float:
+        """Return when the store last answered again after it had not."""
+        return self._copies[topic].returned_s
+
+    def is_failing(self, topic: Topic) -> bool:
+        """Tell whether the last call for the topic got no answer."""
+        return self._copies[topic].failing_since_s is not None
+
+    def snapshot(self, topic: Topic) -> Snapshot:
+        """Return the copy, for another host."""
+        copy = self._copies[topic]
+        return Snapshot(revision=copy.revision, records=copy.records)
+
+    def adopt(self, topic: Topic, snapshot: Snapshot, source: str) -> bool:
+        """Take the copy of another host if it is later; tell whether it was."""
+        copy = self._copies[topic]
+        if snapshot.revision <= copy.revision:
+            return False
+        log.info(
+            'copy_adopted',
+            topic=topic.value,
+            revision=snapshot.revision,
+            had=copy.revision,
+            source=source,
+        )
+        copy.read_s = self._timer.now_s()
+        self._replace(topic, snapshot)
+        return True
+
+    def hear_of(self, topic: Topic, revision: int, digest: int) -> None:
+        """Read anew if another host has known later records for a while."""
+        copy = self._copies[topic]
+        now_s = self._timer.now_s()
+        if revision <= copy.revision or digest == copy.digest:
+            copy.behind_since_s = None
+        elif copy.behind_since_s is None:
+            copy.behind_since_s = now_s
+        elif now_s - copy.behind_since_s > BEHIND_S:
+            copy.behind_since_s = None
+            if copy.failing_since_s is None:
+                log.info('watch_behind', topic=topic.value, had=copy.revision)
+                self.reread(topic)
+
+    def reread(self, topic: Topic) -> None:
+        """Give up the present wait and read the whole topic."""
+        scope = self._copies[topic].restart
+        if scope is not None:
+            scope.cancel()
+
+    async def _follow(self, topic: Topic) -> None:
+        copy = self._copies[topic]
+        backoff_s = _FIRST_BACKOFF_S
+        is_whole = False
+        while True:
+            answer: Snapshot | Changes | Failure | None = None
+            with anyio.CancelScope() as scope:
+                copy.restart = scope
+                if is_whole:
+                    answer = await self._wait(topic)
+                else:
+                    answer = await self._source.read(topic)
+            copy.restart = None
+            if isinstance(answer, Snapshot | Changes):
+                backoff_s = _FIRST_BACKOFF_S
+                self._note_answer(topic)
+                self._apply(topic, answer)
+                is_whole = True
+                continue
+            is_whole = False
+            if answer is None or answer.kind is ErrorKind.STORE_COMPACTED:
+                continue
+            self._note_failure(topic, answer)
+            await self._timer.sleep(backoff_s * (0.5 + random.random()))
+            backoff_s = min(_LONGEST_BACKOFF_S, 2 * backoff_s)
+
+    async def _wait(self, topic: Topic) -> Changes | Failure:
+        # The first part of a second spreads the waits of hosts that began together.
+        wait_s = WAIT_S * (0.5 + random.random() / 2)
+        return await self._source.wait(topic, self._copies[topic].revision, wait_s)
+
+    def _apply(self, topic: Topic, answer: Snapshot | Changes) -> None:
+        copy = self._copies[topic]
+        copy.read_s = self._timer.now_s()
+        if isinstance(answer, Snapshot):
+            # A read that was answered late, or by a stale part of the store.
+            if answer.revision >= copy.revision:
+                self._replace(topic, answer)
+            return
+        if answer.revision <= copy.revision:
+            return
+        if not answer.changed and not answer.removed:
+            copy.revision = answer.revision
+            return
+        records = {**copy.records, **answer.changed}
+        for name in answer.removed:
+            records.pop(name, None)
+        self._replace(topic, Snapshot(revision=answer.revision, records=records))
+
+    def _replace(self, topic: Topic, snapshot: Snapshot) -> None:
+        copy = self._copies[topic]
+        is_same = copy.revision > 0 and snapshot.records == copy.records
+        copy.revision = snapshot.revision
+        copy.behind_since_s = None
+        if is_same:
+            return
+        copy.records = dict(snapshot.records)
+        copy.digest = _digest(copy.records)
+        for on_change in self._subscribers:
+            on_change(topic)
+
+    def _note_answer(self, topic: Topic) -> None:
+        copy = self._copies[topic]
+        if copy.failing_since_s is None:
+            return
+        now_s = self._timer.now_s()
+        log.info(
+            'store_regained',
+            topic=topic.value,
+            away_s=round(now_s - copy.failing_since_s, 3),
+        )
+        copy.failing_since_s = None
+        copy.returned_s = now_s
+
+    def _note_failure(self, topic: Topic, failure: Failure) -> None:
+        copy = self._copies[topic]
+        if copy.failing_since_s is None:
+            copy.failing_since_s = self._timer.now_s()
+            log.warning(
+                'store_lost',
+                topic=topic.value,
+                revision=copy.revision,
+                reason=failure.reason,
+            )
+
+
+def _digest(records: dict[str, Record | None]) -> int:
+    return zlib.crc32(msgspec.msgpack.encode(sorted(records.items())))
--- /dev/null
+++ b/cicadadoor/entry/neighbours.py
@@ -0,0 +1,100 @@
+"""Take records from other hosts while the store does not serve this one."""
+
+from functools import partial
+
+from cicadadoor.entry.membership import Beat, BeatPart, Membership
+from cicadadoor.entry.mirror import Mirror
+from cicadadoor.entry.model import Snapshot, Topic
+from cicadadoor.errors import Failure
+from cicadadoor.kernel import Kernel
+from cicadadoor.links.messages import Message
+from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.telemetry import logs
+
+log = logs.logger('neighbours')
+
+# A neighbour that does not answer is replaced by another one in the next round.
+_ASK_TIMEOUT_S = 0.6
+
+
+class SnapshotRequest(Message, frozen=True, kw_only=True, tag=True):
+    """Ask for a topic's records if they are later than a revision."""
+
+    topic: Topic
+    revision: int
+
+
+class SnapshotAnswer(Message, frozen=True, kw_only=True, tag=True):
+    """Carry a topic's records, or none if they are not later."""
+
+    snapshot: Snapshot | None
+
+
+class Neighbours(BeatPart):
+    """Compare revisions with other hosts, and ask one that has a later one."""
+
+    name = 'neighbours'
+
+    def __init__(self, hub: PeerHub) -> None:
+        self._kernel: Kernel
+        self._mirror: Mirror
+        self._membership: Membership
+        self._hub = hub
+        self._asking: set[Topic] = set()
+        self._asked = 0
+
+    async def start(self, kernel: Kernel) -> None:
+        """Answer neighbours and listen to their beats."""
+        self._kernel = kernel
+        self._mirror = kernel.find('mirror')
+        self._membership = kernel.find('membership')
+        self._membership.join(self)
+        self._hub.on(SnapshotRequest, self._answer, SnapshotAnswer)
+
+    def heard(self, beats: list[Beat]) -> None:
+        """Ask where the store fails; tell the mirror where a watch may be silent."""
+        for topic in Topic:
+            latest = max(beats, key=partial(Beat.revision, topic=topic), default=None)
+            if latest is None:
+                return
+            revision = latest.revision(topic)
+            digest = latest.digest(topic)
+            self._mirror.hear_of(topic, revision, digest)
+            is_later = revision > self._mirror.revision(topic)
+            is_other = digest != self._mirror.digest(topic)
+            if is_later and is_other and self._mirror.is_failing(topic):
+                self._begin(
+                    topic,
+                    [beat for beat in beats if beat.revision(topic) == revision],
+                )
+
+    def _begin(self, topic: Topic, later: list[Beat]) -> None:
+        if topic in self._asking:
+            return
+        self._asking.add(topic)
+        self._asked += 1
+        chosen = later[self._asked % len(later)]
+        self._kernel.spawn(self._ask, topic, chosen.host)
+
+    async def _ask(self, topic: Topic, host: str) -> None:
+        address = self._membership.peer_address(host)
+        try:
+            answer = await self._hub.ask(
+                address,
+                SnapshotRequest(topic=topic, revision=self._mirror.revision(topic)),
+                _ASK_TIMEOUT_S,
+            )
+            if isinstance(answer, Failure):
+                log.info('neighbour_silent', peer=address, reason=answer.reason)
+                self._hub.forget(address)
+            elif isinstance(answer, SnapshotAnswer) and answer.snapshot is not None:
+                self._mirror.adopt(topic, answer.snapshot, address)
+        finally:
+            self._asking.discard(topic)
+
+    async def _answer(self, request: Message) -> Message:
+        snapshot = None
+        if isinstance(request, SnapshotRequest):
+            if self._mirror.revision(request.topic) > request.revision:
+                snapshot = self._mirror.snapshot(request.topic)
+        return SnapshotAnswer(snapshot=snapshot)
--- /dev/null
+++ b/cicadadoor/entry/policy.py
@@ -0,0 +1,97 @@
+"""Keep the operator's configuration in force, never an older one than before."""
+
+from cicadadoor.entry.mirror import Mirror
+from cicadadoor.entry.model import (
+    OrganisationPolicy,
+    RequestPolicy,
+    RoutePolicy,
+    Topic,
+)
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.telemetry import logs, metrics
+
+log = logs.logger('policy')
+
+
+class RouteTable:
+    """Find the route of a request: the longest path prefix under its host name."""
+
+    __slots__ = ('_routes',)
+
+    def __init__(self, routes: tuple[RoutePolicy, ...]) -> None:
+        self._routes: dict[tuple[str, str], RoutePolicy] = {}
+        for route in routes:
+            self._routes.setdefault((route.host_name, route.path_prefix), route)
+
+    def find(self, host_name: str, path: str) -> RoutePolicy | None:
+        """Return the route, or None if no prefix begins the path."""
+        end = len(path)
+        while end > 0:
+            end = path.rfind('/', 0, end)
+            if end < 0:
+                return None
+            route = self._routes.get((host_name, path[: end + 1]))
+            if route is not None:
+                return route
+        return None
+
+
+class PolicyKeeper(Service):
+    """Answer which route and organisation a request belongs to."""
+
+    name = 'policy'
+
+    def __init__(self) -> None:
+        self._mirror: Mirror
+        self.current: RequestPolicy | None = None
+        self._table = RouteTable(())
+        self._by_key: dict[str, OrganisationPolicy] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        """Follow the mirror."""
+        self._mirror = kernel.find('mirror')
+        self._mirror.subscribe(self._on_change)
+
+    @property
+    def age_s(self) -> float:
+        """Return the time for which a later version may have been in force."""
+        return self._mirror.age_s(Topic.POLICY)
+
+    def find_route(self, host_name: str, path: str) -> RoutePolicy | None:
+        """Return the route of a path."""
+        return self._table.find(host_name, path)
+
+    def find_organisation(self, api_key: str) -> OrganisationPolicy | None:
+        """Return the organisation that holds the key."""
+        return self._by_key.get(api_key)
+
+    def _on_change(self, topic: Topic) -> None:
+        if topic is not Topic.POLICY:
+            return
+        for record in self._mirror.records(topic).values():
+            if isinstance(record, RequestPolicy):
+                self._take(record)
+
+    def _take(self, policy: RequestPolicy) -> None:
+        if self.current is not None and policy.version <= self.current.version:
+            log.info(
+                'policy_ignored',
+                version=policy.version,
+                in_force=self.current.version,
+                reason='not later than the one in force',
+            )
+            return
+        self._table = RouteTable(policy.routes)
+        self._by_key = {
+            key: organisation
+            for organisation in policy.organisations.values()
+            for key in organisation.api_keys
+        }
+        self.current = policy
+        metrics.GENERATION.set(policy.version)
+        log.info(
+            'policy_applied',
+            version=policy.version,
+            routes=len(policy.routes),
+            organisations=len(policy.organisations),
+        )
--- /dev/null
+++ b/cicadadoor/entry/quarantine.py
@@ -0,0 +1,101 @@
+"""Stop requests that crash the backend servers that run them."""
+
+import math
+from hashlib import blake2b
+
+from cicadadoor.entry.membership import Beat, BeatPart, Membership
+from cicadadoor.entry.messages import CallerRequest
+from cicadadoor.kernel import Kernel
+from cicadadoor.telemetry import logs
+from cicadadoor.timer import TimerService
+
+log = logs.logger('quarantine')
+
+# A request that three backend servers ended under is not sent again; after one it is
+# not repeated by this host itself.
+REFUSED_AT = 3
+# A crashing request comes again within seconds; ends further apart are chance.
+_MEMORY_S = 20.0
+_TOLD = 64
+_DIGEST_BYTES = 6
+
+
+class _Deaths:
+    __slots__ = ('count', 'last_s')
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.last_s = -math.inf
+
+
+class CrashWatch(BeatPart):
+    """Count the ends of backend servers under requests with equal content."""
+
+    name = 'quarantine'
+
+    def __init__(self) -> None:
+        self._timer: TimerService
+        self._own: dict[int, _Deaths] = {}
+        self._others: dict[int, int] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        """Join the beats."""
+        self._timer = kernel.find('timer')
+        membership: Membership = kernel.find('membership')
+        membership.join(self)
+
+    def deaths(self, fingerprint: int) -> int:
+        """Return how many backend servers ended under such requests."""
+        own = self._own.get(fingerprint)
+        return (own.count if own else 0) + self._others.get(fingerprint, 0)
+
+    def note_death(self, fingerprint: int, backend_server: str) -> None:
+        """Count a connection that broke while the request ran."""
+        record = self._own.setdefault(fingerprint, _Deaths())
+        record.count += 1
+        record.last_s = self._timer.now_s()
+        if record.count == REFUSED_AT:
+            log.warning(
+                'request_quarantined',
+                fingerprint=fingerprint,
+                backend_server=backend_server,
+            )
+
+    def note_answer(self, fingerprint: int) -> None:
+        """Clear a request that a backend server answered."""
+        self._own.pop(fingerprint, None)
+
+    def fill(self, fields: dict[str, object]) -> None:
+        """Tell the most recent fingerprints."""
+        oldest_s = self._timer.now_s() - _MEMORY_S
+        for fingerprint, record in list(self._own.items()):
+            if record.last_s < oldest_s:
+                self._own.pop(fingerprint)
+        recent = sorted(
+            self._own.items(),
+            key=lambda item: item[1].last_s,
+            reverse=True,
+        )
+        fields['crashes'] = {name: each.count for name, each in recent[:_TOLD]}
+
+    def heard(self, beats: list[Beat]) -> None:
+        """Add up what other hosts counted."""
+        self._others = {}
+        for beat in beats:
+            for fingerprint, count in beat.crashes.items():
+                self._others[fingerprint] = self._others.get(fingerprint, 0) + count
+
+
+def fingerprint_of(request: CallerRequest, organisation: str, body: bytes) -> int:
+    """Return a number for what a request has in common with its repeats."""
+    hashed = blake2b(digest_size=_DIGEST_BYTES)
+    for part in (
+        request.method.encode(),
+        request.host_name.encode(),
+        request.target,
+        organisation.encode(),
+        body,
+    ):
+        hashed.update(b'%d:' % len(part))
+        hashed.update(part)
+    return int.from_bytes(hashed.digest(), 'big')
--- /dev/null
+++ b/cicadadoor/entry/quotas.py
@@ -0,0 +1,110 @@
+"""Keep each organisation within its rate over all hosts."""
+
+from cicadadoor.decisions.buckets import TokenBucket
+from cicadadoor.decisions.host_shares import Demand, SlowGrowth, wanted_share
+from cicadadoor.entry.membership import Beat, BeatPart, Membership, short_name
+from cicadadoor.entry.model import OrganisationPolicy
+from cicadadoor.entry.state import EntryState
+from cicadadoor.kernel import Kernel
+from cicadadoor.timer import TimerService
+
+# Long enough to smooth single requests, short enough to follow a burst.
+_DEMAND_MEMORY_S = 1.5
+# Others have heard of a smaller part within this time, or are silent.
+_GROWTH_DELAY_S = 1.0
+_LEAST_WAIT_S = 0.1
+_LONGEST_WAIT_S = 5.0
+_LEAST_DEMAND_PER_S = 0.05
+# Parts follow demand late. So much of what the rules allow beyond the limit makes up
+# for that, so that fewer requests within the limit are refused.
+_OVERRUN_USE = 0.8
+_SLACK_USE = 0.6
+
+
+class _Account:
+    __slots__ = ('bucket', 'demand', 'growth', 'organisation', 'short_name')
+
+    def __init__(self, organisation: OrganisationPolicy, now_s: float) -> None:
+        self.bucket = TokenBucket(0, 0, now_s)
+        self.organisation = organisation
+        self.short_name = short_name(organisation.name)
+        self.demand = Demand(now_s)
+        self.growth = SlowGrowth(_GROWTH_DELAY_S)
+
+
+class Quotas(BeatPart):
+    """Take tokens from this host's part of each organisation's limit."""
+
+    name = 'quotas'
+
+    def __init__(self) -> None:
+        self._state: EntryState
+        self._timer: TimerService
+        self._membership: Membership
+        self._accounts: dict[str, _Account] = {}
+        self._heard: list[Beat] = []
+
+    async def start(self, kernel: Kernel) -> None:
+        """Join the beats."""
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._membership = kernel.find('membership')
+        self._membership.join(self)
+
+    def take(self, organisation: OrganisationPolicy) -> float | None:
+        """Take a token; otherwise return the seconds until there may be one."""
+        if organisation.rate_per_s <= 0:
+            return None
+        now_s = self._timer.now_s()
+        account = self._accounts.get(organisation.name)
+        if account is None:
+            account = _Account(organisation, now_s)
+            self._accounts[organisation.name] = account
+            self._share_out(account, now_s)
+            # Nobody has spent this host's part before it was asked for.
+            account.bucket.tokens = account.bucket.burst
+        account.demand.add()
+        if account.organisation is not organisation:
+            account.organisation = organisation
+            self._share_out(account, now_s)
+        if account.bucket.take(now_s):
+            return None
+        missing = 1 - account.bucket.tokens
+        wait_s = missing / max(account.bucket.rate_per_s, _LEAST_DEMAND_PER_S)
+        return min(_LONGEST_WAIT_S, max(_LEAST_WAIT_S, wait_s))
+
+    def fill(self, fields: dict[str, object]) -> None:
+        """Tell this host's demand."""
+        fields['demand'] = {
+            account.short_name: round(account.demand.rate_per_s, 2)
+            for account in self._accounts.values()
+            if account.demand.rate_per_s > _LEAST_DEMAND_PER_S
+        }
+
+    def heard(self, beats: list[Beat]) -> None:
+        """Set this host's parts by the demand of all."""
+        now_s = self._timer.now_s()
+        self._heard = beats
+        for account in self._accounts.values():
+            account.demand.update(now_s, _DEMAND_MEMORY_S)
+            self._share_out(account, now_s)
+
+    def _share_out(self, account: _Account, now_s: float) -> None:
+        organisation = account.organisation
+        host_count = self._membership.host_count
+        others = {
+            beat.host: beat.demand.get(account.short_name, 0.0) for beat in self._heard
+        }
+        wanted = wanted_share(account.demand.rate_per_s, others, host_count)
+        if self._membership.is_isolated:
+            wanted = min(wanted, 1 / host_count)
+        share = account.growth.update(wanted, now_s)
+        bucket = account.bucket
+        bucket.take(now_s, 0)
+        settings = self._state.settings
+        overrun = 1 + _OVERRUN_USE * settings.quota_overrun
+        spare = _SLACK_USE * settings.quota_slack / host_count
+        bucket.rate_per_s = share * organisation.rate_per_s * overrun
+        # A part of less than one request would never serve any.
+        bucket.burst = max(1.0, share * organisation.burst * overrun + spare)
+        bucket.tokens = min(bucket.tokens, bucket.burst)
--- /dev/null
+++ b/cicadadoor/entry/server.py
@@ -0,0 +1,290 @@
+"""Serve callers, directory look-ups, readiness checks and metrics over HTTP."""
+
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs
+
+import anyio
+import msgspec
+
+from cicadadoor.entry.directory import Directory
+from cicadadoor.entry.dispatch import Dispatcher, Steered
+from cicadadoor.entry.forwarding import Dialect
+from cicadadoor.entry.messages import BackendAnswer, CallerRequest
+from cicadadoor.entry.policy import PolicyKeeper
+from cicadadoor.entry.state import EntryState
+from cicadadoor.errors import ANSWERS, ErrorKind, Failure, Run
+from cicadadoor.gate.caller_answers import watch_caller
+from cicadadoor.http_server import (
+    JSON_HEADER,
+    HttpServer,
+    Receive,
+    Scope,
+    Send,
+    answer_lifespan,
+    listen,
+    send_whole,
+)
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.telemetry import logs, metrics, tracing
+from cicadadoor.timer import TimerService
+
+log = logs.logger('entry')
+
+_MS_PER_S = 1000
+_CLOSE = (b'connection', b'close')
+# Idle connections are closed when nothing is in flight any more.
+_CLOSE_S = 0.2
+_DEFAULT_BODY_BYTES = 67_108_864
+# A head longer than the operator's limit is answered by the library before it gets
+# here; the rest is for the request line.
+_HEAD_MARGIN_BYTES = 8192
+_encoder = msgspec.json.Encoder()
+
+
+class Paths:
+    """Hold the paths at which the platform calls this host."""
+
+    __slots__ = ('directory', 'metrics', 'readiness')
+
+    def __init__(self, *, directory: str, readiness: str, metrics: str) -> None:
+        self.directory = directory
+        self.readiness = readiness
+        self.metrics = metrics
+
+
+class EntryServer(Service):
+    """Serve all addresses of the host with one hypercorn in the process's loop."""
+
+    name = 'server'
+
+    def __init__(self, dialect: Dialect, paths: Paths) -> None:
+        self._dialect = dialect
+        self._paths = paths
+        self._state: EntryState
+        self._timer: TimerService
+        self._policy: PolicyKeeper
+        self._directory: Directory
+        self._dispatcher: Dispatcher
+        self._http: HttpServer
+        self._callers_port = 0
+        self._open_requests = 0
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen at all addresses."""
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._policy = kernel.find('policy')
+        self._directory = kernel.find('directory')
+        self._dispatcher = kernel.find('dispatcher')
+        settings = self._state.settings
+        self._callers_port = settings.callers.port
+        addresses = [
+            settings.callers,
+            settings.directory,
+            settings.readiness,
+            settings.metrics,
+        ]
+        bound = {str(address): None for address in addresses}
+        self._http = HttpServer(
+            self.handle,
+            [listen(address) for address in bound],
+            close_s=_CLOSE_S,
+        )
+        kernel.spawn(self._http.serve)
+
+    def work_left(self) -> int:
+        """Return how many requests have no whole answer yet."""
+        return self._open_requests
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop listening and end the connections."""
+        await self._http.close()
+
+    async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one HTTP request."""
+        if scope['type'] == 'lifespan':
+            await answer_lifespan(receive, send)
+        elif scope['type'] != 'http':
+            return
+        elif scope['server'][1] == self._callers_port:
+            self._open_requests += 1
+            try:
+                await self._steer(scope, receive, self._closing_send(send))
+            finally:
+                self._open_requests -= 1
+        else:
+            await self._answer_platform(scope, send)
+
+    async def _answer_platform(self, scope: Scope, send: Send) -> None:
+        path = scope['path']
+        if path == self._paths.readiness:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            if self._policy.current is not None and not self._state.is_leaving:
+                status = HTTPStatus.OK
+            await send_whole(send, status, [], b'')
+        elif path == self._paths.directory:
+            await self._look_up(scope, send)
+        elif path == self._paths.metrics:
+            await send_whole(send, HTTPStatus.OK, [], metrics.exposition())
+        else:
+            await send_whole(send, HTTPStatus.NOT_FOUND, [], b'')
+
+    async def _look_up(self, scope: Scope, send: Send) -> None:
+        query = parse_qs(scope['query_string'].decode('latin-1'))
+        answer = self._directory.look_up(
+            query.get('region', [''])[0],
+            query.get('zone', [''])[0],
+        )
+        if isinstance(answer, Failure):
+            metrics.LOOKUPS.labels(answer.kind.value).inc()
+            await send_whole(send, ANSWERS[answer.kind].status, [], b'')
+            return
+        metrics.LOOKUPS.labels('ok').inc()
+        await send_whole(send, HTTPStatus.OK, [JSON_HEADER], _encoder.encode(answer))
+
+    def _closing_send(self, send: Send) -> Send:
+        # A caller that keeps the connection would find it closed under its next
+        # request, and could not tell whether that request ran.
+        async def send_and_close(event: dict[str, Any]) -> None:
+            if event['type'] == 'http.response.start' and self._state.is_leaving:
+                event['headers'] = [*event['headers'], _CLOSE]
+            await send(event)
+
+        return send_and_close
+
+    async def _steer(self, scope: Scope, receive: Receive, send: Send) -> None:
+        request = self._dialect.read_request(
+            scope['method'],
+            _target(scope),
+            scope['headers'],
+        )
+        body = await _read_body(receive, self._body_limit_bytes())
+        if isinstance(body, Failure):
+            await self._send_failure(send, request, body)
+            return
+        received_s = self._timer.now_s()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch_caller, receive, tasks.cancel_scope)
+            await self._answer(request, body, received_s, send)
+            tasks.cancel_scope.cancel()
+
+    async def _answer(
+        self,
+        request: CallerRequest,
+        body: bytes,
+        received_s: float,
+        send: Send,
+    ) -> None:
+        steered = self._dispatcher.admit(request, body, received_s)
+        answer: BackendAnswer | Failure
+        outcome = 'left'
+        detail = 'the caller left'
+        try:
+            if isinstance(steered, Failure):
+                answer = steered
+            else:
+                with tracing.hop('entry'):
+                    answer = await self._dispatcher.run(steered)
+            if isinstance(answer, Failure):
+                outcome, detail = answer.kind.value, answer.reason
+                await self._send_failure(send, request, answer)
+            else:
+                outcome, detail = str(answer.head.status), ''
+                await send_whole(
+                    send, answer.head.status, answer.head.headers, answer.body
+                )
+        finally:
+            self._record(request, steered, outcome, detail, received_s)
+
+    def _record(
+        self,
+        request: CallerRequest,
+        steered: Steered | Failure,
+        outcome: str,
+        detail: str,
+        received_s: float,
+    ) -> None:
+        took_s = self._timer.now_s() - received_s
+        if isinstance(steered, Failure):
+            metrics.ENTRY_REQUESTS.labels('-', outcome, '0').inc()
+            log.info(
+                'request',
+                request_id=request.request_id,
+                outcome=outcome,
+                detail=detail,
+                policy=self._policy_version(),
+            )
+            return
+        metrics.ENTRY_REQUESTS.labels(
+            steered.service, outcome, str(steered.attempts)
+        ).inc()
+        metrics.ENTRY_SECONDS.labels(steered.service).observe(took_s)
+        log.info(
+            'request',
+            request_id=request.request_id,
+            outcome=outcome,
+            detail=detail,
+            route=steered.route.name,
+            service=steered.service,
+            organisation=steered.organisation_name,
+            affinity=steered.request.affinity_key,
+            backend_servers=','.join(steered.tried),
+            attempts=steered.attempts,
+            took_ms=int(took_s * _MS_PER_S),
+            policy=self._policy_version(),
+            policy_age_ms=int(self._policy.age_s * _MS_PER_S),
+        )
+
+    def _policy_version(self) -> int:
+        current = self._policy.current
+        return current.version if current else 0
+
+    def _body_limit_bytes(self) -> int:
+        current = self._policy.current
+        if current is None:
+            return _DEFAULT_BODY_BYTES
+        self._http.limit(
+            current.limits.idle_timeout_ms / _MS_PER_S,
+            current.limits.max_header_bytes + _HEAD_MARGIN_BYTES,
+        )
+        return current.limits.max_body_bytes
+
+    async def _send_failure(
+        self,
+        send: Send,
+        request: CallerRequest,
+        failure: Failure,
+    ) -> None:
+        status = ANSWERS[failure.kind].status
+        headers = [JSON_HEADER]
+        if failure.run is Run.NO and failure.retry_after_ms:
+            delay_s = failure.retry_after_ms / _MS_PER_S
+            headers.append(self._dialect.retry_after(delay_s))
+        body = _encoder.encode({'error': failure.kind.value, 'run': failure.run.value})
+        await send_whole(send, status, headers, body)
+
+
+async def _read_body(receive: Receive, limit_bytes: int) -> bytes | Failure:
+    parts: list[bytes] = []
+    size_bytes = 0
+    while True:
+        event = await receive()
+        if event['type'] == 'http.disconnect':
+            return Failure(ErrorKind.BAD_REQUEST, 'the caller left')
+        parts.append(event.get('body', b''))
+        size_bytes += len(parts[-1])
+        if size_bytes > limit_bytes:
+            return Failure(
+                ErrorKind.REQUEST_TOO_LARGE,
+                f'the body is over {limit_bytes} bytes',
+            )
+        if not event.get('more_body'):
+            return b''.join(parts)
+
+
+def _target(scope: Scope) -> bytes:
+    raw_path = scope.get('raw_path') or scope['path'].encode()
+    path = bytes(raw_path).partition(b'?')[0]
+    query = scope['query_string']
+    return path + b'?' + query if query else path
--- /dev/null
+++ b/cicadadoor/entry/settings.py
@@ -0,0 +1,181 @@
+"""Read the settings of an entry host from JSON with comments and check them."""
+
+from typing import Any
+
+from cicadadoor import settings as shared
+from cicadadoor.errors import Failure
+from cicadadoor.settings import FieldRule
+
+# The rest is left for closing connections.
+_LEAVE_SHARE = 0.5
+_GRACE_SHARE = 0.36
+
+
+class EntrySettings:
+    """Hold the settings of one entry host."""
+
+    __slots__ = (
+        'callers',
+        'cold_overrun',
+        'cold_slack',
+        'directory',
+        'directory_ttl_max_s',
+        'drain_ms',
+        'evacuation_ms',
+        'failure_domain',
+        'host',
+        'kill_after_s',
+        'log_level',
+        'metrics',
+        'peers',
+        'policy_apply_ms',
+        'quota_overrun',
+        'quota_slack',
+        'readiness',
+        'region',
+        'region_of_domain',
+        'retry_ratio',
+        'retry_slack',
+        'retry_window_s',
+        'stability_ms',
+        'store',
+        'trace_sample_ratio',
+    )
+
+    def __init__(self, **fields: Any) -> None:
+        for name in self.__slots__:
+            setattr(self, name, fields[name])
+
+    @property
+    def leave_s(self) -> float:
+        """Return how long callers are still served after SIGTERM.
+
+        Clients keep a directory answer for up to three times its `ttl_s`.
+        """
+        return self.kill_after_s * _LEAVE_SHARE
+
+    @property
+    def grace_s(self) -> float:
+        """Return how long requests in flight may take after that."""
+        return self.kill_after_s * _GRACE_SHARE
+
+    def region_of(self, failure_domain: str) -> str:
+        """Return the region of a failure domain, or an empty text."""
+        return self.region_of_domain.get(failure_domain, '')
+
+
+def load(path: str) -> EntrySettings | Failure:
+    """Read and check a settings file; the failure names file, field and value."""
+    fields = shared.load_fields(path, _RULES)
+    return fields if isinstance(fields, Failure) else EntrySettings(**fields)
+
+
+def _parse_regions(given: Any) -> dict[str, str] | None:
+    if not isinstance(given, dict):
+        return None
+    is_text = all(isinstance(part, str) for pair in given.items() for part in pair)
+    return given if given and is_text else None
+
+
+_NAME = FieldRule(shared.parse_name, shared.NAME_ALLOWED, required=True)
+_ADDRESS = FieldRule(shared.parse_address, shared.ADDRESS_ALLOWED, required=True)
+
+_RULES = {
+    'host': _NAME,
+    'failure_domain': _NAME,
+    'region': _NAME,
+    'region_of_domain': FieldRule(
+        _parse_regions,
+        'an object of failure domains and their regions',
+        required=True,
+    ),
+    'callers': _ADDRESS,
+    'readiness': _ADDRESS,
+    'directory': _ADDRESS,
+    'peers': _ADDRESS,
+    'metrics': _ADDRESS,
+    'store': _ADDRESS,
+    # Time between SIGTERM and SIGKILL.
+    'kill_after_s': FieldRule(
+        shared.number_between(1, 3600),
+        'seconds from 1 to 3600',
+        6,
+    ),
+    # A disruption counts for this long after its end.
+    'stability_ms': FieldRule(
+        shared.number_between(100, 60_000),
+        'milliseconds from 100 to 60000',
+        3000,
+    ),
+    # Time in which a leaving backend server still takes requests.
+    'drain_ms': FieldRule(
+        shared.number_between(100, 60_000),
+        'milliseconds from 100 to 60000',
+        2500,
+    ),
+    'evacuation_ms': FieldRule(
+        shared.number_between(100, 60_000),
+        'milliseconds from 100 to 60000',
+        5000,
+    ),
+    'policy_apply_ms': FieldRule(
+        shared.number_between(100, 60_000),
+        'milliseconds from 100 to 60000',
+        2500,
+    ),
+    # Repeats of a service's requests, as a share of its requests.
+    'retry_ratio': FieldRule(
+        shared.number_between(0, 1),
+        'a number from 0 to 1',
+        0.2,
+    ),
+    # Repeats of a service's requests beyond the ratio, over all hosts.
+    'retry_slack': FieldRule(
+        shared.number_between(0, 10_000),
+        'requests from 0 to 10000',
+        50,
+    ),
+    'retry_window_s': FieldRule(
+        shared.number_between(1, 600),
+        'seconds from 1 to 600',
+        10,
+    ),
+    # Over all hosts, an organisation may exceed its limit by this part of it, and by
+    # the slack.
+    'quota_overrun': FieldRule(
+        shared.number_between(0, 1),
+        'a number from 0 to 1',
+        0.1,
+    ),
+    'quota_slack': FieldRule(
+        shared.number_between(0, 10_000),
+        'requests from 0 to 10000',
+        20,
+    ),
+    # A cold backend server may get its rate times the overrun plus the slack.
+    'cold_overrun': FieldRule(
+        shared.number_between(1, 10),
+        'a number from 1 to 10',
+        1.5,
+    ),
+    'cold_slack': FieldRule(
+        shared.number_between(0, 1000),
+        'requests from 0 to 1000',
+        5,
+    ),
+    'directory_ttl_max_s': FieldRule(
+        shared.number_between(1, 600),
+        'seconds from 1 to 600',
+        5,
+    ),
+    'trace_sample_ratio': FieldRule(
+        shared.number_between(0, 1),
+        'a number from 0 to 1',
+        0,
+    ),
+    'log_level': FieldRule(
+        shared.parse_level,
+        'DEBUG, INFO, WARNING or ERROR',
+        'INFO',
+    ),
+}
--- a/cicadadoor/errors.py
+++ b/cicadadoor/errors.py
@@ -36,6 +36,10 @@
     CONNECT_FAILED = 'connect_failed'
     BACKEND_SHED = 'backend_shed'
     QUARANTINED = 'quarantined'
+    REQUEST_HELD = 'request_held'
+    BACKEND_MOVED = 'backend_moved'
+    ANSWER_INVALID = 'answer_invalid'
+    UNKNOWN_ROUTE = 'unknown_route'
     IDEMPOTENCY_KEY_INVALID = 'idempotency_key_invalid'
     IDEMPOTENCY_KEY_REUSED = 'idempotency_key_reused'
     IDEMPOTENCY_IN_PROGRESS = 'idempotency_in_progress'
@@ -166,6 +170,10 @@
     ErrorKind.CONNECT_FAILED: _UNAVAILABLE,
     ErrorKind.BACKEND_SHED: _UNAVAILABLE,
     ErrorKind.QUARANTINED: _not_run(HTTPStatus.UNPROCESSABLE_ENTITY),
+    ErrorKind.REQUEST_HELD: _UNAVAILABLE,
+    ErrorKind.BACKEND_MOVED: _UNAVAILABLE,
+    ErrorKind.ANSWER_INVALID: Answer(HTTPStatus.BAD_GATEWAY, Run.UNKNOWN),
+    ErrorKind.UNKNOWN_ROUTE: _not_run(HTTPStatus.NOT_FOUND),
     ErrorKind.IDEMPOTENCY_KEY_INVALID: _BAD_REQUEST,
     ErrorKind.IDEMPOTENCY_KEY_REUSED: _not_run(HTTPStatus.UNPROCESSABLE_ENTITY),
     # The first request with the key is still in flight and may run.
--- a/cicadadoor/http_server.py
+++ b/cicadadoor/http_server.py
@@ -28,15 +28,22 @@
     def __init__(
         self,
         app: App,
-        address: str,
+        address: str | list[str],
         certificate_file: str | None = None,
         key_file: str | None = None,
+        close_s: float = _CLOSE_S,
     ) -> None:
         self._app = app
         self._config = _configure(address, certificate_file, key_file)
+        self._config.graceful_timeout = close_s
         self._closing = anyio.Event()
         self._closed = anyio.Event()
 
+    def limit(self, idle_s: float, head_bytes: int) -> None:
+        """Bound idle time and request heads of connections from now on."""
+        self._config.keep_alive_timeout = idle_s
+        self._config.h11_max_incomplete_size = head_bytes
+
     async def serve(self) -> None:
         """Serve until closed or cancelled."""
         try:
@@ -86,15 +93,14 @@
 
 
 def _configure(
-    address: str,
+    address: str | list[str],
     certificate_file: str | None,
     key_file: str | None,
 ) -> Config:
     config = Config()
-    config.bind = [address]
+    config.bind = [address] if isinstance(address, str) else address
     config.backlog = _BACKLOG
     config.keep_alive_timeout = _KEEP_ALIVE_S
-    config.graceful_timeout = _CLOSE_S
     config.accesslog = None
     config.errorlog = None
     config.certfile = certificate_file
--- a/cicadadoor/links/peer_hub.py
+++ b/cicadadoor/links/peer_hub.py
@@ -26,7 +26,9 @@
         instance: str,
         address: Address,
         security: PeerSecurity,
+        contexts: int | None = None,
     ) -> None:
+        self._contexts = contexts
         self._stamp = MessageStamp(instance)
         self._address = address
         self._security = security
@@ -49,7 +51,8 @@
         """Listen, if any service answers requests."""
         if not self._handlers:
             return
-        self._server = PeerServer(self._stamp, self._handlers, self._security)
+        bounds = {} if self._contexts is None else {'contexts': self._contexts}
+        self._server = PeerServer(self._stamp, self._handlers, self._security, **bounds)
         self._server.start(kernel, self._address)
 
     async def stop(self, grace_s: float) -> None:
--- a/cicadadoor/links/transport.py
+++ b/cicadadoor/links/transport.py
@@ -124,7 +124,9 @@
         stamp: MessageStamp,
         handlers: dict[type[Message], Handler],
         security: PeerSecurity,
+        contexts: int = _SERVER_CONTEXTS,
     ) -> None:
+        self._contexts = contexts
         self._stamp = stamp
         self._codec = Codec(*handlers)
         self._handlers = handlers
@@ -138,7 +140,7 @@
         self._security.apply(socket)
         _listen(socket, self._security.url(address))
         self._socket = socket
-        for _ in range(_SERVER_CONTEXTS):
+        for _ in range(self._contexts):
             kernel.spawn(self._serve, socket.new_context())
 
     def close(self) -> None:
--- /dev/null
+++ b/cicadadoor/platform/headers.py
@@ -0,0 +1,157 @@
+"""Translate the headers of requests and answers."""
+
+from collections.abc import Sequence
+from http.cookies import CookieError, SimpleCookie
+
+from cicadadoor.entry.messages import AnswerHead, CallerRequest
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+_MS_PER_S = 1000
+_AFFINITY_COOKIE = 'Affinity-Key'
+_BEARER = b'bearer '
+_LOAD_FIELDS = 3
+# Headers that concern one connection, and those that the system sets itself.
+_NOT_FORWARDED = frozenset(
+    (
+        b'authorization',
+        b'connection',
+        b'content-length',
+        b'deadline-ms',
+        b'expect',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'target-instance',
+        b'te',
+        b'tenant',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+_NOT_RETURNED = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'keep-alive',
+        b'proxy-connection',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+
+
+def read_request(method: str, target: bytes, headers: Headers) -> CallerRequest:
+    """Read a caller's request head."""
+    fields = {name.lower(): text for name, text in headers}
+    cookies = b'; '.join(text for name, text in headers if name.lower() == b'cookie')
+    named = _listed(fields.get(b'connection', b''))
+    kept = [
+        (name, text)
+        for name, text in headers
+        if name.lower() not in _NOT_FORWARDED and name.lower() not in named
+    ]
+    return CallerRequest(
+        request_id=fields.get(b'attempt-id', b'').decode('latin-1'),
+        method=method,
+        target=target,
+        host_name=_host_name(fields.get(b'host', b'')),
+        affinity_key=_affinity(cookies),
+        api_key=_api_key(fields.get(b'authorization', b'')),
+        deadline_ms=_whole(fields.get(b'deadline-ms', b'')),
+        headers=kept,
+    )
+
+
+def backend_headers(
+    request: CallerRequest,
+    *,
+    left_ms: int,
+    instance_id: str,
+    organisation: str,
+    body_bytes: int,
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers with which a request goes to a backend server."""
+    headers = list(request.headers)
+    headers.append((b'Deadline-Ms', str(left_ms).encode()))
+    headers.append((b'Target-Instance', instance_id.encode('latin-1')))
+    if organisation:
+        headers.append((b'Tenant', organisation.encode('latin-1')))
+    if body_bytes or request.method not in {'GET', 'HEAD', 'OPTIONS', 'DELETE'}:
+        headers.append((b'Content-Length', str(body_bytes).encode()))
+    return headers
+
+
+def read_answer(status: int, headers: Headers) -> AnswerHead:
+    """Read the head of a backend server's answer."""
+    fields = {name.lower(): text for name, text in headers}
+    named = _listed(fields.get(b'connection', b''))
+    return AnswerHead(
+        status=status,
+        request_id=fields.get(b'attempt-id', b'').decode('latin-1'),
+        is_signed=b'response-signature' in fields,
+        is_not_run=b'not-executed' in fields,
+        is_encoded=fields.get(b'content-encoding', b'identity') != b'identity',
+        instance_id=fields.get(b'instance-id', b'').decode('latin-1'),
+        load=_load(fields.get(b'server-load', b'')),
+        idle_limit_s=_idle_limit_s(fields.get(b'keep-alive', b'')),
+        is_last=b'close' in named,
+        headers=[
+            (name, text)
+            for name, text in headers
+            if name.lower() not in _NOT_RETURNED and name.lower() not in named
+        ],
+    )
+
+
+def retry_after(delay_s: float) -> tuple[bytes, bytes]:
+    """Return the header that tells a caller when to come back."""
+    return (b'retry-after', f'{delay_s:.3f}'.encode())
+
+
+def _listed(text: bytes) -> frozenset[bytes]:
+    return frozenset(part.strip().lower() for part in text.split(b','))
+
+
+def _host_name(text: bytes) -> str:
+    return text.decode('latin-1').partition(':')[0].lower()
+
+
+def _affinity(cookies: bytes) -> str:
+    if not cookies:
+        return ''
+    try:
+        jar = SimpleCookie(cookies.decode('latin-1'))
+    except CookieError:
+        return ''
+    morsel = jar.get(_AFFINITY_COOKIE)
+    return morsel.value if morsel else ''
+
+
+def _api_key(text: bytes) -> str:
+    if text[: len(_BEARER)].lower() != _BEARER:
+        return ''
+    return text[len(_BEARER) :].strip().decode('latin-1')
+
+
+def _whole(text: bytes) -> int | None:
+    return int(text) if text.isdigit() else None
+
+
+def _load(text: bytes) -> tuple[int, int, int] | None:
+    parts = text.split(b',')
+    if len(parts) != _LOAD_FIELDS or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return running, waiting, slots
+
+
+def _idle_limit_s(text: bytes) -> float | None:
+    for part in text.split(b','):
+        name, _, number = part.strip().partition(b'=')
+        if name.lower() == b'timeout' and number.isdigit():
+            return float(number)
+    return None
--- /dev/null
+++ b/cicadadoor/platform/source.py
@@ -0,0 +1,112 @@
+"""Read shared records from the platform's store."""
+
+import msgspec
+
+from cicadadoor.entry.model import Changes, HostRecord, Record, Snapshot, Topic
+from cicadadoor.entry.source import RecordSource
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.platform.decoding import MalformedObjectError, decode
+from cicadadoor.platform.store_client import Metadata, StoreClient, StoreObject
+from cicadadoor.telemetry import logs
+
+log = logs.logger('platform')
+
+_HOST_KIND = 'cicadadoor-hosts'
+_KINDS = {
+    Topic.POLICY: 'config',
+    Topic.BACKENDS: 'servers',
+    Topic.EVACUATIONS: 'evacuations',
+    Topic.HOSTS: _HOST_KIND,
+}
+_POLICY_NAME = 'main'
+
+
+class PlatformSource(RecordSource):
+    """Translate records to and from objects of the store."""
+
+    def __init__(self, client: StoreClient) -> None:
+        self._client = client
+
+    async def stop(self, grace_s: float) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+    async def read(self, topic: Topic) -> Snapshot | Failure:
+        """Return all records of a topic."""
+        records: dict[str, Record | None] = {}
+        revision = None
+        after = ''
+        while True:
+            page = await self._client.page(_KINDS[topic], after)
+            if isinstance(page, Failure):
+                return page
+            for item in page.items:
+                _take(topic, item, records)
+            # Later pages may miss changes to earlier ones, which the watch from the
+            # first page's revision brings again.
+            revision = page.at if revision is None else revision
+            after = max(records, default='')
+            if not page.more or not page.items:
+                return Snapshot(revision=revision, records=records)
+
+    async def wait(
+        self,
+        topic: Topic,
+        revision: int,
+        wait_s: float,
+    ) -> Changes | Failure:
+        """Return changes after the revision, or none after the wait."""
+        answer = await self._client.watch(_KINDS[topic], revision, wait_s)
+        if isinstance(answer, Failure):
+            return answer
+        changed: dict[str, Record | None] = {}
+        removed: dict[str, None] = {}
+        for event in answer.events:
+            name = _take(topic, event.object, changed)
+            if event.deleted:
+                changed.pop(name, None)
+                removed[name] = None
+            else:
+                removed.pop(name, None)
+        return Changes(revision=answer.at, changed=changed, removed=tuple(removed))
+
+    async def publish_host(self, record: HostRecord) -> None | Failure:
+        """Write the record of a host, in place of an earlier one."""
+        wanted = StoreObject(
+            metadata=Metadata(name=record.host),
+            spec=msgspec.Raw(msgspec.json.encode(record)),
+        )
+        answer = await self._client.replace(_HOST_KIND, wanted)
+        if isinstance(answer, Failure) and answer.kind is ErrorKind.STORE_NOT_FOUND:
+            answer = await self._client.create(_HOST_KIND, wanted)
+        return answer if isinstance(answer, Failure) else None
+
+    async def remove_host(self, host: str) -> None | Failure:
+        """Remove the record of a host."""
+        present = await self._client.get(_HOST_KIND, host)
+        if isinstance(present, Failure):
+            is_gone = present.kind is ErrorKind.STORE_NOT_FOUND
+            return None if is_gone else present
+        revision = present.metadata.revision
+        answer = await self._client.delete(_HOST_KIND, host, revision)
+        is_gone = answer is not None and answer.kind is ErrorKind.STORE_NOT_FOUND
+        return None if is_gone else answer
+
+
+def _take(
+    topic: Topic,
+    encoded: msgspec.Raw,
+    records: dict[str, Record | None],
+) -> str:
+    name = ''
+    try:
+        stored = msgspec.json.decode(encoded, type=StoreObject)
+        name = stored.metadata.name
+        if topic is Topic.POLICY and name != _POLICY_NAME:
+            return name
+        records[name] = decode(topic, stored)
+    except (msgspec.MsgspecError, MalformedObjectError) as error:
+        log.warning('object_unreadable', topic=topic.value, name=name, error=error)
+        if name:
+            records[name] = None
+    return name
--- /dev/null
+++ b/cicadadoor/platform/store_client.py
@@ -0,0 +1,174 @@
+"""Call the platform's metadata store."""
+
+from http import HTTPStatus
+from urllib.parse import quote
+
+import httpx
+import msgspec
+
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.sockets import KEEP_ALIVE_OPTIONS
+
+# An answer takes 4 ms when the store is well; a call that takes longer than this is
+# given up, so that a silent connection is replaced within the bounds of the rules.
+CALL_TIMEOUT_S = 1.0
+# What a watch may take beyond the time that it asked for.
+_WATCH_MARGIN_S = 1.0
+_MS_PER_S = 1000
+
+_FAILURE_KINDS = {
+    HTTPStatus.NOT_FOUND: ErrorKind.STORE_NOT_FOUND,
+    HTTPStatus.CONFLICT: ErrorKind.STORE_CONFLICT,
+    HTTPStatus.GONE: ErrorKind.STORE_COMPACTED,
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: ErrorKind.STORE_TOO_LARGE,
+}
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class Metadata(msgspec.Struct, kw_only=True):
+    """Name an object and the revision of its last change."""
+
+    name: str
+    revision: int = 0
+    created: int = 0
+    finalizers: list[str] = []
+    deleting: bool = False
+
+
+class StoreObject(msgspec.Struct, kw_only=True):
+    """Hold one object; `spec` and `status` are encoded as JSON."""
+
+    metadata: Metadata
+    spec: msgspec.Raw = msgspec.Raw(b'null')
+    status: msgspec.Raw = msgspec.Raw(b'null')
+
+
+class Page(msgspec.Struct, kw_only=True):
+    """Hold some of the objects of a kind, each encoded as JSON."""
+
+    items: list[msgspec.Raw]
+    more: bool = False
+    at: int
+
+
+class Event(msgspec.Struct, kw_only=True):
+    """Tell a change of one object."""
+
+    object: msgspec.Raw
+    deleted: bool = False
+
+
+class Events(msgspec.Struct, kw_only=True):
+    """Hold changes up to the revision `at`."""
+
+    events: list[Event]
+    at: int
+
+
+class StoreClient:
+    """Send one call each; nothing is repeated here."""
+
+    def __init__(self, address: str) -> None:
+        self._client = httpx.AsyncClient(
+            base_url=f'http://{address}/v1/objects/',
+            timeout=CALL_TIMEOUT_S,
+            trust_env=False,
+            transport=httpx.AsyncHTTPTransport(
+                socket_options=KEEP_ALIVE_OPTIONS,
+                trust_env=False,
+                verify=False,  # noqa: S501 - the store speaks plain HTTP
+            ),
+        )
+
+    async def page(self, kind: str, after: str = '') -> Page | Failure:
+        """Read objects of a kind, from the name that follows `after`."""
+        path = f'{kind}?after={quote(after, safe="")}' if after else kind
+        return _decoded(await self._call('GET', path), Page)
+
+    async def watch(
+        self,
+        kind: str,
+        revision: int,
+        wait_s: float,
+    ) -> Events | Failure:
+        """Wait for changes after the revision."""
+        path = f'{kind}?watch={revision}&wait_ms={int(wait_s * _MS_PER_S)}'
+        timeout = httpx.Timeout(CALL_TIMEOUT_S, read=wait_s + _WATCH_MARGIN_S)
+        return _decoded(await self._call('GET', path, timeout=timeout), Events)
+
+    async def get(self, kind: str, name: str) -> StoreObject | Failure:
+        """Read one object."""
+        return _decoded(await self._call('GET', _path(kind, name)), StoreObject)
+
+    async def create(self, kind: str, wanted: StoreObject) -> StoreObject | Failure:
+        """Write an object that must not exist yet."""
+        body = await self._call('POST', kind, msgspec.json.encode(wanted))
+        return _decoded(body, StoreObject)
+
+    async def replace(self, kind: str, wanted: StoreObject) -> StoreObject | Failure:
+        """Replace an object; its revision has to match unless it is 0."""
+        path = _path(kind, wanted.metadata.name)
+        body = await self._call('PUT', path, msgspec.json.encode(wanted))
+        return _decoded(body, StoreObject)
+
+    async def delete(self, kind: str, name: str, revision: int) -> None | Failure:
+        """Delete an object if it has the revision."""
+        path = f'{_path(kind, name)}?revision={revision}'
+        body = await self._call('DELETE', path)
+        return body if isinstance(body, Failure) else None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        encoded: bytes | None = None,
+        timeout: httpx.Timeout | None = None,
+    ) -> bytes | Failure:
+        headers = {'content-type': 'application/json'} if encoded is not None else None
+        try:
+            response = await self._client.request(
+                method,
+                path,
+                content=encoded,
+                headers=headers,
+                timeout=timeout or CALL_TIMEOUT_S,
+            )
+        except _NOT_SENT as error:
+            return _lost(ErrorKind.STORE_UNAVAILABLE, method, path, error)
+        except httpx.HTTPError as error:
+            # A call without an answer may have been executed, or may be later.
+            kind = ErrorKind.STORE_OUTCOME_UNKNOWN
+            if method == 'GET':
+                kind = ErrorKind.STORE_UNAVAILABLE
+            return _lost(kind, method, path, error)
+        if response.is_success:
+            return response.content
+        kind = _FAILURE_KINDS.get(
+            HTTPStatus(response.status_code),
+            ErrorKind.STORE_UNAVAILABLE,
+        )
+        return Failure(kind, f'{method} {path}: status {response.status_code}')
+
+
+def _path(kind: str, name: str) -> str:
+    return f'{kind}/{quote(name, safe="")}'
+
+
+def _lost(kind: ErrorKind, method: str, path: str, error: Exception) -> Failure:
+    return Failure(kind, f'{method} {path}: {type(error).__name__}')
+
+
+def _decoded(body: bytes | Failure, wanted: type) -> 'Page | Failure':
+    if isinstance(body, Failure):
+        return body
+    try:
+        return msgspec.json.decode(body, type=wanted)
+    except msgspec.MsgspecError as error:
+        return Failure(
+            ErrorKind.STORE_UNAVAILABLE,
+            f'the store sent a malformed answer: {error}',
+        )
--- a/cicadadoor/settings.py
+++ b/cicadadoor/settings.py
@@ -89,6 +89,14 @@
 
 def load(path: str) -> Settings | Failure:
     """Read and check a settings file; the failure names file, field and value."""
+    fields = load_fields(path, _RULES)
+    if isinstance(fields, Failure):
+        return fields
+    return _check_together(path, Settings(**fields))
+
+
+def load_fields(path: str, rules: dict[str, FieldRule]) -> dict[str, Any] | Failure:
+    """Read a settings file and check each field by its rule."""
     try:
         document = json5.loads(Path(path).read_text(encoding='utf-8'))
     except OSError as error:
@@ -97,15 +105,19 @@
         return _fault(path, 'file', path, f'JSON with comments ({error})')
     if not isinstance(document, dict):
         return _fault(path, 'file', type(document).__name__, 'an object')
-    return _check(path, document)
+    return _check(path, document, rules)
 
 
-def _check(path: str, document: dict[str, Any]) -> Settings | Failure:
+def _check(
+    path: str,
+    document: dict[str, Any],
+    rules: dict[str, FieldRule],
+) -> dict[str, Any] | Failure:
     for name in document:
-        if name not in _RULES:
-            return _fault(path, name, document[name], _hint(name))
+        if name not in rules:
+            return _fault(path, name, document[name], _hint(name, rules))
     fields = {}
-    for name, rule in _RULES.items():
+    for name, rule in rules.items():
         given = document.get(name, rule.default)
         if given is None and rule.required:
             return _fault(path, name, 'nothing', f'{rule.allowed} (required)')
@@ -113,7 +125,7 @@
         if given is not None and parsed is None:
             return _fault(path, name, given, rule.allowed)
         fields[name] = parsed
-    return _check_together(path, Settings(**fields))
+    return fields
 
 
 def _check_together(path: str, settings: Settings) -> Settings | Failure:
@@ -159,12 +171,12 @@
     )
 
 
-def _hint(name: str) -> str:
+def _hint(name: str, rules: dict[str, FieldRule]) -> str:
     stem = name.rsplit('_', 1)[0]
-    near = [known for known in _RULES if known.rsplit('_', 1)[0] == stem]
+    near = [known for known in rules if known.rsplit('_', 1)[0] == stem]
     if near:
         return f'field {near[0]} (check the unit)'
-    known_fields = ', '.join(sorted(_RULES))
+    known_fields = ', '.join(sorted(rules))
     return f'one of the fields {known_fields}'
 
 
@@ -210,11 +222,14 @@
     return given if isinstance(given, str) and Path(given).is_file() else None
 
 
-def _parse_level(given: Any) -> str | None:
+def parse_level(given: Any) -> str | None:
+    """Parse the name of a log level, or return None."""
     return given if given in _LOG_LEVELS else None
 
 
-def _number_between(low: float, high: float) -> Any:
+def number_between(low: float, high: float) -> Any:
+    """Return a parser of numbers within the bounds."""
+
     def parse(given: Any) -> float | None:
         if isinstance(given, bool) or not isinstance(given, int | float):
             return None
@@ -228,65 +243,65 @@
     return given if is_number and given >= 0 else None
 
 
-_NAME = 'lower-case letters, digits and hyphens, at most 63'
-_ADDRESS = 'IP number and port, as in "127.0.0.1:8080"'
+NAME_ALLOWED = 'lower-case letters, digits and hyphens, at most 63'
+ADDRESS_ALLOWED = 'IP number and port, as in "127.0.0.1:8080"'
 _URL = 'a URL that starts with http:// or https://'
 _PATH = 'the path of a file that exists'
 
 _RULES = {
-    'host': FieldRule(parse_name, _NAME, required=True),
-    'region': FieldRule(parse_name, _NAME, required=True),
-    'failure_domain': FieldRule(parse_name, _NAME, required=True),
+    'host': FieldRule(parse_name, NAME_ALLOWED, required=True),
+    'region': FieldRule(parse_name, NAME_ALLOWED, required=True),
+    'failure_domain': FieldRule(parse_name, NAME_ALLOWED, required=True),
     'platform_url': FieldRule(_parse_url, _URL, required=True),
-    'callers': FieldRule(parse_address, _ADDRESS, required=True),
+    'callers': FieldRule(parse_address, ADDRESS_ALLOWED, required=True),
     'callers_url': FieldRule(_parse_url, _URL, required=True),
-    'gate_peers': FieldRule(parse_address, _ADDRESS, required=True),
-    'agent_link': FieldRule(parse_address, _ADDRESS, required=True),
-    'agent_peers': FieldRule(parse_address, _ADDRESS, required=True),
-    'operators': FieldRule(parse_address, _ADDRESS, required=True),
-    'seed_peers': FieldRule(_parse_addresses, f'a list of {_ADDRESS}', []),
+    'gate_peers': FieldRule(parse_address, ADDRESS_ALLOWED, required=True),
+    'agent_link': FieldRule(parse_address, ADDRESS_ALLOWED, required=True),
+    'agent_peers': FieldRule(parse_address, ADDRESS_ALLOWED, required=True),
+    'operators': FieldRule(parse_address, ADDRESS_ALLOWED, required=True),
+    'seed_peers': FieldRule(_parse_addresses, f'a list of {ADDRESS_ALLOWED}', []),
     'seat_index': FieldRule(
         _parse_seat,
         'a whole number from 0',
         0,
     ),
     'answer_ttl_ms': FieldRule(
-        _number_between(100, 600_000),
+        number_between(100, 600_000),
         'milliseconds from 100 to 600000',
         5000,
     ),
     'grace_s': FieldRule(
-        _number_between(0, 3600),
+        number_between(0, 3600),
         'seconds from 0 to 3600',
         30,
     ),
     # Time for the word of a departure to reach the gates of all domains.
     'leave_margin_s': FieldRule(
-        _number_between(0, 600),
+        number_between(0, 600),
         'seconds from 0 to 600',
         10,
     ),
     'seat_isolation_s': FieldRule(
-        _number_between(1, 86_400),
+        number_between(1, 86_400),
         'seconds from 1 to 86400',
         1800,
     ),
     'seat_reclaim_s': FieldRule(
-        _number_between(1, 172_800),
+        number_between(1, 172_800),
         'seconds from 1 to 172800',
         3600,
     ),
     'store_calls_per_s': FieldRule(
-        _number_between(0.1, 1000),
+        number_between(0.1, 1000),
         'calls per second from 0.1 to 1000',
         20,
     ),
     'trace_sample_ratio': FieldRule(
-        _number_between(0, 1),
+        number_between(0, 1),
         'a number from 0 to 1',
         0.01,
     ),
-    'log_level': FieldRule(_parse_level, 'DEBUG, INFO, WARNING or ERROR', 'INFO'),
+    'log_level': FieldRule(parse_level, 'DEBUG, INFO, WARNING or ERROR', 'INFO'),
     'tls_certificate_file': FieldRule(_parse_path, _PATH),
     'tls_key_file': FieldRule(_parse_path, _PATH),
     'peer_certificate_file': FieldRule(_parse_path, _PATH),
--- a/cicadadoor/telemetry/metrics.py
+++ b/cicadadoor/telemetry/metrics.py
@@ -18,6 +18,21 @@
     'Requests in flight to a backend server.',
     ('backend_server',),
 )
+BACKEND_CONNECTIONS = Counter(
+    'cicadadoor_backend_connections_total',
+    'Connections opened to backend servers.',
+)
+ENTRY_REQUESTS = Counter(
+    'cicadadoor_entry_requests_total',
+    'Requests of callers by service, outcome and the number of attempts.',
+    ('service', 'outcome', 'attempts'),
+)
+ENTRY_SECONDS = Histogram(
+    'cicadadoor_entry_seconds',
+    'Time from a whole request to its answer, by service.',
+    ('service',),
+    buckets=(0.05, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 2.5, 4, 6, 10),
+)
 GENERATION = Gauge('cicadadoor_generation', 'Configuration generation in use.')
 DROPPED_MESSAGES = Counter(
     'cicadadoor_dropped_messages_total',
