--- a/cicadadoor/core.py
+++ b/cicadadoor/core.py
@@ -24,6 +24,7 @@
     arguments: list[str],
     build: BuildKernel,
     load: LoadSettings = settings_module.load,
+    configure_logs: Callable[[str], None] = logs.configure,
 ) -> ExitStatus:
     """Run until SIGTERM or SIGINT; bad settings end before any socket opens."""
     if len(arguments) != 1 or arguments[0].startswith('-'):
@@ -34,7 +35,7 @@
     if isinstance(settings, Failure):
         sys.stderr.write(f'{program}: {settings.reason}\n')
         return ExitStatus.USAGE
-    logs.configure(settings.log_level)
+    configure_logs(settings.log_level)
     tracing.configure(program, settings.trace_sample_ratio)
     try:
         return anyio.run(_run, program, settings, build)
--- a/cicadadoor/decisions/placement.py
+++ b/cicadadoor/decisions/placement.py
@@ -4,6 +4,7 @@
 backend servers, which serve it faster than others, as long as these have room.
 """
 
+import enum
 import math
 from collections.abc import Mapping, Sequence
 from hashlib import blake2b
@@ -38,47 +39,77 @@
     return -server.weight / math.log((drawn + 0.5) / _HASH_SPAN)
 
 
-class Room:
-    """Tell how full a backend server is: requests running or waiting, and slots."""
+@enum.unique
+class Familiarity(enum.Enum):
+    """Tell whether a backend server has handled an object before.
 
-    __slots__ = ('load', 'slots')
+    While a server learns an object, by its first request, further ones would cost as
+    much as that one; after it they cost a fraction.
+    """
+
+    KNOWN = 'known'
+    LEARNING = 'learning'
+    UNKNOWN = 'unknown'
+
+
+class Candidate:
+    """Hold how full a server is, in multiples of its slots, and what it knows."""
+
+    __slots__ = ('familiarity', 'fullness', 'name')
+
+    def __init__(self, name: str, fullness: float, familiarity: Familiarity) -> None:
+        self.name = name
+        self.fullness = fullness
+        self.familiarity = familiarity
+
+
+class Choice:
+    """Name the server to send to, or the one whose learning is worth waiting for."""
 
-    def __init__(self, load: float, slots: int) -> None:
-        self.load = load
-        self.slots = slots
+    __slots__ = ('send_to', 'wait_for')
 
-    @property
-    def fullness(self) -> float:
-        """Return the load in multiples of the slots."""
-        return self.load / self.slots
+    def __init__(self, send_to: str | None = None, wait_for: str | None = None) -> None:
+        self.send_to = send_to
+        self.wait_for = wait_for
+
+
+# A server without a free slot learns no further object.
+_LEARN_FULLNESS = 1.0
+# While one server learns an object, another one does only if it has plenty of room.
+_LEARN_AGAIN_FULLNESS = 0.6
 
 
 def choose(
-    ranked: Sequence[str],
-    rooms: Mapping[str, Room],
+    ranked: Sequence[Candidate],
     *,
     near_count: int,
     spill_fullness: float,
     limit_fullness: float,
-) -> str | None:
-    """Return the first of the preferred servers with room, or None if all are full.
-
-    The first `near_count` ranked servers are preferred below `spill_fullness`. After
-    them the emptiest of all is taken, so long as it is below `limit_fullness`. Servers
-    without an entry in `rooms` take no request.
+    may_wait: bool,
+) -> Choice:
+    """Choose among the servers that take requests, in the order of their rank.
+
+    A known server below `spill_fullness` is taken first. Otherwise one of the first
+    `near_count` servers learns the object, if it has a free slot and none of them is
+    learning it already. Known servers that are fuller come last, up to
+    `limit_fullness`.
     """
-    able = [name for name in ranked if name in rooms]
-    if not able:
-        return None
-    preferred = [
-        name for name in able[:near_count] if rooms[name].fullness < spill_fullness
-    ]
-    if preferred:
-        return preferred[0]
-    emptiest = min(able, key=lambda name: rooms[name].fullness)
-    if rooms[emptiest].fullness < limit_fullness:
-        return emptiest
-    return None
+    near = ranked[:near_count]
+    known = [each for each in ranked if each.familiarity is Familiarity.KNOWN]
+    roomy = [each for each in known if each.fullness < spill_fullness]
+    if roomy:
+        return Choice(send_to=roomy[0].name)
+    learning = [each for each in near if each.familiarity is Familiarity.LEARNING]
+    if learning and may_wait:
+        return Choice(wait_for=learning[0].name)
+    learn_fullness = _LEARN_AGAIN_FULLNESS if learning else _LEARN_FULLNESS
+    for each in near:
+        if each.familiarity is not Familiarity.KNOWN and each.fullness < learn_fullness:
+            return Choice(send_to=each.name)
+    emptiest = min(known, key=lambda each: each.fullness, default=None)
+    if emptiest is not None and emptiest.fullness < limit_fullness:
+        return Choice(send_to=emptiest.name)
+    return Choice()
 
 
 def region_weights(
--- /dev/null
+++ b/cicadadoor/decisions/waiting.py
@@ -0,0 +1,79 @@
+"""Decide how long a line at a backend server may grow.
+
+Answers load beyond the slots: a request is let in only where it is likely to be
+answered within its objective. While servers have yet to learn the objects, and work
+takes several times as long, lines stay short, so that what runs also ends in time.
+"""
+
+# Load is known late and in part; a server that looks full may have a free slot.
+_LEAST_ROOM = 0.2
+_MOST_ROOM = 2.0
+# Urgent requests may wait longer; the others give way before them.
+_URGENT_PART = 1.3
+# Room at which the next server is asked.
+_SPILL_ROOM = 0.6
+_GAIN = 0.1
+
+
+class FullnessLimits:
+    """Hold the loads, in multiples of the slots, at which a server is passed over."""
+
+    __slots__ = ('most', 'spill')
+
+    def __init__(self, spill: float, most: float) -> None:
+        self.spill = spill
+        self.most = most
+
+
+def fullness_limits(
+    *,
+    objective_s: float,
+    work_s: float,
+    is_urgent: bool,
+) -> FullnessLimits:
+    """Return the limits for requests that take `work_s` without waiting.
+
+    A line as long as the slots costs about one `work_s`.
+    """
+    room = _MOST_ROOM
+    if work_s > 0:
+        part = _URGENT_PART if is_urgent else 1.0
+        room = part * objective_s / work_s - 1
+    room = min(_MOST_ROOM, max(_LEAST_ROOM, room))
+    return FullnessLimits(spill=1 + min(_SPILL_ROOM, room), most=1 + room)
+
+
+class WorkTimes:
+    """Measure how long requests of a route take at servers with a free slot."""
+
+    def __init__(self) -> None:
+        self._known_s: dict[str, float] = {}
+        self._learning_s: dict[str, float] = {}
+
+    def note(self, route: str, took_s: float, *, is_known: bool) -> None:
+        """Take the time of a request for an object that the server knew, or not."""
+        averages = self._known_s if is_known else self._learning_s
+        average = averages.get(route, took_s)
+        averages[route] = average + _GAIN * (took_s - average)
+
+    def known_s(self, route: str) -> float:
+        """Return the time at a server that knows the object; 0 if not measured."""
+        return self._known_s.get(route, 0)
+
+    def learning_s(self, route: str) -> float:
+        """Return the time at a server that learns the object; 0 if not measured."""
+        return self._learning_s.get(route, 0)
+
+    def limits(
+        self,
+        route: str,
+        *,
+        objective_s: float,
+        is_urgent: bool,
+    ) -> FullnessLimits:
+        """Return the limits for requests of the route."""
+        return fullness_limits(
+            objective_s=objective_s,
+            work_s=self.known_s(route),
+            is_urgent=is_urgent,
+        )
--- a/cicadadoor/entry/backend_table.py
+++ b/cicadadoor/entry/backend_table.py
@@ -2,9 +2,11 @@
 
 import math
 
+import anyio
+
 from cicadadoor.decisions.backend_health import BackendHealth
 from cicadadoor.decisions.host_shares import Pace
-from cicadadoor.decisions.placement import Room
+from cicadadoor.decisions.placement import Candidate, Familiarity
 from cicadadoor.entry.model import BackendRecord
 from cicadadoor.entry.peers import short_name
 from cicadadoor.telemetry import logs
@@ -20,6 +22,56 @@
 _MASS_SHARE = 0.2
 # A load that a server reported counts for this long.
 _REPORT_AGE_S = 0.3
+# Servers of the present sites remember about 50 objects.
+_MOST_OBJECTS = 48
+
+
+class Lesson:
+    """Hold the first request of an object while it runs."""
+
+    __slots__ = ('ended', 'started_s')
+
+    def __init__(self, started_s: float) -> None:
+        self.started_s = started_s
+        self.ended = anyio.Event()
+
+
+class ObjectMemory:
+    """Remember which objects a run of a backend server has handled for this host."""
+
+    __slots__ = ('_known', 'lessons')
+
+    def __init__(self) -> None:
+        self._known: dict[str, None] = {}
+        self.lessons: dict[str, Lesson] = {}
+
+    def familiarity(self, object_key: str) -> Familiarity:
+        """Tell whether the server knows the object; without a key, it does."""
+        if not object_key or object_key in self._known:
+            return Familiarity.KNOWN
+        if object_key in self.lessons:
+            return Familiarity.LEARNING
+        return Familiarity.UNKNOWN
+
+    def begin(self, object_key: str, now_s: float) -> Lesson | None:
+        """Note the first request of an object; None if it is not the first."""
+        if self.familiarity(object_key) is not Familiarity.UNKNOWN:
+            return None
+        lesson = Lesson(now_s)
+        self.lessons[object_key] = lesson
+        return lesson
+
+    def end(self, object_key: str, lesson: Lesson | None, *, is_answered: bool) -> None:
+        """Note the end of a request, and let those go on that wait for it."""
+        if is_answered and object_key:
+            # The object handled last is forgotten last, here as at the server.
+            self._known.pop(object_key, None)
+            self._known[object_key] = None
+            if len(self._known) > _MOST_OBJECTS:
+                self._known.pop(next(iter(self._known)))
+        if lesson is not None:
+            self.lessons.pop(object_key, None)
+            lesson.ended.set()
 
 
 class Backend:
@@ -30,6 +82,7 @@
         'health',
         'in_flight',
         'lapses_s',
+        'memory',
         'others_in_flight',
         'pace',
         'record',
@@ -46,6 +99,7 @@
         self.short_name = short_name(record.instance_id)
         self.health = BackendHealth()
         self.pace = Pace()
+        self.memory = ObjectMemory()
         self.cold_until_s = -math.inf
         # Set while the entry is missing but may come back.
         self.lapses_s: float | None = None
@@ -75,9 +129,17 @@
             return counted
         return max(counted, self.reported + self.since_report)
 
-    def room(self, now_s: float) -> Room:
-        """Return how full the server is."""
-        return Room(self.load(now_s), self.record.slots)
+    def fullness(self, now_s: float) -> float:
+        """Return the load in multiples of the slots."""
+        return self.load(now_s) / self.record.slots
+
+    def candidate(self, object_key: str, now_s: float) -> Candidate:
+        """Return what placement has to know of the server, for an object."""
+        return Candidate(
+            self.record.instance_id,
+            self.fullness(now_s),
+            self.memory.familiarity(object_key),
+        )
 
     def is_cold(self, now_s: float) -> bool:
         """Tell whether the server has just started, or has just come back."""
--- a/cicadadoor/entry/backends.py
+++ b/cicadadoor/entry/backends.py
@@ -19,7 +19,7 @@
 _TELL_FAILURE_S = 3.0
 _RANK_CACHE = 20_000
 # The use of all slots at which a region is full; up to there its requests stay in it.
-_TARGET_USE = 0.75
+_TARGET_USE = 1.0
 # Servers far away stay in the order, for requests that find no room before them.
 _LEAST_WEIGHT = 1e-6
 
--- a/cicadadoor/entry/daemon.py
+++ b/cicadadoor/entry/daemon.py
@@ -22,6 +22,7 @@
 from cicadadoor.links.peer_hub import PeerHub
 from cicadadoor.links.transport import PeerSecurity
 from cicadadoor.platform import build_source, dialect, paths
+from cicadadoor.telemetry import logs
 from cicadadoor.timer import BootTimer
 
 # Neighbours ask one topic at a time.
@@ -65,5 +66,10 @@
             sys.argv[1:],
             build,
             entry_settings.load,
+            _log_to_standard_output,
         )
     )
+
+
+def _log_to_standard_output(level: str) -> None:
+    logs.configure_bounded(level, sys.stdout.fileno())
--- a/cicadadoor/entry/dispatch.py
+++ b/cicadadoor/entry/dispatch.py
@@ -3,8 +3,11 @@
 import math
 import random
 
-from cicadadoor.decisions.placement import choose
+import anyio
+
+from cicadadoor.decisions.placement import Choice, Familiarity, choose
 from cicadadoor.decisions.retries import RetryBudget
+from cicadadoor.decisions.waiting import WorkTimes
 from cicadadoor.entry.backend_table import Backend
 from cicadadoor.entry.backends import Backends
 from cicadadoor.entry.forwarding import Forwarder, Outgoing
@@ -20,13 +23,10 @@
 from cicadadoor.timer import TimerService
 
 _MS_PER_S = 1000
-# Backend servers that an object's requests prefer, in this order.
-_NEAR_COUNT = 3
-# Fullness in multiples of the slots from which another server is looked for.
-_SPILL_FULLNESS = 1.5
-# Fullness up to which requests may wait at a server, by urgency.
-_URGENT_FULLNESS = 2.2
-_LIMIT_FULLNESS = 2.0
+# Backend servers that an object's requests prefer, in this order. A third one would
+# have to learn more objects than the servers of the smallest sites remember.
+_NEAR_COUNT = 2
+# Ranks up to this one are urgent.
 _URGENT_PRIORITY = 1
 # Room comes free within a few tenths of a second; callers come back spread over it.
 _RETURN_AFTER_S = 0.3
@@ -103,6 +103,13 @@
         """Return the organisation's name, or an empty text on a public route."""
         return self.organisation.name if self.organisation else ''
 
+    @property
+    def object_key(self) -> str:
+        """Return what tells the request's object from others, or an empty text."""
+        if not self.route.has_affinity or not self.request.affinity_key:
+            return ''
+        return f'{self.route.name}:{self.request.affinity_key}'
+
     @property
     def priority(self) -> int:
         """Return the rank, 0 for the most urgent."""
@@ -160,6 +167,7 @@
         self._splits: dict[str, Split] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._latency_s: dict[str, float] = {}
+        self._work = WorkTimes()
 
     async def start(self, kernel: Kernel) -> None:
         """Find the services of the steps."""
@@ -214,7 +222,7 @@
         worst: Failure | None = None
         failed_answer: BackendAnswer | None = None
         while True:
-            backend = self._choose(steered)
+            backend = await self._choose(steered)
             if backend is None:
                 return failed_answer or self._with_return(
                     worst or self._no_room(steered)
@@ -261,8 +269,22 @@
             self._splits[route.name] = split
         return split.deal()
 
-    def _choose(self, steered: Steered) -> Backend | None:
-        now_s = self._timer.now_s()
+    async def _choose(self, steered: Steered) -> Backend | None:
+        """Return the server to send to, or None if the request has to be refused."""
+        while True:
+            now_s = self._timer.now_s()
+            usable = self._usable(steered)
+            choice = self._choose_among(steered, usable, now_s)
+            if choice.send_to is not None:
+                return usable[choice.send_to]
+            if choice.wait_for is None:
+                return None
+            memory = usable[choice.wait_for].memory
+            lesson = memory.lessons[steered.object_key]
+            with anyio.move_on_after(steered.deadline_s - now_s):
+                await lesson.ended.wait()
+
+    def _usable(self, steered: Steered) -> dict[str, Backend]:
         usable = self._backends.usable(
             steered.service,
             steered.home_regions,
@@ -275,35 +297,55 @@
             for name, backend in usable.items()
             if not backend.health.is_doubtful
         }
-        for group in (sound, usable):
-            name = self._choose_among(steered, group, now_s)
-            if name is not None:
-                return usable[name]
-        return None
+        return sound or usable
 
     def _choose_among(
         self,
         steered: Steered,
         usable: dict[str, Backend],
         now_s: float,
-    ) -> str | None:
-        rooms = {name: backend.room(now_s) for name, backend in usable.items()}
-        is_urgent = steered.priority <= _URGENT_PRIORITY
-        has_object = steered.route.has_affinity and steered.request.affinity_key
-        ranked = self._backends.ranked(
+    ) -> Choice:
+        limits = self._work.limits(
+            steered.route.name,
+            objective_s=steered.route.latency_objective_ms / _MS_PER_S,
+            is_urgent=steered.priority <= _URGENT_PRIORITY,
+        )
+        object_key = steered.object_key
+        order = self._backends.ranked(
             steered.service,
-            f'{steered.route.name}:{steered.request.affinity_key}'
-            if has_object
-            else steered.request.request_id,
+            object_key or steered.request.request_id,
         )
+        ranked = [
+            usable[name].candidate(object_key, now_s)
+            for name in order
+            if name in usable
+        ]
         return choose(
             ranked,
-            rooms,
             near_count=_NEAR_COUNT,
-            spill_fullness=_SPILL_FULLNESS,
-            limit_fullness=_URGENT_FULLNESS if is_urgent else _LIMIT_FULLNESS,
+            spill_fullness=limits.spill,
+            limit_fullness=limits.most,
+            may_wait=self._may_wait(steered, usable, now_s),
         )
 
+    def _may_wait(
+        self,
+        steered: Steered,
+        usable: dict[str, Backend],
+        now_s: float,
+    ) -> bool:
+        lessons = [
+            backend.memory.lessons[steered.object_key]
+            for backend in usable.values()
+            if steered.object_key in backend.memory.lessons
+        ]
+        if not lessons:
+            return False
+        started_s = min(lesson.started_s for lesson in lessons)
+        learned_s = max(now_s, started_s + self._work.learning_s(steered.route.name))
+        ready_s = learned_s + self._work.known_s(steered.route.name)
+        return ready_s < steered.deadline_s
+
     async def _attempt(
         self,
         steered: Steered,
@@ -322,12 +364,26 @@
             is_idempotent=steered.route.is_idempotent,
         )
         steered.tried.append(backend.record.instance_id)
+        memory = backend.memory
+        was_known = memory.familiarity(steered.object_key) is Familiarity.KNOWN
+        has_room = backend.fullness(now_s) < 1
+        lesson = memory.begin(steered.object_key, now_s)
+        answer: BackendAnswer | Failure | None = None
         self._backends.begin(backend, timeout_s)
         try:
             answer = await self._forwarder.attempt(outgoing, backend, timeout_s)
         finally:
             self._backends.end(backend)
-        self._learn(steered, backend, answer, self._timer.now_s() - now_s)
+            memory.end(
+                steered.object_key,
+                lesson,
+                is_answered=isinstance(answer, BackendAnswer),
+            )
+        took_s = self._timer.now_s() - now_s
+        if isinstance(answer, BackendAnswer) and has_room:
+            # Without a wait, the time is that of the work.
+            self._work.note(steered.route.name, took_s, is_known=was_known)
+        self._learn(steered, backend, answer, took_s)
         return answer
 
     def _stall_s(self, steered: Steered, left_s: float) -> float:
@@ -349,9 +405,7 @@
         if isinstance(answer, BackendAnswer):
             steered.attempts += 1
             self._crashes.note_answer(steered.fingerprint)
-            name = steered.route.name
-            usual_s = self._latency_s.get(name, took_s)
-            self._latency_s[name] = usual_s + _LATENCY_GAIN * (took_s - usual_s)
+            _average(self._latency_s, steered.route.name, took_s)
         elif answer.kind is ErrorKind.CONNECT_FAILED:
             steered.unreached += 1
         else:
@@ -415,8 +469,29 @@
 
     def _no_room(self, steered: Steered) -> Failure:
         servers = self._backends.of_service(steered.service)
-        kind = ErrorKind.NO_CAPACITY if servers else ErrorKind.NO_BACKEND_SERVER
-        return Failure(kind, f'service {steered.service}: no backend server has room')
+        if not servers:
+            return Failure(
+                ErrorKind.NO_BACKEND_SERVER,
+                f'service {steered.service} has no backend server',
+            )
+        return Failure(
+            ErrorKind.NO_CAPACITY,
+            f'service {steered.service}: no backend server has room',
+            self._learned_in_ms(steered, servers),
+        )
+
+    def _learned_in_ms(self, steered: Steered, servers: list[Backend]) -> int:
+        # The caller returns when a server that learns its object is done with that.
+        started = [
+            backend.memory.lessons[steered.object_key].started_s
+            for backend in servers
+            if steered.object_key in backend.memory.lessons
+        ]
+        if not started:
+            return 0
+        learned_s = min(started) + self._work.learning_s(steered.route.name)
+        left_s = max(0, learned_s - self._timer.now_s())
+        return int((left_s + _RETURN_AFTER_S * random.random()) * _MS_PER_S)
 
     def _with_return(self, failure: Failure) -> Failure:
         if failure.run is Run.NO and not failure.retry_after_ms:
@@ -425,6 +500,11 @@
         return failure
 
 
+def _average(averages: dict[str, float], name: str, sample: float) -> None:
+    known = averages.get(name, sample)
+    averages[name] = known + _LATENCY_GAIN * (sample - known)
+
+
 def _not_ready(reason: str) -> Failure:
     return Failure(
         ErrorKind.NOT_READY,
--- a/cicadadoor/entry/listing.py
+++ b/cicadadoor/entry/listing.py
@@ -87,5 +87,4 @@
             if isinstance(answer, Failure):
                 log.warning('host_not_removed', host=host, reason=answer.reason)
                 continue
-            self._membership.forget(host)
             log.info('host_removed', host=host, silent_s=_GONE_AFTER_S)
--- a/cicadadoor/entry/membership.py
+++ b/cicadadoor/entry/membership.py
@@ -100,10 +100,6 @@
         """Return the hosts that have not been heard for this long."""
         return self._peers.silent(silent_s, self._timer.now_s())
 
-    def forget(self, host: str) -> None:
-        """Drop a host whose record was removed."""
-        self._peers.forget(host)
-
     def peer_address(self, host: str) -> str:
         """Return where a host takes messages, or an empty text if it is gone."""
         peer = self._peers.find(host)
--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -207,7 +207,7 @@
         if isinstance(steered, Failure):
             metrics.ENTRY_REQUESTS.labels('-', outcome, '0').inc()
             log.info(
-                'request',
+                'request_refused',
                 request_id=request.request_id,
                 outcome=outcome,
                 detail=detail,
@@ -218,8 +218,9 @@
             steered.service, outcome, str(steered.attempts)
         ).inc()
         metrics.ENTRY_SECONDS.labels(steered.service).observe(took_s)
+        is_answered = outcome.isdigit()
         log.info(
-            'request',
+            'request_answered' if is_answered else 'request_failed',
             request_id=request.request_id,
             outcome=outcome,
             detail=detail,
--- a/cicadadoor/telemetry/logs.py
+++ b/cicadadoor/telemetry/logs.py
@@ -1,7 +1,9 @@
 """Write one line of key=value pairs for each event."""
 
+import os
 import sys
-from typing import Any
+import time
+from typing import Any, TextIO
 
 from loguru import logger as _loguru
 
@@ -10,13 +12,83 @@
     'part={extra[part]} {message}\n'
 )
 _NEEDS_QUOTES = frozenset(' "=\n\r\t')
+# At 50 requests a second a host writes a line for each; a storm is cut at twice that.
+_LINES_PER_S = 100.0
+_LINES_BURST = 200.0
+# A pipe takes up to 4096 bytes as one piece.
+_LONGEST_LINE_BYTES = 4000
+_OTHER_EVENTS = 'other'
 _HIDDEN_FIELDS = frozenset(('key', 'api_key', 'authorization', 'secret'))
 
 
-def configure(level: str) -> None:
-    """Send log lines of the level and above to standard error."""
+def configure(level: str, stream: TextIO | None = None) -> None:
+    """Send log lines of the level and above to a stream, by default standard error."""
     _loguru.remove()
-    _loguru.add(sys.stderr, level=level, format=_layout, colorize=False)
+    _loguru.add(stream or sys.stderr, level=level, format=_layout, colorize=False)
+
+
+def configure_bounded(level: str, descriptor: int) -> None:
+    """Send log lines to a descriptor, never waiting for who reads it.
+
+    Of each event so many lines a second are written; how many more there were is
+    written once the rate allows it.
+    """
+    os.set_blocking(descriptor, False)
+    _loguru.remove()
+    _loguru.add(BoundedSink(descriptor), level=level, format=_layout, colorize=False)
+
+
+class _Allowance:
+    __slots__ = ('dropped', 'left', 'refilled_s')
+
+    def __init__(self, now_s: float) -> None:
+        self.left = _LINES_BURST
+        self.refilled_s = now_s
+        self.dropped = 0
+
+    def take(self, now_s: float) -> bool:
+        elapsed_s = now_s - self.refilled_s
+        self.refilled_s = now_s
+        self.left = min(_LINES_BURST, self.left + elapsed_s * _LINES_PER_S)
+        if self.left < 1:
+            self.dropped += 1
+            return False
+        self.left -= 1
+        return True
+
+
+class BoundedSink:
+    """Write lines within a rate for each event, and drop what can't be written."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._allowances: dict[str, _Allowance] = {}
+        self.unwritten = 0
+
+    def write(self, message: str) -> None:
+        """Write one line, or count it as dropped."""
+        event = _event_of(message)
+        now_s = time.monotonic()
+        allowance = self._allowances.get(event)
+        if allowance is None:
+            allowance = _Allowance(now_s)
+            self._allowances[event] = allowance
+        if not allowance.take(now_s):
+            return
+        if allowance.dropped:
+            message = f'{message.rstrip()} dropped_before={allowance.dropped}\n'
+            allowance.dropped = 0
+        self._put(message)
+
+    def _put(self, message: str) -> None:
+        encoded = message.encode(errors='replace')
+        if len(encoded) > _LONGEST_LINE_BYTES:
+            encoded = encoded[:_LONGEST_LINE_BYTES] + b'\n'
+        try:
+            os.write(self._descriptor, encoded)
+        except OSError:
+            # The reader is slow or gone; the line that tells so would not get out.
+            self.unwritten += 1
 
 
 class EventLogger:
@@ -52,6 +124,11 @@
     return EventLogger(part)
 
 
+def _event_of(message: str) -> str:
+    _, _, rest = message.partition(' event=')
+    return rest.partition(' ')[0] or _OTHER_EVENTS
+
+
 def _layout(record: Any) -> str:
     record['extra'].setdefault('part', 'library')
     return _FORMAT
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -1,5 +1,7 @@
 """Requests through an entry host, from the caller to the worker and back."""
 
+from functools import partial
+
 import anyio
 import pytest
 
@@ -147,7 +149,7 @@
     def test_request_that_crashes_workers_is_held_back(self):
         async def work(deployment):
             for worker in deployment.workers.values():
-                worker.script = ['reset'] * 20
+                worker.script = ['reset' for _ in range(20)]
             for _ in range(6):
                 await deployment.call('/look/poison')
             assert deployment.runs <= 4
@@ -212,15 +214,15 @@
             for spec in (configuration(4, tenants=None), 'nonsense', None):
                 stored = deployment.store.put('config', 'main', spec)
                 revision = stored['metadata']['revision']
-                await until(
-                    lambda revision=revision: mirror.revision(Topic.POLICY) >= revision
-                )
+                await until(partial(_is_at, mirror, revision))
                 assert policy.current.version == 5
                 assert (await deployment.call('/look/1')).status_code == 200
 
         run_deployed(work)
 
-    def test_unknown_key_is_no_401_while_the_configuration_may_be_out_of_date(self):
+    def test_unknown_key_is_not_refused_for_good_on_an_old_configuration(
+        self,
+    ):
         async def work(deployment):
             deployment.store.faults.away = 'busy'
             deployment.store.cut_watches()
@@ -288,7 +290,7 @@
             mirror = deployment.find('mirror')
             source = deployment.find('source')
 
-            async def turned_away(*_, **__):
+            async def turned_away(*_arguments):
                 await anyio.sleep(0.01)
                 return Failure(ErrorKind.STORE_UNAVAILABLE, 'turned away')
 
@@ -305,11 +307,11 @@
     def test_organisation_gets_its_rate_over_all_hosts_together(self):
         async def work(deployment):
             spec = configuration(2)
-            spec['tenants']['rows'][0][3:] = [10, 10]
+            spec['tenants']['rows'] = [['school', ['key-1'], 1, 10, 10]]
             deployment.store.put('config', 'main', spec)
             for number in range(2):
                 policy = deployment.find('policy', number)
-                await until(lambda policy=policy: policy.current.version == 2)
+                await until(partial(_has_version, policy, 2))
             statuses = []
 
             async def send(number: int) -> None:
@@ -324,3 +326,11 @@
             assert deployment.runs <= (5 * 10 + 10) * 1.1 + 20
 
         run_deployed(work, hosts=2)
+
+
+def _has_version(policy, version: int) -> bool:
+    return policy.current.version == version
+
+
+def _is_at(mirror, revision: int) -> bool:
+    return mirror.revision(Topic.POLICY) >= revision
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,7 +3,9 @@
 import pytest
 
 from cicadadoor.decisions.placement import (
-    Room,
+    Candidate,
+    Choice,
+    Familiarity,
     Weighted,
     choose,
     rank,
@@ -18,7 +20,9 @@
     """The order in which an object prefers backend servers."""
 
     def test_order_does_not_depend_on_the_order_of_the_servers(self):
-        assert rank(SERVERS, 'timetable:7') == rank(SERVERS[::-1], 'timetable:7')
+        assert rank(list(reversed(SERVERS)), 'timetable:7') == rank(
+            SERVERS, 'timetable:7'
+        )
 
     def test_objects_spread_over_all_servers(self):
         firsts = [rank(SERVERS, key)[0] for key in OBJECTS]
@@ -39,35 +43,69 @@
         assert large / len(OBJECTS) == pytest.approx(0.75, abs=0.07)
 
 
+def known(name: str, fullness: float) -> Candidate:
+    return Candidate(name, fullness, Familiarity.KNOWN)
+
+
+def learning(name: str, fullness: float) -> Candidate:
+    return Candidate(name, fullness, Familiarity.LEARNING)
+
+
+def unknown(name: str, fullness: float) -> Candidate:
+    return Candidate(name, fullness, Familiarity.UNKNOWN)
+
+
+def chosen(*ranked: Candidate, may_wait: bool = True) -> Choice:
+    return choose(
+        ranked,
+        near_count=2,
+        spill_fullness=1.5,
+        limit_fullness=2.0,
+        may_wait=may_wait,
+    )
+
+
 class TestChoose:
-    """The choice among ranked servers by their room."""
-
-    def choose(self, **loads: float) -> str | None:
-        return choose(
-            ('first', 'second', 'third', 'fourth'),
-            {name: Room(load, 8) for name, load in loads.items()},
-            near_count=3,
-            spill_fullness=1.5,
-            limit_fullness=2.0,
-        )
+    """The choice among ranked servers by their room and what they know."""
+
+    def test_known_server_is_kept_while_it_has_room(self):
+        assert chosen(known('a', 1.4), unknown('b', 0)).send_to == 'a'
+
+    def test_known_server_is_taken_before_an_emptier_one_of_higher_rank(self):
+        assert chosen(unknown('a', 0), known('b', 1.0)).send_to == 'b'
+
+    def test_known_server_of_low_rank_is_better_than_a_lesson(self):
+        ranked = (unknown('a', 0), unknown('b', 0), known('c', 0.5))
+        assert chosen(*ranked).send_to == 'c'
+
+    def test_second_server_learns_what_the_first_has_no_room_for(self):
+        assert chosen(known('a', 1.6), unknown('b', 0.5)).send_to == 'b'
+
+    def test_object_that_is_being_learned_is_worth_a_wait(self):
+        assert chosen(learning('a', 0.5), unknown('b', 0)).wait_for == 'a'
 
-    def test_first_server_is_kept_while_it_has_room(self):
-        assert self.choose(first=11, second=0, third=0, fourth=0) == 'first'
+    def test_request_that_can_not_wait_is_sent_where_there_is_plenty_of_room(self):
+        ranked = (learning('a', 0.9), unknown('b', 0.3))
+        assert chosen(*ranked, may_wait=False).send_to == 'b'
 
-    def test_second_server_takes_what_the_first_has_no_room_for(self):
-        assert self.choose(first=12, second=3, third=0, fourth=0) == 'second'
+    def test_request_that_can_not_wait_is_refused_without_that_room(self):
+        choice = chosen(learning('a', 0.9), unknown('b', 0.7), may_wait=False)
+        assert choice.send_to is None
+        assert choice.wait_for is None
 
-    def test_server_without_a_room_entry_is_passed_over(self):
-        assert self.choose(second=3, third=0) == 'second'
+    def test_full_server_learns_nothing(self):
+        assert chosen(unknown('a', 1.0), unknown('b', 1.2)).send_to is None
 
-    def test_emptiest_server_is_taken_when_the_preferred_ones_are_full(self):
-        assert self.choose(first=13, second=14, third=15, fourth=5) == 'fourth'
+    def test_servers_beyond_the_near_ones_learn_nothing(self):
+        ranked = (unknown('a', 1.0), unknown('b', 1.0), unknown('c', 0))
+        assert chosen(*ranked).send_to is None
 
-    def test_nothing_is_chosen_when_all_are_over_the_limit(self):
-        assert self.choose(first=16, second=17, third=18, fourth=16) is None
+    def test_known_server_takes_a_line_up_to_the_limit(self):
+        assert chosen(known('a', 1.9), known('b', 1.7)).send_to == 'b'
+        assert chosen(known('a', 2.0), known('b', 2.1)).send_to is None
 
     def test_nothing_is_chosen_without_servers(self):
-        assert self.choose() is None
+        assert chosen().send_to is None
 
 
 class TestRegionWeights:
@@ -103,4 +141,4 @@
         assert weights['muenchen'] > 0
 
     def test_without_servers_there_are_no_weights(self):
-        assert region_weights({}, self.demand, 'augsburg', 0.75) == {}
+        assert not region_weights({}, self.demand, 'augsburg', 0.75)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -208,7 +208,7 @@
             store.remove('servers', 'i-1')
             store.put('servers', 'i-1', worker_entry('127.0.0.1:9001'))
             changes = await source.wait(Topic.BACKENDS, revision, 5)
-            assert changes.removed == ()
+            assert not changes.removed
             assert changes.changed['i-1'].address == '127.0.0.1:9001'
 
         run(work)
--- a/tests/utils/entry_hosts.py
+++ b/tests/utils/entry_hosts.py
@@ -1,6 +1,7 @@
 """Run entry hosts, a store and workers in one loop."""
 
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 
 import anyio
 import httpx
@@ -66,7 +67,8 @@
             await connection.answer(200, {}, body)
         elif trouble == 'short':
             await connection.write(
-                b'HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 99\r\n\r\nab'
+                b'HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n'
+                b'Content-Length: 99\r\n\r\nab'
             )
             connection.close()
         else:
@@ -178,27 +180,32 @@
             deployment.kernels.append(kernel)
             tasks.start_soon(kernel.run, stopping.wait, 0)
         for kernel in deployment.kernels:
-            mirror = kernel.find('mirror')
-            await until(
-                lambda mirror=mirror: (
-                    mirror.records(Topic.POLICY)
-                    and len(mirror.records(Topic.BACKENDS)) == workers
-                    and len(mirror.records(Topic.HOSTS)) == hosts
-                )
-            )
+            await until(partial(_has_read, kernel.find('mirror'), workers, hosts))
         await until_listening(deployment)
         yield deployment
 
 
+def _has_read(mirror, workers: int, hosts: int) -> bool:
+    return bool(
+        mirror.records(Topic.POLICY)
+        and len(mirror.records(Topic.BACKENDS)) == workers
+        and len(mirror.records(Topic.HOSTS)) == hosts
+    )
+
+
 async def until_listening(deployment: Deployment) -> None:
     """Wait until every host takes callers."""
-    for number in range(len(deployment.hosts)):
-        while True:
-            try:
-                await deployment.platform_call('/v1/readyz', number)
-                break
-            except httpx.ConnectError:
-                await anyio.sleep(0.05)
+    for number, _ in enumerate(deployment.hosts):
+        while not await _is_listening(deployment, number):
+            await anyio.sleep(0.05)
+
+
+async def _is_listening(deployment: Deployment, number: int) -> bool:
+    try:
+        await deployment.platform_call('/v1/readyz', number)
+    except httpx.ConnectError:
+        return False
+    return True
 
 
 def run_deployed(work, *, workers: int = 1, hosts: int = 1) -> None:
--- a/tests/utils/raw_server.py
+++ b/tests/utils/raw_server.py
@@ -104,12 +104,14 @@
             # The handler writes its own bytes; the parser only reads.
             rest = parser.trailing_data[0]
             parser = h11.Connection(h11.SERVER)
-            parser.receive_data(rest) if rest else None
+            if rest:
+                parser.receive_data(rest)
 
-    def stop(self) -> None:
+    async def stop(self) -> None:
         """End all connections."""
         for task in list(self._tasks):
             task.cancel()
+        await asyncio.sleep(0)
 
 
 async def _next_request(parser, reader) -> RawRequest | None:
@@ -144,5 +146,4 @@
         yield server
     finally:
         listener.close()
-        server.stop()
-        await asyncio.sleep(0)
+        await server.stop()
