Give up a silent backend server only for a certain repeat

After SIGTERM a request was ended with 504 after 1.0 s, because its server had been silent for longer than usual and no repeat was allowed then.

Ruled out: the route's time-out (3 s) and the client's deadline.

Change: an attempt is given up only at the moment at which another server has room, the budget pays for the repeat, and the host is not stopping. Dispatch is split into admission, placing and attempts.

The stand-in of the store now really cuts watches; the test of the neighbour that passes on a configuration waits until the store is lost, since it could pass by way of the store before.

--- a/cicadadoor/decisions/placement.py
+++ b/cicadadoor/decisions/placement.py
@@ -112,6 +112,21 @@
     return Choice()
 
 
+def group_by_region(
+    ranked: Sequence[str],
+    region_of: Mapping[str, str],
+) -> tuple[str, ...]:
+    """Move the servers of the first one's region to the front.
+
+    A server that takes what the first has no room for is then near it, so that short
+    peaks move no requests between regions.
+    """
+    if not ranked:
+        return ()
+    first = region_of[ranked[0]]
+    return tuple(sorted(ranked, key=lambda name: region_of[name] != first))
+
+
 def region_weights(
     slots_by_region: Mapping[str, int],
     demand_by_region: Mapping[str, float],
--- /dev/null
+++ b/cicadadoor/entry/admission.py
@@ -0,0 +1,114 @@
+"""Decide whether a request may run: route, key, rate and quarantine."""
+
+import random
+
+from cicadadoor.entry.messages import CallerRequest
+from cicadadoor.entry.model import RoutePolicy
+from cicadadoor.entry.policy import PolicyKeeper
+from cicadadoor.entry.quarantine import REFUSED_AT, CrashWatch
+from cicadadoor.entry.quotas import Quotas
+from cicadadoor.entry.state import EntryState
+from cicadadoor.entry.steering import Split, Steered
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.kernel import Kernel, Service
+
+_MS_PER_S = 1000
+# A host without a configuration has one within a second of the store's return.
+_NOT_READY_RETURN_S = 0.5
+# A view of the configuration older than this may miss keys and routes.
+_STALE_S = 2.0
+
+
+class Admission(Service):
+    """Find route, organisation and service of a request, or refuse it."""
+
+    name = 'admission'
+
+    def __init__(self) -> None:
+        self._state: EntryState
+        self._policy: PolicyKeeper
+        self._quotas: Quotas
+        self._crashes: CrashWatch
+        self._splits: dict[str, Split] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        """Find what holds the limits."""
+        self._state = kernel.find('state')
+        self._policy = kernel.find('policy')
+        self._quotas = kernel.find('quotas')
+        self._crashes = kernel.find('quarantine')
+
+    def admit(
+        self,
+        request: CallerRequest,
+        body: bytes,
+        received_s: float,
+    ) -> Steered | Failure:
+        """Return the request with its route, organisation and service."""
+        if self._policy.current is None:
+            return _not_ready('no configuration has been read yet')
+        route = self._policy.find_route(request.host_name, request.path)
+        if route is None:
+            return self._deny(ErrorKind.UNKNOWN_ROUTE, 'no route has this path')
+        organisation = self._policy.find_organisation(request.api_key)
+        if organisation is None and not route.is_public:
+            if self._policy.current.requires_key:
+                kind = (
+                    ErrorKind.KEY_UNKNOWN if request.api_key else ErrorKind.KEY_MISSING
+                )
+                return self._deny(kind, 'no organisation holds the key')
+        if self._state.is_refusing:
+            return Failure(ErrorKind.DRAINING, 'this host is about to stop', 1)
+        timeout_ms = route.timeout_ms
+        if request.deadline_ms is not None:
+            timeout_ms = min(timeout_ms, request.deadline_ms)
+        steered = Steered(
+            request=request,
+            body=body,
+            route=route,
+            organisation=None if route.is_public else organisation,
+            service=self._deal(route),
+            received_s=received_s,
+            deadline_s=received_s + timeout_ms / _MS_PER_S,
+        )
+        return self._check_limits(steered)
+
+    def _deny(self, kind: ErrorKind, reason: str) -> Failure:
+        if self._policy.age_s > _STALE_S:
+            return _not_ready(f'{reason}, but the configuration may be out of date')
+        return Failure(kind, reason)
+
+    def _check_limits(self, steered: Steered) -> Steered | Failure:
+        if self._crashes.deaths(steered.fingerprint) >= REFUSED_AT:
+            return Failure(
+                ErrorKind.REQUEST_HELD,
+                'backend servers ended while such a request ran',
+                int(_MS_PER_S * _NOT_READY_RETURN_S),
+            )
+        if steered.organisation is None:
+            return steered
+        wait_s = self._quotas.take(steered.organisation)
+        if wait_s is None:
+            return steered
+        return Failure(
+            ErrorKind.RATE_EXCEEDED,
+            f'organisation {steered.organisation_name} is over its rate',
+            int(wait_s * _MS_PER_S * (1 + random.random())),
+        )
+
+    def _deal(self, route: RoutePolicy) -> str:
+        if len(route.services) == 1:
+            return route.services[0].service
+        split = self._splits.get(route.name)
+        if split is None or split.route.services != route.services:
+            split = Split(route)
+            self._splits[route.name] = split
+        return split.deal()
+
+
+def _not_ready(reason: str) -> Failure:
+    return Failure(
+        ErrorKind.NOT_READY,
+        reason,
+        int(_NOT_READY_RETURN_S * _MS_PER_S),
+    )
--- a/cicadadoor/entry/backends.py
+++ b/cicadadoor/entry/backends.py
@@ -1,7 +1,12 @@
 """Tell which backend servers a request may use, in which order."""
 
 from cicadadoor.decisions.host_shares import cold_gap_s, senders_to_cold
-from cicadadoor.decisions.placement import Weighted, rank, region_weights
+from cicadadoor.decisions.placement import (
+    Weighted,
+    group_by_region,
+    rank,
+    region_weights,
+)
 from cicadadoor.entry.backend_table import LAPSED_WAIT_S, Backend, BackendTable
 from cicadadoor.entry.membership import BeatPart, Membership
 from cicadadoor.entry.mirror import Mirror
@@ -64,7 +69,13 @@
         if found is None:
             if len(self._ranks) > _RANK_CACHE:
                 self._ranks.clear()
-            found = rank(self._weights(service), object_key)
+            found = group_by_region(
+                rank(self._weights(service), object_key),
+                {
+                    each.record.instance_id: each.region
+                    for each in self.of_service(service)
+                },
+            )
             self._ranks[key] = found
         return found
 
--- a/cicadadoor/entry/daemon.py
+++ b/cicadadoor/entry/daemon.py
@@ -4,6 +4,7 @@
 
 from cicadadoor import core
 from cicadadoor.entry import settings as entry_settings
+from cicadadoor.entry.admission import Admission
 from cicadadoor.entry.backends import Backends
 from cicadadoor.entry.directory import Directory
 from cicadadoor.entry.dispatch import Dispatcher
@@ -12,6 +13,7 @@
 from cicadadoor.entry.membership import Membership
 from cicadadoor.entry.mirror import Mirror
 from cicadadoor.entry.neighbours import Neighbours
+from cicadadoor.entry.placing import Placement
 from cicadadoor.entry.policy import PolicyKeeper
 from cicadadoor.entry.quarantine import CrashWatch
 from cicadadoor.entry.quotas import Quotas
@@ -45,6 +47,8 @@
         Quotas(),
         CrashWatch(),
         Forwarder(dialect()),
+        Admission(),
+        Placement(),
         Dispatcher(),
         Directory(),
     )
--- a/cicadadoor/entry/mirror.py
+++ b/cicadadoor/entry/mirror.py
@@ -20,9 +20,10 @@
 # Each wait that ends without a change costs a call. Hosts begin their waits at
 # different moments and tell each other revisions, so that a connection that went
 # silent is noticed sooner than after one wait.
-WAIT_S = 6.0
+WAIT_S = 10.0
 _FIRST_BACKOFF_S = 0.1
 _LONGEST_BACKOFF_S = 1.0
+_GATHER_S = 0.15
 # A later revision that another host holds and that has not come by the watch within
 # this time means that the watch is no longer served.
 BEHIND_S = 0.4
@@ -171,6 +172,8 @@
                 self._note_answer(topic)
                 self._apply(topic, answer)
                 is_whole = True
+                # Changes that come in quick succession share a call.
+                await self._timer.sleep(_GATHER_S)
                 continue
             is_whole = False
             if answer is None or answer.kind is ErrorKind.STORE_COMPACTED:
--- /dev/null
+++ b/cicadadoor/entry/placing.py
@@ -0,0 +1,182 @@
+"""Find a backend server for a request, or the time at which there is one."""
+
+import random
+
+import anyio
+
+from cicadadoor.decisions.placement import Choice, Familiarity, choose
+from cicadadoor.decisions.waiting import WorkTimes
+from cicadadoor.entry.backend_table import Backend, Lesson
+from cicadadoor.entry.backends import Backends
+from cicadadoor.entry.steering import Steered
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.timer import TimerService
+
+_MS_PER_S = 1000
+# Backend servers that an object's requests prefer, in this order. A third one would
+# have to learn more objects than the servers of the smallest sites remember.
+_NEAR_COUNT = 2
+# Ranks up to this one are urgent.
+_URGENT_PRIORITY = 1
+# Callers that wait for the same lesson come back spread over this time.
+_RETURN_SPREAD_S = 0.3
+
+
+class Visit:
+    """Hold one request at one backend server, and what it may teach the server."""
+
+    __slots__ = ('backend', 'has_room', 'lesson', 'sent_s', 'was_known')
+
+    def __init__(self, steered: Steered, backend: Backend, now_s: float) -> None:
+        self.backend = backend
+        self.sent_s = now_s
+        familiarity = backend.memory.familiarity(steered.object_key)
+        self.was_known = familiarity is Familiarity.KNOWN
+        self.has_room = backend.fullness(now_s) < 1
+        self.lesson: Lesson | None = backend.memory.begin(steered.object_key, now_s)
+
+
+class Placement(Service):
+    """Place requests, and learn from how long they take."""
+
+    name = 'placement'
+
+    def __init__(self) -> None:
+        self._timer: TimerService
+        self._backends: Backends
+        self._work = WorkTimes()
+
+    async def start(self, kernel: Kernel) -> None:
+        """Find the backend servers."""
+        self._timer = kernel.find('timer')
+        self._backends = kernel.find('backends')
+
+    async def place(self, steered: Steered) -> Backend | None:
+        """Return the server to send to, or None if the request has to be refused."""
+        while True:
+            now_s = self._timer.now_s()
+            usable = self._usable(steered)
+            choice = self._choose_among(steered, usable, now_s)
+            if choice.send_to is not None:
+                return usable[choice.send_to]
+            if choice.wait_for is None:
+                return None
+            memory = usable[choice.wait_for].memory
+            lesson = memory.lessons[steered.object_key]
+            with anyio.move_on_after(steered.deadline_s - now_s):
+                await lesson.ended.wait()
+
+    def has_place(self, steered: Steered) -> bool:
+        """Tell whether a server would take the request now."""
+        now_s = self._timer.now_s()
+        choice = self._choose_among(steered, self._usable(steered), now_s)
+        return choice.send_to is not None
+
+    def begin(self, steered: Steered, backend: Backend, limit_s: float) -> Visit:
+        """Count a request that is about to be sent."""
+        visit = Visit(steered, backend, self._timer.now_s())
+        self._backends.begin(backend, limit_s)
+        return visit
+
+    def end(self, steered: Steered, visit: Visit, *, is_answered: bool) -> None:
+        """Count a request that is over."""
+        self._backends.end(visit.backend)
+        visit.backend.memory.end(
+            steered.object_key,
+            visit.lesson,
+            is_answered=is_answered,
+        )
+        if is_answered and visit.has_room:
+            # Without a wait, the time is that of the work.
+            took_s = self._timer.now_s() - visit.sent_s
+            self._work.note(steered.route.name, took_s, is_known=visit.was_known)
+
+    def no_room(self, steered: Steered) -> Failure:
+        """Return the refusal of a request that no server takes."""
+        servers = self._backends.of_service(steered.service)
+        if not servers:
+            return Failure(
+                ErrorKind.NO_BACKEND_SERVER,
+                f'service {steered.service} has no backend server',
+            )
+        return Failure(
+            ErrorKind.NO_CAPACITY,
+            f'service {steered.service}: no backend server has room',
+            self._learned_in_ms(steered, servers),
+        )
+
+    def _usable(self, steered: Steered) -> dict[str, Backend]:
+        usable = self._backends.usable(
+            steered.service,
+            steered.home_regions,
+            is_repeatable=steered.route.is_idempotent,
+        )
+        for name in steered.tried:
+            usable.pop(name, None)
+        sound = {
+            name: backend
+            for name, backend in usable.items()
+            if not backend.health.is_doubtful
+        }
+        return sound or usable
+
+    def _choose_among(
+        self,
+        steered: Steered,
+        usable: dict[str, Backend],
+        now_s: float,
+    ) -> Choice:
+        limits = self._work.limits(
+            steered.route.name,
+            objective_s=steered.route.latency_objective_ms / _MS_PER_S,
+            is_urgent=steered.priority <= _URGENT_PRIORITY,
+        )
+        object_key = steered.object_key
+        order = self._backends.ranked(
+            steered.service,
+            object_key or steered.request.request_id,
+        )
+        ranked = [
+            usable[name].candidate(object_key, now_s)
+            for name in order
+            if name in usable
+        ]
+        return choose(
+            ranked,
+            near_count=_NEAR_COUNT,
+            spill_fullness=limits.spill,
+            limit_fullness=limits.most,
+            may_wait=self._may_wait(steered, usable, now_s),
+        )
+
+    def _may_wait(
+        self,
+        steered: Steered,
+        usable: dict[str, Backend],
+        now_s: float,
+    ) -> bool:
+        lessons = [
+            backend.memory.lessons[steered.object_key]
+            for backend in usable.values()
+            if steered.object_key in backend.memory.lessons
+        ]
+        if not lessons:
+            return False
+        started_s = min(lesson.started_s for lesson in lessons)
+        learned_s = max(now_s, started_s + self._work.learning_s(steered.route.name))
+        ready_s = learned_s + self._work.known_s(steered.route.name)
+        return ready_s < steered.deadline_s
+
+    def _learned_in_ms(self, steered: Steered, servers: list[Backend]) -> int:
+        # The caller returns when a server that learns its object is done with that.
+        started = [
+            backend.memory.lessons[steered.object_key].started_s
+            for backend in servers
+            if steered.object_key in backend.memory.lessons
+        ]
+        if not started:
+            return 0
+        learned_s = min(started) + self._work.learning_s(steered.route.name)
+        left_s = max(0, learned_s - self._timer.now_s())
+        return int((left_s + _RETURN_SPREAD_S * random.random()) * _MS_PER_S)
--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -7,12 +7,14 @@
 import anyio
 import msgspec
 
+from cicadadoor.entry.admission import Admission
 from cicadadoor.entry.directory import Directory
-from cicadadoor.entry.dispatch import Dispatcher, Steered
+from cicadadoor.entry.dispatch import Dispatcher
 from cicadadoor.entry.forwarding import Dialect
 from cicadadoor.entry.messages import BackendAnswer, CallerRequest
 from cicadadoor.entry.policy import PolicyKeeper
 from cicadadoor.entry.state import EntryState
+from cicadadoor.entry.steering import Steered
 from cicadadoor.errors import ANSWERS, ErrorKind, Failure, Run
 from cicadadoor.gate.caller_answers import watch_caller
 from cicadadoor.http_server import (
@@ -65,6 +67,7 @@
         self._timer: TimerService
         self._policy: PolicyKeeper
         self._directory: Directory
+        self._admission: Admission
         self._dispatcher: Dispatcher
         self._http: HttpServer
         self._callers_port = 0
@@ -76,6 +79,7 @@
         self._timer = kernel.find('timer')
         self._policy = kernel.find('policy')
         self._directory = kernel.find('directory')
+        self._admission = kernel.find('admission')
         self._dispatcher = kernel.find('dispatcher')
         settings = self._state.settings
         self._callers_port = settings.callers.port
@@ -174,7 +178,7 @@
         received_s: float,
         send: Send,
     ) -> None:
-        steered = self._dispatcher.admit(request, body, received_s)
+        steered = self._admission.admit(request, body, received_s)
         answer: BackendAnswer | Failure
         outcome = 'left'
         detail = 'the caller left'
--- /dev/null
+++ b/cicadadoor/entry/steering.py
@@ -0,0 +1,99 @@
+"""Hold a request on its way through an entry host."""
+
+import random
+
+from cicadadoor.entry.messages import CallerRequest
+from cicadadoor.entry.model import OrganisationPolicy, RoutePolicy
+from cicadadoor.entry.quarantine import fingerprint_of
+
+
+class Steered:
+    """Hold one request on its way, and what has been learned of it."""
+
+    __slots__ = (
+        'attempts',
+        'body',
+        'deadline_s',
+        'fingerprint',
+        'organisation',
+        'received_s',
+        'request',
+        'route',
+        'service',
+        'tried',
+        'unreached',
+    )
+
+    def __init__(
+        self,
+        *,
+        request: CallerRequest,
+        body: bytes,
+        route: RoutePolicy,
+        organisation: OrganisationPolicy | None,
+        service: str,
+        received_s: float,
+        deadline_s: float,
+    ) -> None:
+        self.request = request
+        self.body = body
+        self.route = route
+        self.organisation = organisation
+        self.service = service
+        self.received_s = received_s
+        self.deadline_s = deadline_s
+        self.fingerprint = fingerprint_of(request, self.organisation_name, body)
+        self.attempts = 0
+        self.unreached = 0
+        self.tried: list[str] = []
+
+    @property
+    def organisation_name(self) -> str:
+        """Return the organisation's name, or an empty text on a public route."""
+        return self.organisation.name if self.organisation else ''
+
+    @property
+    def object_key(self) -> str:
+        """Return what tells the request's object from others, or an empty text."""
+        if not self.route.has_affinity or not self.request.affinity_key:
+            return ''
+        return f'{self.route.name}:{self.request.affinity_key}'
+
+    @property
+    def priority(self) -> int:
+        """Return the rank, 0 for the most urgent."""
+        if self.organisation is not None and self.organisation.priority is not None:
+            return self.organisation.priority
+        return self.route.priority
+
+    @property
+    def home_regions(self) -> frozenset[str]:
+        """Return the only regions in which the request may run; none means all."""
+        homes = self.route.home_regions
+        if self.organisation is None or not self.organisation.home_regions:
+            return homes
+        if not homes:
+            return self.organisation.home_regions
+        return homes & self.organisation.home_regions or frozenset(('-',))
+
+
+class Split:
+    """Deal a route's requests to its services in the proportions of their weights."""
+
+    __slots__ = ('_credit', 'route')
+
+    def __init__(self, route: RoutePolicy) -> None:
+        self.route = route
+        # A random start, so that hosts do not deal in step.
+        self._credit = {
+            share.service: random.random() * share.weight for share in route.services
+        }
+
+    def deal(self) -> str:
+        """Return the service of the next request."""
+        total = sum(share.weight for share in self.route.services)
+        for share in self.route.services:
+            self._credit[share.service] += share.weight
+        chosen = max(self._credit, key=self._credit.__getitem__)
+        self._credit[chosen] -= total
+        return chosen
--- a/cicadadoor/errors.py
+++ b/cicadadoor/errors.py
@@ -38,6 +38,7 @@
     QUARANTINED = 'quarantined'
     REQUEST_HELD = 'request_held'
     BACKEND_MOVED = 'backend_moved'
+    BACKEND_SILENT = 'backend_silent'
     ANSWER_INVALID = 'answer_invalid'
     UNKNOWN_ROUTE = 'unknown_route'
     IDEMPOTENCY_KEY_INVALID = 'idempotency_key_invalid'
@@ -172,6 +173,7 @@
     ErrorKind.QUARANTINED: _not_run(HTTPStatus.UNPROCESSABLE_ENTITY),
     ErrorKind.REQUEST_HELD: _UNAVAILABLE,
     ErrorKind.BACKEND_MOVED: _UNAVAILABLE,
+    ErrorKind.BACKEND_SILENT: Answer(HTTPStatus.GATEWAY_TIMEOUT, Run.UNKNOWN),
     ErrorKind.ANSWER_INVALID: Answer(HTTPStatus.BAD_GATEWAY, Run.UNKNOWN),
     ErrorKind.UNKNOWN_ROUTE: _not_run(HTTPStatus.NOT_FOUND),
     ErrorKind.IDEMPOTENCY_KEY_INVALID: _BAD_REQUEST,
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -297,6 +297,7 @@
             source.read = turned_away
             source.wait = turned_away
             deployment.store.cut_watches()
+            await until(lambda: mirror.is_failing(Topic.POLICY))
             deployment.store.put('config', 'main', configuration(9))
             policy = deployment.find('policy')
             await until(lambda: policy.current.version == 9)
@@ -334,3 +335,38 @@
 
 def _is_at(mirror, revision: int) -> bool:
     return mirror.revision(Topic.POLICY) >= revision
+
+
+class TestSilence:
+    """Backend servers that take a request and say nothing."""
+
+    def test_safe_request_moves_to_a_server_that_answers(self):
+        async def work(deployment):
+            for worker in deployment.workers.values():
+                worker.script = ['silent']
+            first = await deployment.call('/look/1')
+            assert first.status_code in {200, 504}
+            answer = await deployment.call('/look/1')
+            assert answer.status_code == 200
+
+        run_deployed(work, workers=3)
+
+    def test_request_that_no_other_server_can_take_is_not_given_up(self):
+        async def work(deployment):
+            deployment.workers['i-0'].work_s = 1.5
+            answer = await deployment.call('/look/1')
+            assert answer.status_code == 200
+            assert deployment.runs == 1
+
+        run_deployed(work)
+
+    def test_stopping_host_does_not_give_a_request_up(self):
+        async def work(deployment):
+            for worker in deployment.workers.values():
+                worker.work_s = 1.5
+            deployment.find('state').is_leaving = True
+            answer = await deployment.call('/look/1')
+            assert answer.status_code == 200
+            assert deployment.runs == 1
+
+        run_deployed(work, workers=2)
--- a/tests/utils/metadata_store.py
+++ b/tests/utils/metadata_store.py
@@ -33,6 +33,7 @@
         self._objects: dict[str, dict[str, dict]] = {}
         self._events: list[tuple[int, str, dict, bool]] = []
         self._oldest = 0
+        self._cuts = 0
         self._changed = asyncio.Event()
 
     def put(self, kind: str, name: str, spec: object) -> dict:
@@ -72,6 +73,7 @@
 
     def cut_watches(self) -> None:
         """Let waiting watches end without an event."""
+        self._cuts += 1
         self._wake()
 
     async def handle(self, request: RawRequest, connection: RawConnection) -> None:
@@ -145,8 +147,8 @@
         return 200, {'events': events, 'at': self.revision}
 
     async def _wait_for(self, kind: str, since: int) -> None:
-        oldest = self._oldest
-        while not self._later(kind, since) and oldest == self._oldest:
+        state = (self._oldest, self._cuts)
+        while not self._later(kind, since) and state == (self._oldest, self._cuts):
             await self._changed.wait()
 
     def _later(self, kind: str, since: int) -> list[tuple[dict, bool]]:
