--- a/cicadadoor/cli/commands.py
+++ b/cicadadoor/cli/commands.py
@@ -6,6 +6,7 @@
 import anyio
 
 from cicadadoor.cli.context import Context, whole_number
+from cicadadoor.cli.explain_command import explain
 from cicadadoor.cli.key_commands import KeyCommands
 from cicadadoor.cli.status_command import show_status
 from cicadadoor.cli.steering_commands import (
@@ -47,6 +48,10 @@
         self._output.result([f'valid, digest {digest}'], digest=digest)
         return ExitStatus.SUCCESS
 
+    def explain(self, request_id: str, *files: str) -> ExitStatus:
+        """Print the story of a request from the log files of entry hosts."""
+        return explain(self._output, request_id, files)
+
     def plan(self, file: str) -> ExitStatus:
         """Print what submitting a file would change."""
         configuration = _read(file)
--- /dev/null
+++ b/cicadadoor/cli/explain_command.py
@@ -0,0 +1,115 @@
+"""Tell the story of one request from collected log files."""
+
+import re
+from pathlib import Path
+
+from cicadadoor.cli.output import Output
+from cicadadoor.errors import ErrorKind, ExitStatus, Failure
+
+_FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+# Events that change what a host believes; the last ones before a request decided it.
+_BELIEFS = frozenset(
+    (
+        'backend_draining',
+        'backend_gone',
+        'backend_known',
+        'backend_missing',
+        'copy_adopted',
+        'evacuations_changed',
+        'host_gone',
+        'host_heard',
+        'policy_applied',
+        'started',
+        'stopping',
+        'store_lost',
+        'store_regained',
+        'was_suspended',
+    )
+)
+_REQUEST_EVENTS = frozenset(
+    ('attempt_failed', 'request_answered', 'request_failed', 'request_refused')
+)
+_MOST_BELIEFS = 12
+
+
+class LogLine:
+    """Hold one line of a log, and the file that it stands in."""
+
+    __slots__ = ('fields', 'source', 'text')
+
+    def __init__(self, source: str, text: str) -> None:
+        self.source = source
+        self.text = text
+        self.fields = {
+            name: content.strip('"') for name, content in _FIELD.findall(text)
+        }
+
+    @property
+    def event(self) -> str:
+        """Return the event's name."""
+        return self.fields.get('event', '')
+
+
+def explain(output: Output, request_id: str, files: tuple[str, ...]) -> ExitStatus:
+    """Print what happened to a request and what its host believed then."""
+    if not files:
+        return output.fail(Failure(ErrorKind.BAD_REQUEST, 'name one or more log files'))
+    try:
+        lines = _read(files)
+    except OSError as error:
+        return output.fail(Failure(ErrorKind.BAD_REQUEST, str(error)))
+    story = [
+        line
+        for line in lines
+        if line.event in _REQUEST_EVENTS and line.fields.get('request_id') == request_id
+    ]
+    if not story:
+        return output.fail(_missing(request_id, lines))
+    beliefs = _beliefs(lines, story[-1])
+    printed = ['what the host believed, oldest first:']
+    printed.extend(f'  {line.text}' for line in beliefs)
+    printed.append('what happened to the request:')
+    printed.extend(f'  {line.text}' for line in story)
+    output.result(
+        printed,
+        request=[line.fields for line in story],
+        beliefs=[line.fields for line in beliefs],
+    )
+    return ExitStatus.SUCCESS
+
+
+def _read(files: tuple[str, ...]) -> list[LogLine]:
+    lines: list[LogLine] = []
+    for name in files:
+        content = Path(name).read_text(encoding='utf-8', errors='replace')
+        lines.extend(LogLine(name, text) for text in content.splitlines())
+    return lines
+
+
+def _beliefs(lines: list[LogLine], last: LogLine) -> list[LogLine]:
+    """Return the last events before the request that concern it, in its file."""
+    servers = set(last.fields.get('backend_servers', '').split(','))
+    found = []
+    for line in lines:
+        if line is last:
+            break
+        if line.source != last.source or line.event not in _BELIEFS:
+            continue
+        server = line.fields.get('backend_server')
+        if server is None or server in servers:
+            found.append(line)
+    return found[-_MOST_BELIEFS:]
+
+
+def _missing(request_id: str, lines: list[LogLine]) -> Failure:
+    dropped = sum(
+        int(line.fields.get('dropped_before', 0))
+        for line in lines
+        if line.event in _REQUEST_EVENTS
+    )
+    reason = f'no line of request {request_id!r} in {len(lines)} lines'
+    if dropped:
+        reason += f'; {dropped} lines of requests were dropped under load'
+    else:
+        reason += '; it reached none of these hosts, or its head could not be read'
+    return Failure(ErrorKind.STORE_NOT_FOUND, reason)
--- a/cicadadoor/entry/dispatch.py
+++ b/cicadadoor/entry/dispatch.py
@@ -15,8 +15,11 @@
 from cicadadoor.entry.steering import Steered
 from cicadadoor.errors import ErrorKind, Failure, Run
 from cicadadoor.kernel import Kernel, Service
+from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
 
+log = logs.logger('dispatch')
+
 _MS_PER_S = 1000
 # Room comes free within a few tenths of a second; callers come back spread over it.
 _RETURN_AFTER_S = 0.3
@@ -86,10 +89,23 @@
                     return answer
                 failed_answer = answer
                 continue
+            self._note_failure(steered, answer)
             worst = _graver(worst, answer)
             if not self._may_repeat(steered, answer, budget):
                 return failed_answer or self._with_return(worst)
 
+    def _note_failure(self, steered: Steered, failure: Failure) -> None:
+        log.info(
+            'attempt_failed',
+            request_id=steered.request.request_id,
+            backend_server=steered.tried[-1] if steered.tried else '-',
+            attempt=len(steered.tried),
+            kind=failure.kind.value,
+            run=failure.run.value,
+            reason=failure.reason,
+            deaths=self._crashes.deaths(steered.fingerprint),
+        )
+
     async def _attempt(
         self,
         steered: Steered,
--- a/cicadadoor/entry/placing.py
+++ b/cicadadoor/entry/placing.py
@@ -102,7 +102,7 @@
             )
         return Failure(
             ErrorKind.NO_CAPACITY,
-            f'service {steered.service}: no backend server has room',
+            f'service {steered.service}: no room at {self._describe(steered)}',
             self._learned_in_ms(steered, servers),
         )
 
@@ -168,6 +168,21 @@
         ready_s = learned_s + self._work.known_s(steered.route.name)
         return ready_s < steered.deadline_s
 
+    def _describe(self, steered: Steered) -> str:
+        now_s = self._timer.now_s()
+        usable = self._usable(steered)
+        order = self._backends.ranked(
+            steered.service,
+            steered.object_key or steered.request.request_id,
+        )
+        near = [usable[name] for name in order if name in usable][:_NEAR_COUNT]
+        texts = []
+        for backend in near:
+            seen = backend.candidate(steered.object_key, now_s)
+            texts.append(f'{seen.name} {seen.fullness:.2f} {seen.familiarity.value}')
+        of_all = len(self._backends.of_service(steered.service))
+        return f'{", ".join(texts) or "none"}; {len(usable)} of {of_all} usable'
+
     def _learned_in_ms(self, steered: Steered, servers: list[Backend]) -> int:
         # The caller returns when a server that learns its object is done with that.
         started = [
--- /dev/null
+++ b/tests/test_bounded_logs.py
@@ -0,0 +1,52 @@
+"""Log lines that never hold a daemon up."""
+
+import os
+
+import pytest
+
+from cicadadoor.telemetry.logs import BoundedSink
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    os.set_blocking(writer, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def line(event: str, text: str = '') -> str:
+    return f'time=1 level=INFO part=entry event={event} {text}\n'
+
+
+class TestBoundedSink:
+    """Lines on their way to a pipe."""
+
+    def test_line_is_written(self, pipe):
+        reader, writer = pipe
+        BoundedSink(writer).write(line('request_failed'))
+        assert os.read(reader, 100) == line('request_failed').encode()
+
+    def test_storm_of_one_event_leaves_room_for_others(self, pipe):
+        reader, writer = pipe
+        sink = BoundedSink(writer)
+        for _ in range(1000):
+            sink.write(line('request_failed'))
+        sink.write(line('store_lost'))
+        written = os.read(reader, 1_000_000)
+        assert written.count(b'request_failed') < 400
+        assert b'store_lost' in written
+
+    def test_pipe_that_nobody_reads_holds_nothing_up(self, pipe):
+        _, writer = pipe
+        sink = BoundedSink(writer)
+        for number in range(300):
+            sink.write(line(f'event_{number}', 'x' * 3000))
+        assert sink.unwritten > 0
+
+    def test_long_line_is_cut(self, pipe):
+        reader, writer = pipe
+        BoundedSink(writer).write(line('request_failed', 'x' * 10_000))
+        assert len(os.read(reader, 100_000)) <= 4001
