Do not treat a server that was silent as one that started anew

A server that had once not answered in time was taken as cold after its next answer, which is one request a second and host for 3 s; a server that had answered 504 at the end of a request's time counted as failing, and since it got no more requests nothing cleared it.

Ruled out: full servers (the refusals name loads of 1.0 to 1.5 at servers that knew none of the objects, while others stood idle), quotas (only the organisation whose quota was lowered is refused: 544 of its 1280).

Change: only a refused connection marks a server as one that may come back cold; doubt fades with time, a server in doubt is used before a refusal, and a 504 says nothing of the server. A paused server is logged. An error of the HTTP parser on the sending side ends the attempt instead of the request's task, and a fault of the host is logged with the request's id.

--- a/cicadadoor/cli/explain_command.py
+++ b/cicadadoor/cli/explain_command.py
@@ -14,6 +14,7 @@
         'backend_gone',
         'backend_known',
         'backend_missing',
+        'backend_paused',
         'copy_adopted',
         'evacuations_changed',
         'host_gone',
--- a/cicadadoor/decisions/backend_health.py
+++ b/cicadadoor/decisions/backend_health.py
@@ -11,7 +11,8 @@
 _LONGEST_PAUSE_S = 4.0
 _GAIN = 0.15
 _DOUBTFUL_RATIO = 0.25
-_LEAST_SAMPLES = 4
+# A server that is passed over answers nothing that could clear it; time does.
+_DOUBT_HALF_LIFE_S = 8.0
 
 
 class BackendHealth:
@@ -19,41 +20,44 @@
 
     __slots__ = (
         '_bad_ratio',
-        '_samples',
+        '_judged_s',
         'failed_s',
         'last_answer_s',
         'pause_s',
         'paused_until_s',
-        'recovered_s',
         'trial_until_s',
+        'was_refused',
     )
 
     def __init__(self) -> None:
         self._bad_ratio = 0.0
-        self._samples = 0
+        self._judged_s = -math.inf
         self.last_answer_s = -math.inf
         self.failed_s = -math.inf
         self.pause_s = 0.0
         self.paused_until_s = -math.inf
         self.trial_until_s = -math.inf
-        self.recovered_s = -math.inf
+        # Nothing listened at its address: it will come back as a new run.
+        self.was_refused = False
 
     def note_answer(self, now_s: float, *, is_bad: bool) -> None:
         """Count an answer; a bad one is a failure that the server answered itself."""
-        if self.is_paused:
-            self.recovered_s = now_s
         self.last_answer_s = now_s
+        self.was_refused = False
         self.pause_s = 0.0
         self.paused_until_s = -math.inf
         self.trial_until_s = -math.inf
-        self._samples += 1
-        self._bad_ratio += _GAIN * (int(is_bad) - self._bad_ratio)
+        self._judge(now_s, is_bad=is_bad)
+
+    def note_refused(self, now_s: float) -> None:
+        """Count a connection that was refused."""
+        self.note_unreachable(now_s, now_s)
+        self.was_refused = True
 
     def note_unreachable(self, now_s: float, sent_s: float) -> None:
         """Count a request that got no answer; others that got one since outweigh it."""
         if self.last_answer_s > sent_s:
-            self._samples += 1
-            self._bad_ratio += _GAIN * (1 - self._bad_ratio)
+            self._judge(now_s, is_bad=True)
             return
         if now_s < self.paused_until_s:
             return
@@ -73,10 +77,9 @@
         """Tell whether the server has not answered since it failed."""
         return self.pause_s > 0
 
-    @property
-    def is_doubtful(self) -> bool:
-        """Tell whether the server fails many of the requests that it answers."""
-        return self._samples >= _LEAST_SAMPLES and self._bad_ratio > _DOUBTFUL_RATIO
+    def is_doubtful(self, now_s: float) -> bool:
+        """Tell whether the server failed many of the last requests that it answered."""
+        return self._faded(now_s) > _DOUBTFUL_RATIO
 
     def may_try(self, now_s: float) -> bool:
         """Tell whether a request may be sent now."""
@@ -88,3 +91,13 @@
         """Note that a request is being sent; after a failure it goes alone."""
         if self.is_paused:
             self.trial_until_s = now_s + limit_s
+
+    def _judge(self, now_s: float, *, is_bad: bool) -> None:
+        ratio = self._faded(now_s)
+        self._bad_ratio = ratio + _GAIN * (int(is_bad) - ratio)
+        self._judged_s = now_s
+
+    def _faded(self, now_s: float) -> float:
+        if self._bad_ratio <= 0:
+            return 0.0
+        return self._bad_ratio * 0.5 ** ((now_s - self._judged_s) / _DOUBT_HALF_LIFE_S)
--- a/cicadadoor/entry/backends.py
+++ b/cicadadoor/entry/backends.py
@@ -119,7 +119,7 @@
         backend.since_report -= 1
 
     def note_return(self, backend: Backend) -> None:
-        """Treat a server that answers again after a failure as started anew."""
+        """Treat a server that may have been replaced as started anew."""
         policy = self._policy.find_service(backend.record.service)
         if policy is not None:
             backend.stay_cold(self._timer.now_s() + policy.warmup_s)
--- a/cicadadoor/entry/connections.py
+++ b/cicadadoor/entry/connections.py
@@ -130,7 +130,7 @@
         try:
             answer = await self._run(head, body)
             is_done = True
-        except h11.RemoteProtocolError as error:
+        except h11.ProtocolError as error:
             if self.has_received:
                 raise AnswerInvalidError(str(error)) from error
             raise ConnectionBrokenError('closed without an answer') from error
--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -18,16 +18,25 @@
 from cicadadoor.entry.messages import AnswerHead, BackendAnswer, CallerRequest, Headers
 from cicadadoor.errors import ErrorKind, Failure, Run
 from cicadadoor.kernel import Kernel, Service
-from cicadadoor.telemetry import metrics
+from cicadadoor.telemetry import logs, metrics
 from cicadadoor.timer import TimerService
 
 # A round trip between regions takes 40 ms; a lost opening packet is sent again only
 # after a second, and another server is tried sooner than that.
 CONNECT_TIMEOUT_S = 0.3
+log = logs.logger('forwarder')
+
 _MS_PER_S = 1000
 _PRUNE_S = 1.0
-# A failure that a server answered itself, and that another server may not share.
-_SERVER_FAULT = HTTPStatus.INTERNAL_SERVER_ERROR
+# Failures that a server answered itself, and that another server may not share. The
+# end of the time that a request had says nothing of the server.
+_SERVER_FAULTS = frozenset(
+    (
+        HTTPStatus.INTERNAL_SERVER_ERROR,
+        HTTPStatus.BAD_GATEWAY,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
 
 BuildHeaders = Callable[..., Headers]
 ReadAnswer = Callable[[int, Headers], AnswerHead]
@@ -109,7 +118,7 @@
         try:
             connection = await self._open(backend, min(timeout_s, CONNECT_TIMEOUT_S))
         except (OSError, TimeoutError) as error:
-            backend.health.note_unreachable(self._timer.now_s(), sent_s)
+            self._note_unreached(backend, error, sent_s)
             return _unreached(backend, error)
         left_s = outgoing.deadline_s - self._timer.now_s()
         if left_s <= 0:
@@ -168,6 +177,26 @@
         except AnswerInvalidError as error:
             return Failure(ErrorKind.ANSWER_INVALID, f'{name}: {error}')
 
+    def _note_unreached(
+        self,
+        backend: Backend,
+        error: Exception,
+        sent_s: float,
+    ) -> None:
+        now_s = self._timer.now_s()
+        was_paused = backend.health.is_paused
+        if isinstance(error, ConnectionRefusedError):
+            backend.health.note_refused(now_s)
+        else:
+            backend.health.note_unreachable(now_s, sent_s)
+        if not was_paused and backend.health.is_paused:
+            log.info(
+                'backend_paused',
+                backend_server=backend.record.instance_id,
+                reason=type(error).__name__,
+                pause_ms=int(backend.health.pause_s * _MS_PER_S),
+            )
+
     def _judge(
         self,
         outgoing: Outgoing,
@@ -186,13 +215,12 @@
         if fault is not None and fault.kind is ErrorKind.BACKEND_MOVED:
             backend.health.note_unreachable(now_s, now_s)
             return fault
-        was_paused = backend.health.is_paused
+        if backend.health.was_refused:
+            self._backends.note_return(backend)
         backend.health.note_answer(
             now_s,
-            is_bad=is_foreign or raw.status >= _SERVER_FAULT,
+            is_bad=is_foreign or raw.status in _SERVER_FAULTS,
         )
-        if was_paused:
-            self._backends.note_return(backend)
         backend.note_load(head.load, now_s)
         return fault or BackendAnswer(head, raw.body)
 
--- a/cicadadoor/entry/placing.py
+++ b/cicadadoor/entry/placing.py
@@ -57,7 +57,7 @@
         while True:
             now_s = self._timer.now_s()
             usable = self._usable(steered)
-            choice = self._choose_among(steered, usable, now_s)
+            choice = self._choose(steered, usable, now_s)
             if choice.send_to is not None:
                 return usable[choice.send_to]
             if choice.wait_for is None:
@@ -70,7 +70,7 @@
     def has_place(self, steered: Steered) -> bool:
         """Tell whether a server would take the request now."""
         now_s = self._timer.now_s()
-        choice = self._choose_among(steered, self._usable(steered), now_s)
+        choice = self._choose(steered, self._usable(steered), now_s)
         return choice.send_to is not None
 
     def begin(self, steered: Steered, backend: Backend, limit_s: float) -> Visit:
@@ -114,12 +114,24 @@
         )
         for name in steered.tried:
             usable.pop(name, None)
+        return usable
+
+    def _choose(
+        self,
+        steered: Steered,
+        usable: dict[str, Backend],
+        now_s: float,
+    ) -> Choice:
         sound = {
             name: backend
             for name, backend in usable.items()
-            if not backend.health.is_doubtful
+            if not backend.health.is_doubtful(now_s)
         }
-        return sound or usable
+        choice = self._choose_among(steered, sound, now_s)
+        if choice.send_to is None and choice.wait_for is None:
+            # A server that fails some requests is better than a refusal.
+            return self._choose_among(steered, usable, now_s)
+        return choice
 
     def _choose_among(
         self,
--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -187,7 +187,7 @@
                 answer = steered
             else:
                 with tracing.hop('entry'):
-                    answer = await self._dispatcher.run(steered)
+                    answer = await self._run(steered)
             if isinstance(answer, Failure):
                 outcome, detail = answer.kind.value, answer.reason
                 await self._send_failure(send, request, answer)
@@ -199,6 +199,13 @@
         finally:
             self._record(request, steered, outcome, detail, received_s)
 
+    async def _run(self, steered: Steered) -> BackendAnswer | Failure:
+        try:
+            return await self._dispatcher.run(steered)
+        except Exception:
+            log.exception('request_fault', request_id=steered.request.request_id)
+            return Failure(ErrorKind.INTERNAL, 'the host has a fault')
+
     def _record(
         self,
         request: CallerRequest,
--- a/tests/test_backend_health.py
+++ b/tests/test_backend_health.py
@@ -70,10 +70,34 @@
         health = BackendHealth()
         for number in range(20):
             health.note_answer(float(number), is_bad=number % 2 == 0)
-        assert health.is_doubtful
+        assert health.is_doubtful(19.0)
 
     def test_rare_failures_cast_no_doubt(self):
         health = BackendHealth()
         for number in range(100):
             health.note_answer(float(number), is_bad=number % 20 == 0)
-        assert not health.is_doubtful
+        assert not health.is_doubtful(99.0)
+
+    def test_doubt_fades_without_further_answers(self):
+        health = BackendHealth()
+        for _ in range(10):
+            health.note_answer(10.0, is_bad=True)
+        assert health.is_doubtful(10.0)
+        assert not health.is_doubtful(40.0)
+
+
+class TestRefusals:
+    """Servers at whose address nothing listens."""
+
+    def test_refused_connection_is_remembered_until_the_next_answer(self):
+        health = BackendHealth()
+        health.note_refused(10.0)
+        assert health.was_refused
+        assert not health.may_try(10.1)
+        health.note_answer(11.0, is_bad=False)
+        assert not health.was_refused
+
+    def test_silence_alone_is_no_sign_of_a_new_run(self):
+        health = BackendHealth()
+        health.note_unreachable(10.0, sent_s=9.0)
+        assert not health.was_refused
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -370,3 +370,15 @@
             assert deployment.runs == 1
 
         run_deployed(work, workers=2)
+
+    def test_server_that_was_silent_is_no_cold_server_afterwards(self):
+        async def work(deployment):
+            backend = deployment.find('backends').of_service('front')[0]
+            backend.health.note_unreachable(0.0, sent_s=-1.0)
+            assert (await deployment.call('/look/1')).status_code == 200
+            timer = deployment.find('timer')
+            assert not backend.is_cold(timer.now_s())
+            answers = [await deployment.call('/look/1') for _ in range(5)]
+            assert {answer.status_code for answer in answers} == {200}
+
+        run_deployed(work)
