Take changed settings at SIGHUP instead of ending

Change: the file is read at SIGHUP and whenever it has changed; bounds are taken at once, addresses are kept until a restart, and a file that can't be read changes nothing. Each is one log line.

--- a/cicadadoor/entry/daemon.py
+++ b/cicadadoor/entry/daemon.py
@@ -17,6 +17,7 @@
 from cicadadoor.entry.policy import PolicyKeeper
 from cicadadoor.entry.quarantine import CrashWatch
 from cicadadoor.entry.quotas import Quotas
+from cicadadoor.entry.reload import SettingsReload
 from cicadadoor.entry.server import EntryServer
 from cicadadoor.entry.settings import EntrySettings
 from cicadadoor.entry.state import EntryState
@@ -43,6 +44,7 @@
         PolicyKeeper(),
         Membership(),
         HostListing(),
+        SettingsReload(settings.path),
         Backends(),
         Quotas(),
         CrashWatch(),
--- /dev/null
+++ b/cicadadoor/entry/reload.py
@@ -0,0 +1,88 @@
+"""Take changed settings without a restart."""
+
+import signal
+from pathlib import Path
+
+import anyio
+
+from cicadadoor.entry import settings as entry_settings
+from cicadadoor.entry.settings import EntrySettings
+from cicadadoor.entry.state import EntryState
+from cicadadoor.errors import Failure
+from cicadadoor.kernel import Kernel, Service
+from cicadadoor.telemetry import logs
+from cicadadoor.timer import TimerService
+
+log = logs.logger('reload')
+
+# The file may also change without a signal.
+_CHECK_S = 2.0
+# Sockets are opened, and other hosts are told, by these at the start.
+_AT_START = (
+    'callers',
+    'directory',
+    'failure_domain',
+    'host',
+    'log_level',
+    'metrics',
+    'peers',
+    'readiness',
+    'region',
+    'store',
+)
+
+
+class SettingsReload(Service):
+    """Read the settings file again at SIGHUP, and whenever it has changed."""
+
+    name = 'reload'
+
+    def __init__(self, path: str) -> None:
+        self._path = Path(path)
+        self._state: EntryState
+        self._timer: TimerService
+        self._content = b''
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen for the signal, and look at the file from time to time."""
+        self._state = kernel.find('state')
+        self._timer = kernel.find('timer')
+        self._content = self._read() or b''
+        kernel.spawn(self._listen)
+        self._timer.subscribe('check_settings', _CHECK_S, self._check)
+
+    async def _listen(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+            async for _ in signals:
+                log.info('reload_asked', path=self._path)
+                await self._check()
+
+    async def _check(self) -> None:
+        content = self._read()
+        if content is None or content == self._content:
+            return
+        self._content = content
+        loaded = entry_settings.load(str(self._path))
+        if isinstance(loaded, Failure):
+            log.warning('settings_kept', reason=loaded.reason)
+            return
+        self._take(loaded)
+
+    def _read(self) -> bytes | None:
+        try:
+            return self._path.read_bytes()
+        except OSError as error:
+            log.warning('settings_unreadable', path=self._path, error=error)
+            return None
+
+    def _take(self, loaded: EntrySettings) -> None:
+        present = self._state.settings
+        fixed = [
+            name
+            for name in _AT_START
+            if str(getattr(loaded, name)) != str(getattr(present, name))
+        ]
+        for name in fixed:
+            setattr(loaded, name, getattr(present, name))
+        self._state.settings = loaded
+        log.info('settings_taken', need_restart=','.join(fixed) or '-')
--- a/cicadadoor/entry/settings.py
+++ b/cicadadoor/entry/settings.py
@@ -27,6 +27,7 @@
         'kill_after_s',
         'log_level',
         'metrics',
+        'path',
         'peers',
         'policy_apply_ms',
         'quota_overrun',
@@ -42,9 +43,10 @@
         'trace_sample_ratio',
     )
 
-    def __init__(self, **fields: Any) -> None:
-        for name in self.__slots__:
-            setattr(self, name, fields[name])
+    def __init__(self, path: str, **fields: Any) -> None:
+        self.path = path
+        for name, content in fields.items():
+            setattr(self, name, content)
 
     @property
     def leave_s(self) -> float:
@@ -67,13 +69,13 @@
 def load(path: str) -> EntrySettings | Failure:
     """Read and check a settings file; the failure names file, field and value."""
     fields = shared.load_fields(path, _RULES)
-    return fields if isinstance(fields, Failure) else EntrySettings(**fields)
+    return fields if isinstance(fields, Failure) else EntrySettings(path, **fields)
 
 
 def check(path: str, document: dict[str, Any]) -> EntrySettings | Failure:
     """Check settings that were read already."""
     fields = shared.check_fields(path, document, _RULES)
-    return fields if isinstance(fields, Failure) else EntrySettings(**fields)
+    return fields if isinstance(fields, Failure) else EntrySettings(path, **fields)
 
 
 def _parse_regions(given: Any) -> dict[str, str] | None:
