Remove settings that nothing reads, and share what gate and entry repeat

Cause: the read-through found five bounds that are read and never used, two fields of services without a use, and the closing answer and the watch of a caller written twice.

Change: they are gone, or stand once in `http_server`.

--- a/cicadadoor/entry/dispatch.py
+++ b/cicadadoor/entry/dispatch.py
@@ -138,7 +138,6 @@
             body=steered.body,
             organisation=steered.organisation_name,
             deadline_s=steered.deadline_s,
-            is_idempotent=steered.route.is_idempotent,
         )
         answer: BackendAnswer | Failure = Failure(
             ErrorKind.BACKEND_SILENT,
--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -64,7 +64,7 @@
 class Outgoing:
     """Hold what is sent of a request, and what it is bound by."""
 
-    __slots__ = ('body', 'deadline_s', 'is_idempotent', 'organisation', 'request')
+    __slots__ = ('body', 'deadline_s', 'organisation', 'request')
 
     def __init__(
         self,
@@ -73,13 +73,11 @@
         body: bytes,
         organisation: str,
         deadline_s: float,
-        is_idempotent: bool,
     ) -> None:
         self.request = request
         self.body = body
         self.organisation = organisation
         self.deadline_s = deadline_s
-        self.is_idempotent = is_idempotent
 
 
 class Forwarder(Service):
--- a/cicadadoor/entry/model.py
+++ b/cicadadoor/entry/model.py
@@ -47,8 +47,6 @@
     """Hold the bounds of the backend servers of a service."""
 
     name: str
-    health_path: str
-    max_connections: int
     warmup_s: float
     cold_rate_per_s: float
 
--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -1,7 +1,6 @@
 """Serve callers, directory look-ups, readiness checks and metrics over HTTP."""
 
 from http import HTTPStatus
-from typing import Any
 from urllib.parse import parse_qs
 
 import anyio
@@ -16,7 +15,6 @@
 from cicadadoor.entry.state import EntryState
 from cicadadoor.entry.steering import Steered
 from cicadadoor.errors import ANSWERS, ErrorKind, Failure, Run
-from cicadadoor.gate.caller_answers import watch_caller
 from cicadadoor.http_server import (
     JSON_HEADER,
     HttpServer,
@@ -24,8 +22,10 @@
     Scope,
     Send,
     answer_lifespan,
+    closing_send,
     listen,
     send_whole,
+    watch_caller,
 )
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.telemetry import logs, metrics, tracing
@@ -34,7 +34,6 @@
 log = logs.logger('entry')
 
 _MS_PER_S = 1000
-_CLOSE = (b'connection', b'close')
 # Idle connections are closed when nothing is in flight any more.
 _CLOSE_S = 0.2
 _DEFAULT_BODY_BYTES = 67_108_864
@@ -112,7 +111,9 @@
         elif scope['type'] == 'http' and scope['server'][1] == self._callers_port:
             self._open_requests += 1
             try:
-                await self._steer(scope, receive, self._closing_send(send))
+                await self._steer(
+                    scope, receive, closing_send(send, lambda: self._state.is_leaving)
+                )
             finally:
                 self._open_requests -= 1
         elif scope['type'] == 'http':
@@ -145,16 +146,6 @@
         metrics.LOOKUPS.labels('ok').inc()
         await send_whole(send, HTTPStatus.OK, [JSON_HEADER], _encoder.encode(answer))
 
-    def _closing_send(self, send: Send) -> Send:
-        # A caller that keeps the connection would find it closed under its next
-        # request, and could not tell whether that request ran.
-        async def send_and_close(event: dict[str, Any]) -> None:
-            if event['type'] == 'http.response.start' and self._state.is_leaving:
-                event['headers'] = [*event['headers'], _CLOSE]
-            await send(event)
-
-        return send_and_close
-
     async def _steer(self, scope: Scope, receive: Receive, send: Send) -> None:
         request = self._dialect.read_request(
             scope['method'],
--- a/cicadadoor/entry/settings.py
+++ b/cicadadoor/entry/settings.py
@@ -20,8 +20,6 @@
         'cold_slack',
         'directory',
         'directory_ttl_max_s',
-        'drain_ms',
-        'evacuation_ms',
         'failure_domain',
         'host',
         'kill_after_s',
@@ -29,7 +27,6 @@
         'metrics',
         'path',
         'peers',
-        'policy_apply_ms',
         'quota_overrun',
         'quota_slack',
         'readiness',
@@ -37,8 +34,6 @@
         'region_of_domain',
         'retry_ratio',
         'retry_slack',
-        'retry_window_s',
-        'stability_ms',
         'store',
         'trace_sample_ratio',
     )
@@ -109,28 +104,6 @@
         'seconds from 1 to 3600',
         6,
     ),
-    # A disruption counts for this long after its end.
-    'stability_ms': FieldRule(
-        shared.number_between(100, 60_000),
-        'milliseconds from 100 to 60000',
-        3000,
-    ),
-    # Time in which a leaving backend server still takes requests.
-    'drain_ms': FieldRule(
-        shared.number_between(100, 60_000),
-        'milliseconds from 100 to 60000',
-        2500,
-    ),
-    'evacuation_ms': FieldRule(
-        shared.number_between(100, 60_000),
-        'milliseconds from 100 to 60000',
-        5000,
-    ),
-    'policy_apply_ms': FieldRule(
-        shared.number_between(100, 60_000),
-        'milliseconds from 100 to 60000',
-        2500,
-    ),
     # Repeats of a service's requests, as a share of its requests.
     'retry_ratio': FieldRule(
         shared.number_between(0, 1),
@@ -143,11 +116,6 @@
         'requests from 0 to 10000',
         50,
     ),
-    'retry_window_s': FieldRule(
-        shared.number_between(1, 600),
-        'seconds from 1 to 600',
-        10,
-    ),
     # Over all hosts, an organisation may exceed its limit by this part of it, and by
     # the slack.
     'quota_overrun': FieldRule(
--- a/cicadadoor/gate/app.py
+++ b/cicadadoor/gate/app.py
@@ -2,14 +2,13 @@
 
 import time
 from http import HTTPStatus
-from typing import Any
 from urllib.parse import parse_qs
 
 import anyio
 import msgspec
 
 from cicadadoor.errors import ANSWERS, ErrorKind, Failure, Run
-from cicadadoor.gate.caller_answers import send_answer, watch_caller
+from cicadadoor.gate.caller_answers import send_answer
 from cicadadoor.gate.lookup import Lookup
 from cicadadoor.gate.paths import path_at_service
 from cicadadoor.gate.pipeline import Pipeline, RawRequest
@@ -21,8 +20,10 @@
     Scope,
     Send,
     answer_lifespan,
+    closing_send,
     listen,
     send_whole,
+    watch_caller,
 )
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.telemetry import logs, metrics, tracing
@@ -92,20 +93,12 @@
             return
         self._open_requests += 1
         try:
-            await self._answer(scope, receive, self._closing_send(send))
+            await self._answer(
+                scope, receive, closing_send(send, lambda: self._state.is_stopping)
+            )
         finally:
             self._open_requests -= 1
 
-    def _closing_send(self, send: Send) -> Send:
-        # A caller that keeps the connection would find it closed under its next
-        # request, and could not tell whether that request ran.
-        async def send_and_close(event: dict[str, Any]) -> None:
-            if event['type'] == 'http.response.start' and self._state.is_stopping:
-                event['headers'] = [*event['headers'], (b'connection', b'close')]
-            await send(event)
-
-        return send_and_close
-
     async def _answer(self, scope: Scope, receive: Receive, send: Send) -> None:
         path: str = scope['path']
         if path.startswith(_SERVICE_PREFIX):
--- a/cicadadoor/gate/caller_answers.py
+++ b/cicadadoor/gate/caller_answers.py
@@ -5,19 +5,12 @@
 import anyio
 
 from cicadadoor.gate.request import SteeredAnswer
-from cicadadoor.http_server import Receive, Send
+from cicadadoor.http_server import Send
 from cicadadoor.timer import TimerService
 
 _STREAM_CHECK_S = 0.25
 
 
-async def watch_caller(receive: Receive, scope: anyio.CancelScope) -> None:
-    """Cancel the scope when the caller goes away."""
-    while (await receive())['type'] != 'http.disconnect':
-        pass
-    scope.cancel()
-
-
 async def send_answer(
     send: Send,
     answer: SteeredAnswer,
--- a/cicadadoor/http_server.py
+++ b/cicadadoor/http_server.py
@@ -15,6 +15,7 @@
 _CLOSE_S = 2.0
 
 JSON_HEADER = (b'content-type', b'application/json')
+_CLOSE_HEADER = (b'connection', b'close')
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -109,6 +110,28 @@
     return config
 
 
+async def watch_caller(receive: Receive, scope: anyio.CancelScope) -> None:
+    """Cancel the scope when the caller goes away."""
+    while (await receive())['type'] != 'http.disconnect':
+        pass
+    scope.cancel()
+
+
+def closing_send(send: Send, must_close: Callable[[], bool]) -> Send:
+    """Return a `send` that ends the connection behind an answer if it must close.
+
+    A caller that keeps the connection would find it closed under its next request,
+    and could not tell whether that request ran.
+    """
+
+    async def send_and_close(event: dict[str, Any]) -> None:
+        if event['type'] == 'http.response.start' and must_close():
+            event['headers'] = [*event['headers'], _CLOSE_HEADER]
+        await send(event)
+
+    return send_and_close
+
+
 async def send_whole(
     send: Send,
     status: int,
--- a/cicadadoor/platform/decoding.py
+++ b/cicadadoor/platform/decoding.py
@@ -70,8 +70,6 @@
 
 class _Service(msgspec.Struct, kw_only=True):
     name: str
-    health_path: str = '/'
-    max_conns: int = 0
     warmup_s: float = 0
     cold_per_s: float = 0
 
@@ -137,8 +135,6 @@
         services={
             each.name: ServicePolicy(
                 name=each.name,
-                health_path=each.health_path,
-                max_connections=each.max_conns,
                 warmup_s=each.warmup_s,
                 cold_rate_per_s=each.cold_per_s,
             )
--- /dev/null
+++ b/tests/test_entry_backends.py
@@ -0,0 +1,205 @@
+"""Which backend servers a host knows, and what it may send them."""
+
+import pytest
+
+from cicadadoor.decisions.placement import Familiarity
+from cicadadoor.entry.backend_table import BackendTable, ObjectMemory
+from cicadadoor.entry.messages import CallerRequest
+from cicadadoor.entry.model import (
+    BackendRecord,
+    OrganisationPolicy,
+    RoutePolicy,
+    ServiceShare,
+)
+from cicadadoor.entry.steering import Split, Steered
+
+REGIONS = {'muc-a': 'muenchen', 'nue-a': 'nuernberg'}
+
+
+def record_of(name: str, **changes: object) -> BackendRecord:
+    fields = {
+        'instance_id': name,
+        'service': 'front',
+        'address': f'{name}:80',
+        'failure_domain': 'muc-a',
+        'slots': 8,
+        'is_draining': False,
+        'cold_remaining_ms': 0,
+        'started_ms': 1,
+    }
+    return BackendRecord(**{**fields, **changes})
+
+
+def take(table: BackendTable, *records: BackendRecord, **options: object) -> None:
+    table.take(
+        {record.instance_id: record for record in records},
+        REGIONS,
+        options.get('now_s', 10.0),
+        is_store_back=options.get('is_store_back', False),
+    )
+
+
+@pytest.fixture
+def table() -> BackendTable:
+    servers = BackendTable()
+    take(servers, *(record_of(f'i-{number}') for number in range(10)))
+    return servers
+
+
+class TestEntries:
+    """Entries that come, change and go."""
+
+    def test_server_whose_entry_goes_is_known_no_more(self, table):
+        take(table, *(record_of(f'i-{number}') for number in range(9)))
+        assert len(table.of_service('front')) == 9
+
+    def test_entries_that_are_missing_after_an_outage_may_come_back(self, table):
+        take(table, record_of('i-0'), is_store_back=True)
+        assert len(table.of_service('front')) == 10
+        take(table, *(record_of(f'i-{number}') for number in range(10)), now_s=11.0)
+        assert not table.expire(13.0)
+        assert len(table.of_service('front')) == 10
+
+    def test_entries_that_stay_away_are_gone(self, table):
+        take(table, record_of('i-0'), is_store_back=True)
+        assert table.expire(12.2)
+        assert len(table.of_service('front')) == 1
+
+    def test_many_entries_that_go_at_once_are_taken_for_a_lapse(self, table):
+        take(table, *(record_of(f'i-{number}') for number in range(6)))
+        assert len(table.of_service('front')) == 10
+
+    def test_draining_server_whose_entry_goes_does_not_come_back(self, table):
+        others = [record_of(f'i-{number}') for number in range(9)]
+        take(table, *others, record_of('i-9', is_draining=True))
+        take(table, *others, is_store_back=True)
+        assert len(table.of_service('front')) == 9
+
+    def test_same_id_with_another_start_is_another_run(self, table):
+        before = table.known['i-0']
+        before.memory.end('object', None, is_answered=True)
+        others = [record_of(f'i-{number}') for number in range(1, 10)]
+        take(table, *others, record_of('i-0', started_ms=2, cold_remaining_ms=3000))
+        after = table.known['i-0']
+        assert after is not before
+        assert after.pool_key != before.pool_key
+        assert after.memory.familiarity('object') is Familiarity.UNKNOWN
+        assert after.is_cold(12.9)
+        assert not after.is_cold(13.1)
+
+    def test_entry_that_is_repeated_does_not_prolong_the_cold_time(self, table):
+        cold = record_of('i-0', cold_remaining_ms=1000)
+        others = [record_of(f'i-{number}') for number in range(1, 10)]
+        take(table, cold, *others, now_s=20.0)
+        take(table, cold, *others, now_s=20.9)
+        assert not table.known['i-0'].is_cold(21.1)
+
+
+class TestMemory:
+    """What a server has handled for this host."""
+
+    def test_first_request_teaches_and_ends_the_lesson(self):
+        memory = ObjectMemory()
+        lesson = memory.begin('object', 1.0)
+        assert memory.familiarity('object') is Familiarity.LEARNING
+        assert memory.begin('object', 1.1) is None
+        memory.end('object', lesson, is_answered=True)
+        assert lesson.ended.is_set()
+        assert memory.familiarity('object') is Familiarity.KNOWN
+
+    def test_request_without_an_answer_teaches_nothing(self):
+        memory = ObjectMemory()
+        lesson = memory.begin('object', 1.0)
+        memory.end('object', lesson, is_answered=False)
+        assert lesson.ended.is_set()
+        assert memory.familiarity('object') is Familiarity.UNKNOWN
+
+    def test_objects_handled_long_ago_are_forgotten(self):
+        memory = ObjectMemory()
+        for number in range(60):
+            memory.end(f'object-{number}', None, is_answered=True)
+        assert memory.familiarity('object-0') is Familiarity.UNKNOWN
+        assert memory.familiarity('object-59') is Familiarity.KNOWN
+
+
+def route_of(*services: tuple[str, float], homes: tuple[str, ...] = ()) -> RoutePolicy:
+    return RoutePolicy(
+        name='look',
+        host_name='a',
+        path_prefix='/look/',
+        is_idempotent=True,
+        is_public=False,
+        has_affinity=True,
+        timeout_ms=3000,
+        latency_objective_ms=400,
+        priority=2,
+        max_attempts=2,
+        services=tuple(
+            ServiceShare(service=name, weight=weight) for name, weight in services
+        ),
+        home_regions=frozenset(homes),
+    )
+
+
+class TestHomes:
+    """Regions in which alone a request may run."""
+
+    @pytest.mark.parametrize(
+        ('route_homes', 'organisation_homes', 'allowed'),
+        (
+            ((), (), set()),
+            (('muenchen',), (), {'muenchen'}),
+            ((), ('nuernberg',), {'nuernberg'}),
+            (('muenchen', 'nuernberg'), ('nuernberg',), {'nuernberg'}),
+        ),
+    )
+    def test_both_bind(self, route_homes, organisation_homes, allowed):
+        assert homes_of(route_homes, organisation_homes) == allowed
+
+    def test_homes_without_a_common_region_allow_none(self):
+        homes = homes_of(('muenchen',), ('nuernberg',))
+        assert homes
+        assert not homes.intersection(REGIONS.values())
+
+
+def homes_of(route_homes, organisation_homes) -> frozenset[str]:
+    request = CallerRequest(
+        request_id='x',
+        method='GET',
+        target=b'/look/1',
+        host_name='a',
+        affinity_key='7',
+        api_key='key',
+        deadline_ms=None,
+        headers=[],
+    )
+    return Steered(
+        request=request,
+        body=b'',
+        route=route_of(('front', 1), homes=route_homes),
+        organisation=OrganisationPolicy(
+            name='school',
+            api_keys=('key',),
+            rate_per_s=0,
+            burst=0,
+            home_regions=frozenset(organisation_homes),
+        ),
+        service='front',
+        received_s=0,
+        deadline_s=3,
+    ).home_regions
+
+
+class TestSplit:
+    """Requests of a route that has several services."""
+
+    @pytest.mark.parametrize('weights', ((90, 10), (1, 1), (70, 30)))
+    def test_each_service_gets_its_share(self, weights):
+        split = Split(route_of(('a', weights[0]), ('b', weights[1])))
+        dealt = [split.deal() for _ in range(200)]
+        expected = 200 * weights[0] / sum(weights)
+        assert abs(dealt.count('a') - expected) <= 2
+
+    def test_service_of_weight_zero_gets_nothing(self):
+        split = Split(route_of(('a', 1), ('b', 0)))
+        assert {split.deal() for _ in range(50)} == {'a'}
