Renew the record of a restarted host

A write carried `revision: 0`, which the store compares with the present one, so that a host that restarted never renewed its record and called the store twice a second.

Ruled out: another writer (the names are the hosts' own).

Change: a write without a revision sends none; the store's stand-in compares whatever it is sent, and the test of replacing fails without the mend.

--- a/cicadadoor/platform/store_client.py
+++ b/cicadadoor/platform/store_client.py
@@ -25,8 +25,11 @@
 _NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
-class Metadata(msgspec.Struct, kw_only=True):
-    """Name an object and the revision of its last change."""
+class Metadata(msgspec.Struct, kw_only=True, omit_defaults=True):
+    """Name an object and the revision of its last change.
+
+    A revision that is sent has to be the object's; without one a write replaces any.
+    """
 
     name: str
     revision: int = 0
@@ -106,7 +109,7 @@
         return _decoded(body, StoreObject)
 
     async def replace(self, kind: str, wanted: StoreObject) -> StoreObject | Failure:
-        """Replace an object; its revision has to match unless it is 0."""
+        """Replace an object; its revision has to match if there is one."""
         path = _path(kind, wanted.metadata.name)
         body = await self._call('PUT', path, msgspec.json.encode(wanted))
         return _decoded(body, StoreObject)
--- a/tests/utils/metadata_store.py
+++ b/tests/utils/metadata_store.py
@@ -170,9 +170,10 @@
             return 200, self.put(kind, name, wanted['spec'])
         if present is None:
             return 404, {}
-        revision = int(query.get('revision', metadata.get('revision') or 0))
-        if revision and revision != present['metadata']['revision']:
-            return 409, present
+        revision = query.get('revision', metadata.get('revision'))
+        if revision is not None:
+            if int(revision) != present['metadata']['revision']:
+                return 409, present
         if request.method == 'DELETE':
             self.remove(kind, name)
             return 200, present
