--- a/cicadadoor/entry/quarantine.py
+++ b/cicadadoor/entry/quarantine.py
@@ -12,7 +12,7 @@
 
 log = logs.logger('quarantine')
 
-# A request that three backend servers ended under is not sent again; after one it is
+# A request that three backend servers ended under is not sent again; after two it is
 # not repeated by this host itself.
 REFUSED_AT = 3
 # A crashing request comes again within seconds; ends further apart are chance.
