Give each run of the tests ports of its own

Ports were free when they were drawn, not when they were used, and a test that fixes the seed of 'random' drew the same ports in each run. Ruled out: a slow machine; the stand-in answers within a second beside load. Change: a port is a locked byte of a shared file until the run ends, and is drawn from the system's generator. The cluster fails at once with the stand-in's log.

--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,62 @@
+"""Give tests ports that no other run of the tests uses."""
+
+import random
+import socket
+import subprocess
+
+import pytest
+
+from tests.utils import processes
+from tests.utils.cluster import Cluster
+from tests.utils.processes import Ports, python_module
+
+_DRAW_ALL = """
+import sys
+from tests.utils import processes
+
+processes._PORTS = (int(sys.argv[1]), int(sys.argv[1]) + 3)
+ports = [processes.Ports.free() for _ in range(2)]
+print(*ports, flush=True)
+sys.stdin.read()
+"""
+
+
+class TestPorts:
+    """Guard against two runs of the tests that take each other's ports."""
+
+    def test_port_of_another_run_is_not_given(self, monkeypatch):
+        """A port stays with its run also while nothing listens there."""
+        first = Ports.free()
+        command = python_module('tests.utils.processes')[:1]
+        other = subprocess.Popen(
+            [*command, '-c', _DRAW_ALL, str(first + 1)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        taken = {int(port) for port in other.stdout.readline().split()}
+        assert len(taken) == 2
+        monkeypatch.setattr(processes, '_PORTS', (first + 1, first + 4))
+        given = Ports.free()
+        other.communicate('')
+        assert given not in taken
+
+    def test_order_does_not_follow_the_seed_of_a_test(self):
+        """Runs that fix the same seed would draw the same ports."""
+        random.seed(0)
+        first = [Ports.free() for _ in range(8)]
+        random.seed(0)
+        expected = [random.randrange(*processes._PORTS) for _ in range(8)]
+        assert first != expected
+
+    def test_stand_in_whose_port_is_taken_fails_with_its_log(
+        self,
+        monkeypatch,
+        tmp_path,
+    ):
+        """A minute without an answer does not tell that the port was taken."""
+        with socket.create_server(('127.0.0.1', 0)) as holder:
+            address = f'127.0.0.1:{holder.getsockname()[1]}'
+            monkeypatch.setattr(Ports, 'address', lambda: address)
+            with pytest.raises(AssertionError, match='Address already in use'):
+                Cluster(tmp_path, {})
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -245,6 +245,8 @@
                 process.kill()
 
     def _platform_answers(self) -> bool:
+        # Another process may hold the port, and answer or not.
+        assert self.platform.is_running(), self.platform.log_text()
         try:
             control.get_control(self.platform_url)
         except httpx.HTTPError:
--- a/tests/utils/processes.py
+++ b/tests/utils/processes.py
@@ -1,15 +1,19 @@
 """Start, signal and end the processes of a test."""
 
+import fcntl
 import random
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 from pathlib import Path
+from typing import IO
 
 _END_LIMIT_S = 60
 # Below the range from which the system gives ports to outgoing connections.
 _PORTS = (15_000, 32_000)
+_LOCK_FILE = 'cicadadoor-test-ports.lock'
 
 
 class TestProcess:
@@ -85,21 +89,23 @@
 
 
 class Ports:
-    """Hand out free loopback ports, none of them twice."""
+    """Hand out free loopback ports, none of them twice.
 
+    Other runs of the tests on this machine are given other ports: each port is a byte
+    of a shared file, locked until this process ends.
+    """
+
+    # Tests fix the seed of the shared generator; runs would draw the same ports.
+    _random = random.SystemRandom()
     _given: set[int] = set()
+    _locks: IO[bytes] | None = None
 
     @classmethod
     def free(cls) -> int:
         """Return a port that is free now."""
         while True:
-            with socket.socket() as probe:
-                port = random.randrange(*_PORTS)
-                try:
-                    probe.bind(('', port))
-                except OSError:
-                    continue
-            if port not in cls._given:
+            port = cls._random.randrange(*_PORTS)
+            if port not in cls._given and cls._is_free(port):
                 cls._given.add(port)
                 return port
 
@@ -107,3 +113,18 @@
     def address(cls) -> str:
         """Return a free loopback address."""
         return f'127.0.0.1:{cls.free()}'
+
+    @classmethod
+    def _is_free(cls, port: int) -> bool:
+        if cls._locks is None:
+            cls._locks = (Path(tempfile.gettempdir()) / _LOCK_FILE).open('ab')
+        try:
+            fcntl.lockf(cls._locks, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+        except OSError:
+            return False
+        with socket.socket() as probe:
+            try:
+                probe.bind(('', port))
+            except OSError:
+                return False
+        return True
