End a stop in order when a task meets a closed resource

Its log names Prober.probe, 'Cannot send a request, as the client has been closed': services close in turn while tasks that use them still run, and the failed task ended the process. Ruled out: a slow machine alone; test_kernel shows it without load, 1 of 2 failed. Change: a task that fails while services close is logged and left; before that a failed task ends the process as it did.

--- a/cicadadoor/kernel.py
+++ b/cicadadoor/kernel.py
@@ -51,6 +51,7 @@
         self._services: dict[str, Service] = {}
         self._started: list[Service] = []
         self._tasks: TaskGroup | None = None
+        self._is_closing = False
 
     def register(self, service: Service) -> None:
         """Add a service under its name; raise ValueError if the name is taken."""
@@ -79,6 +80,12 @@
     ) -> None:
         try:
             await work(*arguments)
+        except Exception as error:
+            if not self._is_closing:
+                log.exception('task_failed', task=work.__qualname__)
+                raise
+            # It met a resource that its service had closed before it.
+            log.warning('task_cut_by_stop', task=work.__qualname__, error=error)
         except BaseException:
             # A task that fails ends the process, so the log has to tell which it was.
             if self._tasks is not None and not self._tasks.cancel_scope.cancel_called:
@@ -137,6 +144,7 @@
         return ' '.join(f'{name}={count}' for name, count in counts.items() if count)
 
     async def _stop_all(self) -> None:
+        self._is_closing = True
         while self._started:
             service = self._started.pop()
             with anyio.move_on_after(_CLOSE_LIMIT_S) as scope:
