Share in beats which objects backend servers have learned, and rank them once

Cause: every host believed only what its own requests had taught. Ruled out: too little memory at the servers (at most 30 objects each of 52), unlike orders on hosts of a region (1.4 servers for each object). Change: beats to the region's hosts tell what was just learned. Placement looks at the first few servers of the order before it looks at all; orders and weights are kept until the backend servers change, and requests without an object share 256 orders.

--- a/cicadadoor/entry/backend_table.py
+++ b/cicadadoor/entry/backend_table.py
@@ -42,12 +42,13 @@
     __slots__ = ('_known', 'lessons')
 
     def __init__(self) -> None:
-        self._known: dict[str, None] = {}
+        # By short names, as other hosts tell them.
+        self._known: dict[int, None] = {}
         self.lessons: dict[str, Lesson] = {}
 
     def familiarity(self, object_key: str) -> Familiarity:
         """Tell whether the server knows the object; without a key, it does."""
-        if not object_key or object_key in self._known:
+        if not object_key or short_name(object_key) in self._known:
             return Familiarity.KNOWN
         if object_key in self.lessons:
             return Familiarity.LEARNING
@@ -65,14 +66,22 @@
         """Note the end of a request, and let those go on that wait for it."""
         if is_answered and object_key:
             # The object handled last is forgotten last, here as at the server.
-            self._known.pop(object_key, None)
-            self._known[object_key] = None
-            if len(self._known) > _MOST_OBJECTS:
-                self._known.pop(next(iter(self._known)))
+            self._known.pop(short_name(object_key), None)
+            self._keep(short_name(object_key))
         if lesson is not None:
             self.lessons.pop(object_key, None)
             lesson.ended.set()
 
+    def hear(self, short_object: int) -> None:
+        """Take another host's word that the server has learned an object."""
+        if short_object not in self._known:
+            self._keep(short_object)
+
+    def _keep(self, short_object: int) -> None:
+        self._known[short_object] = None
+        if len(self._known) > _MOST_OBJECTS:
+            self._known.pop(next(iter(self._known)))
+
 
 class Backend:
     """Hold what this host knows of one run of a backend server; boot clock."""
@@ -155,6 +164,7 @@
 
     def __init__(self) -> None:
         self.known: dict[str, Backend] = {}
+        self.by_short_name: dict[int, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
 
     def of_service(self, service: str) -> list[Backend]:
@@ -247,6 +257,7 @@
 
     def _index(self) -> None:
         self._by_service = {}
+        self.by_short_name = {each.short_name: each for each in self.known.values()}
         for backend in self.known.values():
             self._by_service.setdefault(backend.record.service, []).append(backend)
 
--- a/cicadadoor/entry/backends.py
+++ b/cicadadoor/entry/backends.py
@@ -3,18 +3,14 @@
 from collections import Counter
 
 from cicadadoor.decisions.host_shares import cold_gap_s, senders_to_cold
-from cicadadoor.decisions.placement import (
-    Weighted,
-    group_by_region,
-    rank,
-    region_weights,
-)
+from cicadadoor.decisions.placement import Weighted, rank
 from cicadadoor.entry.backend_table import LAPSED_WAIT_S, Backend, BackendTable
 from cicadadoor.entry.membership import BeatPart, Membership
 from cicadadoor.entry.mirror import Mirror
 from cicadadoor.entry.model import BackendRecord, Evacuation, ServicePolicy, Topic
 from cicadadoor.entry.peers import Beat
 from cicadadoor.entry.policy import PolicyKeeper
+from cicadadoor.entry.ranking import Ranking
 from cicadadoor.entry.state import EntryState
 from cicadadoor.kernel import Kernel
 from cicadadoor.telemetry import logs
@@ -24,11 +20,6 @@
 
 # Failures are told to other hosts for this long.
 _TELL_FAILURE_S = 3.0
-_RANK_CACHE = 20_000
-# The use of all slots at which a region is full; up to there its requests stay in it.
-_TARGET_USE = 1.0
-# Servers far away stay in the order, for requests that find no room before them.
-_LEAST_WEIGHT = 1e-6
 
 
 class Backends(BeatPart):
@@ -44,7 +35,7 @@
         self._membership: Membership
         self._table = BackendTable()
         self._evacuated: frozenset[str] = frozenset()
-        self._ranks: dict[tuple[str, str], tuple[str, ...]] = {}
+        self._ranking: Ranking
 
     async def start(self, kernel: Kernel) -> None:
         """Follow the mirror and the beats of other hosts."""
@@ -54,6 +45,8 @@
         self._policy = kernel.find('policy')
         self._membership = kernel.find('membership')
         self._membership.join(self)
+        settings = self._state.settings
+        self._ranking = Ranking(settings.region, settings.region_of_domain)
         self._mirror.subscribe(self._on_change)
 
     def of_service(self, service: str) -> list[Backend]:
@@ -66,20 +59,13 @@
 
     def ranked(self, service: str, object_key: str) -> tuple[str, ...]:
         """Return the order in which an object's requests prefer backend servers."""
-        key = (service, object_key)
-        found = self._ranks.get(key)
-        if found is None:
-            if len(self._ranks) > _RANK_CACHE:
-                self._ranks.clear()
-            found = group_by_region(
-                rank(self._weights(service), object_key),
-                {
-                    each.record.instance_id: each.region
-                    for each in self.of_service(service)
-                },
-            )
-            self._ranks[key] = found
-        return found
+        found = self._ranking.find(service, object_key)
+        if found is not None:
+            return found
+        takers = [
+            each for each in self.of_service(service) if _is_open(each, self._evacuated)
+        ]
+        return self._ranking.order(service, object_key, takers)
 
     def usable(
         self,
@@ -93,17 +79,35 @@
         A request that may run once only is not sent to a server that has failed and
         has not answered since.
         """
-        now_s = self._timer.now_s()
-        policy = self._policy.find_service(service)
         return {
             backend.record.instance_id: backend
             for backend in self.of_service(service)
-            if self._takes(backend, now_s)
-            and (not home_regions or backend.region in home_regions)
-            and (is_repeatable or not backend.health.is_paused)
-            and self._may_warm(backend, policy, now_s)
+            if self.is_usable(backend, home_regions, is_repeatable=is_repeatable)
         }
 
+    def is_usable(
+        self,
+        backend: Backend,
+        home_regions: frozenset[str],
+        *,
+        is_repeatable: bool,
+    ) -> bool:
+        """Tell whether a backend server may be sent a request now."""
+        now_s = self._timer.now_s()
+        if home_regions and backend.region not in home_regions:
+            return False
+        if backend.health.is_paused and not is_repeatable:
+            return False
+        return self._takes(backend, now_s) and self._may_warm(backend, now_s)
+
+    def find(self, instance_id: str) -> Backend | None:
+        """Return a backend server, or None if it is gone."""
+        return self._table.known.get(instance_id)
+
+    def find_short(self, short: int) -> Backend | None:
+        """Return the backend server with a short name, or None if it is gone."""
+        return self._table.by_short_name.get(short)
+
     def begin(self, backend: Backend, limit_s: float) -> None:
         """Count a request that is about to be sent."""
         now_s = self._timer.now_s()
@@ -146,7 +150,7 @@
         """Take requests in flight and failures of other hosts."""
         now_s = self._timer.now_s()
         if self._table.expire(now_s):
-            self._ranks.clear()
+            self._ranking.clear()
         in_flight: Counter[int] = Counter()
         unreachable: dict[int, float] = {}
         for beat in beats:
@@ -161,24 +165,16 @@
                 backend.health.hear_unreachable(now_s, heard_age_s)
 
     def _takes(self, backend: Backend, now_s: float) -> bool:
-        if not self._is_open(backend) or not backend.health.may_try(now_s):
+        if not _is_open(backend, self._evacuated) or not backend.health.may_try(now_s):
             return False
         return backend.lapses_s is None or now_s <= backend.lapses_s
 
-    def _is_open(self, backend: Backend) -> bool:
-        record = backend.record
-        return not record.is_draining and record.failure_domain not in self._evacuated
-
-    def _may_warm(
-        self,
-        backend: Backend,
-        policy: ServicePolicy | None,
-        now_s: float,
-    ) -> bool:
+    def _may_warm(self, backend: Backend, now_s: float) -> bool:
         if not backend.is_cold(now_s):
             return True
         if not backend.pace.may_send(now_s):
             return False
+        policy = self._policy.find_service(backend.record.service)
         senders = self._senders(policy)
         names = self._membership.host_names()
         if senders >= len(names):
@@ -187,31 +183,6 @@
         order = rank(hosts, backend.record.instance_id)
         return self._state.settings.host in order[:senders]
 
-    def _weights(self, service: str) -> list[Weighted]:
-        takers = [each for each in self.of_service(service) if self._is_open(each)]
-        slots: dict[str, int] = {}
-        for taker in takers:
-            slots[taker.region] = slots.get(taker.region, 0) + taker.record.slots
-        per_slot = region_weights(
-            slots,
-            self._demand_by_region(),
-            self._state.settings.region,
-            _TARGET_USE,
-        )
-        return [
-            Weighted(
-                taker.record.instance_id,
-                taker.record.slots * max(_LEAST_WEIGHT, per_slot[taker.region]),
-            )
-            for taker in takers
-        ]
-
-    def _demand_by_region(self) -> dict[str, float]:
-        # Taken as equal for each failure domain: a plan that followed the demand of
-        # the moment would move objects away from the servers that know them.
-        regions = list(self._state.settings.region_of_domain.values())
-        return {region: regions.count(region) for region in regions}
-
     def _senders(self, policy: ServicePolicy | None) -> int:
         settings = self._state.settings
         return senders_to_cold(
@@ -242,7 +213,7 @@
             now_s,
             is_store_back=is_failing or now_s - returned_s < LAPSED_WAIT_S,
         )
-        self._ranks.clear()
+        self._ranking.clear()
 
     def _take_evacuations(self) -> None:
         evacuated = frozenset(
@@ -261,7 +232,12 @@
             ended=','.join(sorted(ended)) or '-',
         )
         self._evacuated = evacuated
-        self._ranks.clear()
+        self._ranking.clear()
+
+
+def _is_open(backend: Backend, evacuated: frozenset[str]) -> bool:
+    record = backend.record
+    return not record.is_draining and record.failure_domain not in evacuated
 
 
 def _cold_rate(policy: ServicePolicy | None) -> float:
--- a/cicadadoor/entry/daemon.py
+++ b/cicadadoor/entry/daemon.py
@@ -9,6 +9,7 @@
 from cicadadoor.entry.directory import Directory
 from cicadadoor.entry.dispatch import Dispatcher
 from cicadadoor.entry.forwarding import Forwarder
+from cicadadoor.entry.learning import Learning
 from cicadadoor.entry.listing import HostListing
 from cicadadoor.entry.membership import Membership
 from cicadadoor.entry.mirror import Mirror
@@ -46,6 +47,7 @@
         HostListing(),
         SettingsReload(settings.path),
         Backends(),
+        Learning(),
         Quotas(),
         CrashWatch(),
         Forwarder(dialect()),
--- a/cicadadoor/entry/membership.py
+++ b/cicadadoor/entry/membership.py
@@ -5,6 +5,7 @@
 
 import anyio
 import msgspec
+from msgspec import structs
 
 from cicadadoor.decisions.readers import is_reader
 from cicadadoor.entry.mirror import Mirror
@@ -108,11 +109,7 @@
             and self.peers.is_heard(peer, now_s)
             and peer.is_served
         ]
-        return is_reader(settings.host, others, is_served=self._is_served)
-
-    @property
-    def _is_served(self) -> bool:
-        return not any(self._mirror.is_failing(topic) for topic in TOPICS)
+        return is_reader(settings.host, others, is_served=self._mirror.is_served)
 
     def live_beats(self) -> list[Beat]:
         """Return the latest beat of each host that is heard."""
@@ -165,7 +162,7 @@
         fields: dict[str, object] = {
             'revisions': tuple(self._mirror.revision(topic) for topic in TOPICS),
             'digests': tuple(self._mirror.digest(topic) for topic in TOPICS),
-            'is_served': self._is_served,
+            'is_served': self._mirror.is_served,
         }
         for part in self._parts:
             part.fill(fields)
@@ -176,19 +173,25 @@
             is_leaving=self._state.is_leaving,
             **fields,
         )
-        encoded = self._encoder.encode(beat)
-        if len(encoded) > _MAX_DATAGRAM_BYTES:
-            log.warning('beat_too_large', size_bytes=len(encoded))
-            return
         self._has_news = False
+        await self._send_to_all(beat)
+
+    async def _send_to_all(self, beat: Beat) -> None:
+        near = self._encoder.encode(beat)
+        far = self._encoder.encode(structs.replace(beat, learned=()))
+        if len(near) > _MAX_DATAGRAM_BYTES:
+            log.warning('beat_too_large', size_bytes=len(near))
+            return
         now_s = self._timer.now_s()
         is_due_far = now_s - self._last_far_s > self.peers.far_period_s - BEAT_S / 2
         is_for_far = is_due_far or self._state.is_leaving
         if is_for_far:
             self._last_far_s = now_s
         for peer in self.peers.all():
-            if is_for_far or self.peers.is_near(peer):
-                await self._send(encoded, peer.record.peers)
+            if self.peers.is_near(peer):
+                await self._send(near, peer.record.peers)
+            elif is_for_far:
+                await self._send(far, peer.record.peers)
 
     async def _send(self, encoded: bytes, address: str) -> None:
         host_ip, _, port = address.rpartition(':')
--- a/cicadadoor/entry/mirror.py
+++ b/cicadadoor/entry/mirror.py
@@ -154,6 +154,11 @@
         """Tell whether the last call for the topic got no answer."""
         return self._copies[topic].failing_since_s is not None
 
+    @property
+    def is_served(self) -> bool:
+        """Tell whether the store answered the last call for each topic."""
+        return not any(self.is_failing(topic) for topic in Topic)
+
     def snapshot(self, topic: Topic) -> Snapshot:
         """Return the copy, for another host."""
         copy = self._copies[topic]
@@ -187,7 +192,9 @@
             return False
         if copy.behind_since_s is None:
             copy.behind_since_s = now_s
-        if now_s - copy.behind_since_s <= BEHIND_S + self._gather_s():
+        if now_s - copy.behind_since_s <= BEHIND_S + _gather_s(
+            len(self.records(Topic.HOSTS))
+        ):
             return False
         if copy.failing_since_s is None and not self._lags(topic):
             copy.behind_since_s = None
@@ -222,7 +229,7 @@
                 self._apply(topic, answer)
                 is_whole = True
                 # Changes that come in quick succession share a call.
-                await self._timer.sleep(self._gather_s())
+                await self._timer.sleep(_gather_s(len(self.records(Topic.HOSTS))))
                 continue
             if answer is None or answer.kind is ErrorKind.STORE_COMPACTED:
                 is_whole = False
@@ -248,10 +255,6 @@
     def _lags(self, topic: Topic) -> bool:
         return self.may_lag and topic not in _NEVER_LAGGING
 
-    def _gather_s(self) -> float:
-        hosts = len(self._copies[Topic.HOSTS].records)
-        return min(_LONGEST_GATHER_S, _GATHER_S * max(1.0, hosts / _GATHER_HOSTS))
-
     def _apply(self, topic: Topic, answer: Snapshot | Changes) -> None:
         copy = self._copies[topic]
         copy.read_s = self._timer.now_s()
@@ -283,5 +286,9 @@
             on_change(topic)
 
 
+def _gather_s(host_count: int) -> float:
+    return min(_LONGEST_GATHER_S, _GATHER_S * max(1.0, host_count / _GATHER_HOSTS))
+
+
 def _digest(records: dict[str, Record | None]) -> int:
     return zlib.crc32(msgspec.msgpack.encode(sorted(records.items())))
--- a/cicadadoor/entry/peers.py
+++ b/cicadadoor/entry/peers.py
@@ -2,6 +2,7 @@
 
 import math
 import zlib
+from functools import lru_cache
 
 import msgspec
 
@@ -24,6 +25,7 @@
 # A host that hears nobody else is taken to be the one that is cut off.
 _FORGET_S = 4.5
 TOPICS = tuple(Topic)
+_SHORT_NAMES = 16_384
 
 
 class Beat(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -33,6 +35,8 @@
     per second by organisation. `in_flight` counts this host's requests at each backend
     server. `unreachable` gives the seconds since each failed to answer. `crashes`
     counts the backend servers that ended while a request with the fingerprint ran.
+    `learned` gives pairs of a backend server and an object that it has just learned,
+    one after the other, for hosts of the region only.
     `is_served` tells whether the store answers the sender. Names are given by
     `short_name`, since beats between regions are paid for.
     """
@@ -48,6 +52,7 @@
     unreachable: dict[int, float] = {}
     crashes: dict[int, int] = {}
     is_served: bool = True
+    learned: tuple[int, ...] = ()
 
     def revision(self, topic: Topic) -> int:
         """Return the revision of the sender's copy."""
@@ -58,6 +63,7 @@
         return self.digests[TOPICS.index(topic)]
 
 
+@lru_cache(_SHORT_NAMES)
 def short_name(name: str) -> int:
     """Return a number that stands for a name in beats."""
     return zlib.crc32(name.encode())
--- a/cicadadoor/entry/placing.py
+++ b/cicadadoor/entry/placing.py
@@ -1,13 +1,15 @@
 """Find a backend server for a request, or the time at which there is one."""
 
 import random
+import zlib
 
 import anyio
 
 from cicadadoor.decisions.placement import Choice, Familiarity, choose
-from cicadadoor.decisions.waiting import WorkTimes
+from cicadadoor.decisions.waiting import FullnessLimits, WorkTimes
 from cicadadoor.entry.backend_table import Backend, Lesson
 from cicadadoor.entry.backends import Backends
+from cicadadoor.entry.learning import Learning
 from cicadadoor.entry.steering import Steered
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.kernel import Kernel, Service
@@ -17,6 +19,10 @@
 # Backend servers that an object's requests prefer, in this order. A third one would
 # have to learn more objects than the servers of the smallest sites remember.
 _NEAR_COUNT = 2
+# Orders for requests that concern no object.
+_SPREAD_ORDERS = 256
+# Servers looked at before all of a service are.
+_QUICK_LOOKS = 4
 # Ranks up to this one are urgent.
 _URGENT_PRIORITY = 1
 # Callers that wait for the same lesson come back spread over this time.
@@ -45,15 +51,20 @@
     def __init__(self) -> None:
         self._timer: TimerService
         self._backends: Backends
+        self._learning: Learning
         self._work = WorkTimes()
 
     async def start(self, kernel: Kernel) -> None:
         """Find the backend servers."""
         self._timer = kernel.find('timer')
         self._backends = kernel.find('backends')
+        self._learning = kernel.find('learning')
 
     async def place(self, steered: Steered) -> Backend | None:
         """Return the server to send to, or None if the request has to be refused."""
+        preferred = self._preferred(steered)
+        if preferred is not None:
+            return preferred
         while True:
             now_s = self._timer.now_s()
             usable = self._usable(steered)
@@ -87,6 +98,8 @@
             visit.lesson,
             is_answered=is_answered,
         )
+        if is_answered and visit.lesson is not None:
+            self._learning.note(visit.backend, steered.object_key)
         if is_answered and visit.has_room:
             # Without a wait, the time is that of the work.
             took_s = self._timer.now_s() - visit.sent_s
@@ -106,6 +119,40 @@
             self._learned_in_ms(steered, servers),
         )
 
+    def _preferred(self, steered: Steered) -> Backend | None:
+        """Return the server that `choose` would, if it is among the first few."""
+        now_s = self._timer.now_s()
+        limits = self._limits(steered)
+        for name in self._order(steered)[:_QUICK_LOOKS]:
+            backend = self._backends.find(name)
+            if backend is None or name in steered.tried:
+                continue
+            is_usable = self._backends.is_usable(
+                backend,
+                steered.home_regions,
+                is_repeatable=steered.route.is_idempotent,
+            )
+            if not is_usable or backend.health.is_doubtful(now_s):
+                continue
+            seen = backend.candidate(steered.object_key, now_s)
+            if seen.familiarity is not Familiarity.KNOWN:
+                # One of the first servers may have to learn the object.
+                return None
+            if seen.fullness < limits.spill:
+                return backend
+        return None
+
+    def _limits(self, steered: Steered) -> FullnessLimits:
+        return self._work.limits(
+            steered.route.name,
+            objective_s=steered.route.latency_objective_ms / _MS_PER_S,
+            is_urgent=steered.priority <= _URGENT_PRIORITY,
+        )
+
+    def _order(self, steered: Steered) -> tuple[str, ...]:
+        spread = zlib.crc32(steered.request.request_id.encode()) % _SPREAD_ORDERS
+        return self._backends.ranked(steered.service, steered.object_key or str(spread))
+
     def _usable(self, steered: Steered) -> dict[str, Backend]:
         usable = self._backends.usable(
             steered.service,
@@ -139,19 +186,10 @@
         usable: dict[str, Backend],
         now_s: float,
     ) -> Choice:
-        limits = self._work.limits(
-            steered.route.name,
-            objective_s=steered.route.latency_objective_ms / _MS_PER_S,
-            is_urgent=steered.priority <= _URGENT_PRIORITY,
-        )
-        object_key = steered.object_key
-        order = self._backends.ranked(
-            steered.service,
-            object_key or steered.request.request_id,
-        )
+        limits = self._limits(steered)
         ranked = [
-            usable[name].candidate(object_key, now_s)
-            for name in order
+            usable[name].candidate(steered.object_key, now_s)
+            for name in self._order(steered)
             if name in usable
         ]
         return choose(
@@ -183,11 +221,8 @@
     def _describe(self, steered: Steered) -> str:
         now_s = self._timer.now_s()
         usable = self._usable(steered)
-        order = self._backends.ranked(
-            steered.service,
-            steered.object_key or steered.request.request_id,
-        )
-        near = [usable[name] for name in order if name in usable][:_NEAR_COUNT]
+        order = [name for name in self._order(steered) if name in usable]
+        near = [usable[name] for name in order[:_NEAR_COUNT]]
         texts = []
         for backend in near:
             seen = backend.candidate(steered.object_key, now_s)
--- a/cicadadoor/entry/quotas.py
+++ b/cicadadoor/entry/quotas.py
@@ -127,25 +127,31 @@
         near_beats = [beat for beat in beats if peers.is_near_host(beat.host)]
         near = _sum_demand(near_beats)
         everywhere = _sum_demand(beats)
-        near_part = (1 + len(near_beats)) / (1 + len(beats))
-        # Hosts that are not heard may admit their part too.
-        heard_part = (1 + len(beats)) / self._membership.host_count
+        heard_count = 1 + len(beats)
         now_s = self._timer.now_s()
         for account in self._accounts.values():
-            name = account.short_name
             if not self._is_small(account.organisation):
                 continue
-            rate_per_s, burst, spare = self._widened(account.organisation)
             account.demand.update(now_s, _SHARED_MEMORY_S)
-            account.shared_rate.update(
-                now_s,
-                rate_per_s=rate_per_s * heard_part,
-                burst=(burst + spare) * heard_part,
-                near_per_s=near[name] + account.demand.rate_per_s,
-                far_per_s=everywhere[name] - near[name],
-                near_part=near_part,
+            near_per_s = near[account.short_name]
+            self._follow(
+                account,
+                heard_part=heard_count / self._membership.host_count,
+                near_per_s=near_per_s + account.demand.rate_per_s,
+                far_per_s=everywhere[account.short_name] - near_per_s,
+                near_part=(1 + len(near_beats)) / heard_count,
             )
 
+    def _follow(self, account: _Account, heard_part: float, **offered: float) -> None:
+        # Hosts that are not heard may admit their part too.
+        rate_per_s, burst, spare = self._widened(account.organisation)
+        account.shared_rate.update(
+            self._timer.now_s(),
+            rate_per_s=rate_per_s * heard_part,
+            burst=(burst + spare) * heard_part,
+            **offered,
+        )
+
     def _widened(self, organisation: OrganisationPolicy) -> tuple[float, float, float]:
         settings = self._state.settings
         overrun = 1 + _OVERRUN_USE * settings.quota_overrun
--- /dev/null
+++ b/cicadadoor/entry/ranking.py
@@ -0,0 +1,70 @@
+"""Keep the order in which the objects of a service prefer backend servers."""
+
+from collections.abc import Mapping, Sequence
+
+from cicadadoor.decisions.placement import (
+    Weighted,
+    group_by_region,
+    rank,
+    region_weights,
+)
+from cicadadoor.entry.backend_table import Backend
+
+_MOST_ORDERS = 20_000
+# The use of all slots at which a region is full; up to there its requests stay in it.
+_TARGET_USE = 1.0
+# Servers far away stay in the order, for requests that find no room before them.
+_LEAST_WEIGHT = 1e-6
+
+
+class Ranking:
+    """Compute orders once, until the backend servers change."""
+
+    def __init__(self, region: str, region_of_domain: Mapping[str, str]) -> None:
+        self._region = region
+        # Taken as equal for each failure domain: a plan that followed the demand of
+        # the moment would move objects away from the servers that know them.
+        regions = list(region_of_domain.values())
+        self._demand = {name: float(regions.count(name)) for name in regions}
+        self._orders: dict[tuple[str, str], tuple[str, ...]] = {}
+        self._weights: dict[str, list[Weighted]] = {}
+
+    def clear(self) -> None:
+        """Compute everything anew."""
+        self._orders.clear()
+        self._weights.clear()
+
+    def find(self, service: str, object_key: str) -> tuple[str, ...] | None:
+        """Return an order that was computed before."""
+        return self._orders.get((service, object_key))
+
+    def order(
+        self,
+        service: str,
+        object_key: str,
+        takers: Sequence[Backend],
+    ) -> tuple[str, ...]:
+        """Compute the order of the servers that may be sent requests."""
+        if service not in self._weights:
+            self._weights[service] = self._weigh(takers)
+        order = group_by_region(
+            rank(self._weights[service], object_key),
+            {taker.record.instance_id: taker.region for taker in takers},
+        )
+        if len(self._orders) > _MOST_ORDERS:
+            self._orders.clear()
+        self._orders[service, object_key] = order
+        return order
+
+    def _weigh(self, takers: Sequence[Backend]) -> list[Weighted]:
+        slots: dict[str, int] = {}
+        for taker in takers:
+            slots[taker.region] = slots.get(taker.region, 0) + taker.record.slots
+        per_slot = region_weights(slots, self._demand, self._region, _TARGET_USE)
+        return [
+            Weighted(
+                taker.record.instance_id,
+                taker.record.slots * max(_LEAST_WEIGHT, per_slot[taker.region]),
+            )
+            for taker in takers
+        ]
--- a/cicadadoor/entry/steering.py
+++ b/cicadadoor/entry/steering.py
@@ -15,6 +15,7 @@
         'body',
         'deadline_s',
         'fingerprint',
+        'object_key',
         'organisation',
         'received_s',
         'request',
@@ -43,6 +44,7 @@
         self.received_s = received_s
         self.deadline_s = deadline_s
         self.fingerprint = fingerprint_of(request, self.organisation_name, body)
+        self.object_key = _object_key(route, request)
         self.attempts = 0
         self.unreached = 0
         self.tried: list[str] = []
@@ -52,13 +54,6 @@
         """Return the organisation's name, or an empty text on a public route."""
         return self.organisation.name if self.organisation else ''
 
-    @property
-    def object_key(self) -> str:
-        """Return what tells the request's object from others, or an empty text."""
-        if not self.route.has_affinity or not self.request.affinity_key:
-            return ''
-        return f'{self.route.name}:{self.request.affinity_key}'
-
     @property
     def priority(self) -> int:
         """Return the rank, 0 for the most urgent."""
@@ -77,6 +72,13 @@
         return homes & self.organisation.home_regions or frozenset(('-',))
 
 
+def _object_key(route: RoutePolicy, request: CallerRequest) -> str:
+    """Return what tells the request's object from others, or an empty text."""
+    if not route.has_affinity or not request.affinity_key:
+        return ''
+    return f'{route.name}:{request.affinity_key}'
+
+
 class Split:
     """Deal a route's requests to its services in the proportions of their weights."""
 
