Spend less processor time on a request and on each tick

An entry host in a process of its own took 3.6 to 3.8 ms a request and 0.7 s at start (loopback, one caller, 60 backend servers). Ruled out: another event loop (uvloop, 3.7 ms), a cheaper time in log lines (no change). Change: no span is made where no trace is recorded; the garbage collector leaves what was loaded alone and runs each 20,000 objects; what compares beats runs in one tick. Tests for what hosts tell each other of objects, and for spans.

--- a/cicadadoor/core.py
+++ b/cicadadoor/core.py
@@ -1,5 +1,6 @@
 """Build and run a daemon from its settings file."""
 
+import gc
 import os
 import signal
 import sys
@@ -13,6 +14,9 @@
 from cicadadoor.kernel import Kernel
 from cicadadoor.telemetry import logs, tracing
 
+# A request leaves a few hundred objects; this is a collection each hundred requests.
+_GC_OBJECTS = 20_000
+
 log = logs.logger('core')
 
 BuildKernel = Callable[[Any], Kernel]
@@ -37,6 +41,9 @@
         return ExitStatus.USAGE
     configure_logs(settings.log_level)
     tracing.configure(program, settings.trace_sample_ratio)
+    # What has been loaded stays; the collector need not look at it again.
+    gc.freeze()
+    gc.set_threshold(_GC_OBJECTS)
     try:
         return anyio.run(_run, program, settings, build)
     except Exception as error:
--- a/cicadadoor/entry/membership.py
+++ b/cicadadoor/entry/membership.py
@@ -32,6 +32,9 @@
     def heard(self, beats: list[Beat]) -> None:
         """Take the latest beats of all live hosts, once each period."""
 
+    def compare(self, beats: list[Beat]) -> None:
+        """Take them more often, where a late reaction would break a bound."""
+
 
 class Membership(Service):
     """Beat, and listen for the beats of others."""
@@ -137,6 +140,9 @@
 
     async def _tick(self) -> None:
         now_s = self._timer.now_s()
+        beats = self.live_beats()
+        for part in self._parts:
+            part.compare(beats)
         elapsed_s = now_s - self._last_beat_s
         if elapsed_s < self.peers.period_s - BEAT_S / 2:
             if self._has_news:
@@ -146,7 +152,6 @@
         if elapsed_s - self.peers.period_s > _SUSPENDED_S:
             self._wake(elapsed_s)
         self.peers.prune(now_s)
-        beats = self.live_beats()
         for part in self._parts:
             part.heard(beats)
         await self._beat()
--- a/cicadadoor/entry/neighbours.py
+++ b/cicadadoor/entry/neighbours.py
@@ -3,16 +3,15 @@
 import random
 from functools import partial
 
-from cicadadoor.entry.membership import Membership
+from cicadadoor.entry.membership import BeatPart, Membership
 from cicadadoor.entry.mirror import Mirror
 from cicadadoor.entry.model import Snapshot, Topic
-from cicadadoor.entry.peers import BEAT_S, Beat
+from cicadadoor.entry.peers import Beat
 from cicadadoor.errors import Failure
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel
 from cicadadoor.links.messages import Message
 from cicadadoor.links.peer_hub import PeerHub
 from cicadadoor.telemetry import logs
-from cicadadoor.timer import TimerService
 
 log = logs.logger('neighbours')
 
@@ -33,7 +32,7 @@
     snapshot: Snapshot | None
 
 
-class Neighbours(Service):
+class Neighbours(BeatPart):
     """Compare revisions with other hosts, and ask one that has a later one."""
 
     name = 'neighbours'
@@ -51,13 +50,11 @@
         self._mirror = kernel.find('mirror')
         self._membership = kernel.find('membership')
         self._hub.on(SnapshotRequest, self._answer, SnapshotAnswer)
-        timer: TimerService = kernel.find('timer')
-        timer.subscribe('compare_copies', BEAT_S, self._compare)
+        self._membership.join(self)
 
-    async def _compare(self) -> None:
+    def compare(self, beats: list[Beat]) -> None:
         """Ask where the store fails or lags; tell the mirror of silent watches."""
         self._mirror.may_lag = not self._membership.reads_for_others
-        beats = self._membership.live_beats()
         for topic in Topic:
             latest = max(beats, key=partial(Beat.revision, topic=topic), default=None)
             if latest is None:
--- a/cicadadoor/entry/quotas.py
+++ b/cicadadoor/entry/quotas.py
@@ -12,7 +12,7 @@
 )
 from cicadadoor.entry.membership import BeatPart, Membership
 from cicadadoor.entry.model import OrganisationPolicy
-from cicadadoor.entry.peers import BEAT_S, Beat, short_name
+from cicadadoor.entry.peers import Beat, short_name
 from cicadadoor.entry.state import EntryState
 from cicadadoor.kernel import Kernel
 from cicadadoor.timer import TimerService
@@ -73,7 +73,6 @@
         self._timer = kernel.find('timer')
         self._membership = kernel.find('membership')
         self._membership.join(self)
-        self._timer.subscribe('follow_demand', BEAT_S, self._follow_demand)
 
     def take(self, organisation: OrganisationPolicy) -> float | None:
         """Take a token; otherwise return the seconds until there may be one."""
@@ -121,8 +120,8 @@
         part_per_s = organisation.rate_per_s / self._membership.host_count
         return part_per_s < _LEAST_PART_PER_S
 
-    async def _follow_demand(self) -> None:
-        beats = self._membership.live_beats()
+    def compare(self, beats: list[Beat]) -> None:
+        """Follow the demand for small organisations."""
         peers = self._membership.peers
         near_beats = [beat for beat in beats if peers.is_near_host(beat.host)]
         near = _sum_demand(near_beats)
--- a/cicadadoor/telemetry/tracing.py
+++ b/cicadadoor/telemetry/tracing.py
@@ -24,6 +24,15 @@
 _NS_PER_US = 1000
 
 
+class _Sampling:
+    """Tell whether new traces are recorded at all."""
+
+    is_on = True
+
+
+_sampling = _Sampling()
+
+
 class LogSpanExporter(SpanExporter):
     """Write each finished span as a log line."""
 
@@ -36,6 +45,7 @@
 
 def configure(process: str, sample_ratio: float) -> None:
     """Record the given share of new traces; a caller's own decision is kept."""
+    _sampling.is_on = sample_ratio > 0
     provider = TracerProvider(
         resource=Resource.create({'service.name': process}),
         sampler=ParentBasedTraceIdRatio(sample_ratio),
@@ -47,12 +57,19 @@
 @contextmanager
 def hop(name: str, headers: Mapping[str, str] | None = None) -> Iterator[Span]:
     """Record one hop, as a child of the context in the headers if they have one."""
+    if not _sampling.is_on and headers is None and not _is_in_trace():
+        yield trace.INVALID_SPAN
+        return
     context = _propagator.extract(headers) if headers else None
     tracer = trace.get_tracer('cicadadoor')
     with tracer.start_as_current_span(name, context=context) as span:
         yield span
 
 
+def _is_in_trace() -> bool:
+    return trace.get_current_span().get_span_context().is_valid
+
+
 def inject(headers: dict[str, str]) -> None:
     """Add the current trace context to outgoing headers."""
     _propagator.inject(headers)
--- /dev/null
+++ b/tests/test_learning.py
@@ -0,0 +1,58 @@
+"""What the hosts of a region tell each other of objects."""
+
+from cicadadoor.decisions.placement import Familiarity
+from tests.utils.entry_hosts import run_deployed
+from tests.utils.waiting import until
+
+_OBJECT = 'look:7'
+_COOKIE = 'Affinity-Key=7'
+
+
+def _memory(deployment, host: int):
+    return deployment.find('backends', host).find('i-0').memory
+
+
+async def _teach(deployment) -> None:
+    heard = deployment.find('membership', 1).live_beats
+    await until(lambda: len(heard()) == 1)
+    await deployment.call('/look/1', Cookie=_COOKIE)
+
+
+class TestLearning:
+    """Guard against hosts that teach a backend server what it knows."""
+
+    def test_host_knows_what_another_has_taught(self):
+        async def work(deployment):
+            assert _memory(deployment, 1).familiarity(_OBJECT) is Familiarity.UNKNOWN
+            await _teach(deployment)
+            memory = _memory(deployment, 1)
+            await until(lambda: memory.familiarity(_OBJECT) is Familiarity.KNOWN)
+
+        run_deployed(work, hosts=2)
+
+    def test_caller_is_served_by_a_full_server_that_another_host_has_taught(self):
+        """A server without a free slot is asked only for objects that it knows."""
+
+        async def work(deployment):
+            await _teach(deployment)
+            memory = _memory(deployment, 1)
+            await until(lambda: memory.familiarity(_OBJECT) is Familiarity.KNOWN)
+            deployment.find('backends', 1).find('i-0').in_flight = 8
+            known = await deployment.call('/look/1', host=1, Cookie=_COOKIE)
+            unknown = await deployment.call('/look/1', host=1, Cookie='Affinity-Key=8')
+            assert (known.status_code, unknown.status_code) == (200, 503)
+
+        run_deployed(work, hosts=2)
+
+    def test_failed_request_teaches_nothing(self):
+        async def work(deployment):
+            heard = deployment.find('membership', 1).live_beats
+            await until(lambda: len(heard()) == 1)
+            deployment.workers['i-0'].script.append('reset')
+            await deployment.call('/book/1', method='POST', Cookie='Affinity-Key=9')
+            await _teach(deployment)
+            memory = _memory(deployment, 1)
+            await until(lambda: memory.familiarity(_OBJECT) is Familiarity.KNOWN)
+            assert memory.familiarity('book:9') is Familiarity.UNKNOWN
+
+        run_deployed(work, hosts=2)
--- /dev/null
+++ b/tests/test_tracing.py
@@ -0,0 +1,30 @@
+"""Spans that are recorded only where somebody asked for them."""
+
+import pytest
+from opentelemetry import trace
+
+from cicadadoor.telemetry import tracing
+
+
+@pytest.fixture(autouse=True)
+def _sampled_again():
+    yield
+    tracing.configure('test', 1)
+
+
+class TestHop:
+    """Guard against the cost of spans that nobody reads."""
+
+    def test_hop_without_sampling_records_nothing(self):
+        tracing.configure('test', 0)
+        with tracing.hop('entry') as span:
+            assert span is trace.INVALID_SPAN
+
+    def test_trace_of_the_caller_goes_on_without_sampling(self):
+        tracing.configure('test', 0)
+        parent = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'
+        with tracing.hop('gate', {'traceparent': parent}) as span:
+            context = span.get_span_context()
+            assert f'{context.trace_id:032x}' == '0af7651916cd43dd8448eb211c80319c'
+            with tracing.hop('backend_server') as inner:
+                assert inner.get_span_context().trace_id == context.trace_id
