Add a fault soak of entry hosts as processes

Three hosts or more run as processes against stand-ins of store and workers; relays delay, reset, cut one way and silence their connections; signals pause, kill, stop, reload and restart them; the store goes away, loses answers and forgets its history; workers spoil answers and drain; the operator changes the configuration.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 SOURCES := $(wildcard cicadadoor tests examples measure)
 
-.PHONY: install test codestyle format demo measure clean
+.PHONY: install test codestyle format demo measure soak clean
 
 install: $(STAMP)
 
@@ -27,6 +27,10 @@
 demo: install
 	$(PY) -m tests.demo
 
+# SEED, COUNT and LENGTH (seconds) may be given.
+soak: install
+	$(PY) -m tests.soak $(SEED) $(COUNT) $(LENGTH)
+
 measure: install
 	$(PY) -m measure
 
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,37 @@
+"""Run seeds: `python -m tests.soak [FIRST_SEED] [COUNT] [SECONDS]`."""
+
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import anyio
+
+from tests.soak.run import soak
+
+_COUNT = 10
+_LENGTH_S = 12.0
+
+
+def main(arguments: list[str]) -> int:
+    """Play seeds one after the other; return 1 if any broke a promise."""
+    given = dict(enumerate(arguments))
+    first = int(given.get(0, time.time()))
+    count = int(given.get(1, _COUNT))
+    length_s = float(given.get(2, _LENGTH_S))
+    broken = 0
+    for seed in range(first, first + count):
+        folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+        report = anyio.run(soak, seed, length_s, folder)
+        sys.stdout.write(f'{report}\n')
+        sys.stdout.flush()
+        if report.faults:
+            broken += 1
+            (folder / 'faults.txt').write_text('\n'.join(report.played))
+            sys.stdout.write(f'  logs and faults: {folder}\n')
+    sys.stdout.write(f'{count} seeds, {broken} broke a promise\n')
+    return int(broken > 0)
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,107 @@
+"""Send requests as clients do, and keep what they were told."""
+
+import random
+import time
+from http import HTTPStatus
+
+import anyio
+import httpx
+
+from tests.soak.fleet import Fleet
+from tests.utils.entry_hosts import SITE
+
+_DEADLINE_MS = 2500
+_PAUSE_S = 0.05
+# At this pace the callers together stay well below their organisation's rate.
+CALM_PAUSE_S = 0.6
+_OBJECTS = 20
+# These statuses promise that the request has not run and never will.
+_PROMISES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
+
+class Told:
+    """Hold what a caller was told of one request; status 0 is no answer."""
+
+    __slots__ = ('answered_s', 'attempt', 'fault', 'key', 'sent_s', 'status')
+
+    def __init__(self, attempt: str, key: str) -> None:
+        self.attempt = attempt
+        self.key = key
+        self.sent_s = time.monotonic()
+        self.answered_s = self.sent_s
+        self.status = 0
+        self.fault = ''
+
+    @property
+    def is_promise(self) -> bool:
+        """Tell whether the answer says that the request has not run."""
+        return self.status in _PROMISES
+
+
+class Callers:
+    """Keep connections open to every host, until the host is gone."""
+
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self.told: list[Told] = []
+        self.is_stopped = False
+        self.pause_s = _PAUSE_S
+        self._fleet = fleet
+        self._random = random.Random(seed)
+
+    async def run(self, number: int) -> None:
+        """Send requests one after the other."""
+        sent = 0
+        async with httpx.AsyncClient(trust_env=False, timeout=4) as client:
+            while not self.is_stopped:
+                sent += 1
+                method = self._random.choice(('GET', 'GET', 'POST'))
+                host = self._random.randrange(len(self._fleet.hosts))
+                await self.send(client, f'c{number}-{sent}', method, host)
+                await anyio.sleep(self.pause_s * self._random.random())
+
+    async def send(
+        self,
+        client: httpx.AsyncClient,
+        attempt: str,
+        method: str,
+        host: int,
+        key: str = 'key-1',
+    ) -> Told:
+        """Send one request and note the answer."""
+        told = Told(attempt, key)
+        self.told.append(told)
+        path = '/look/1' if method == 'GET' else '/book/1'
+        headers = {
+            'Host': SITE,
+            'Attempt-Id': attempt,
+            'Deadline-Ms': str(_DEADLINE_MS),
+            'Authorization': f'Bearer {key}',
+            'Cookie': f'Affinity-Key={self._random.randrange(_OBJECTS)}',
+        }
+        url = f'http://{self._fleet.hosts[host].callers}{path}'
+        try:
+            answer = await client.request(method, url, headers=headers)
+        except httpx.HTTPError:
+            told.answered_s = time.monotonic()
+            return told
+        told.answered_s = time.monotonic()
+        told.status = answer.status_code
+        if answer.is_success:
+            told.fault = self._find_fault(attempt, answer)
+        return told
+
+    def _find_fault(self, attempt: str, answer: httpx.Response) -> str:
+        if answer.headers.get('attempt-id') != attempt:
+            return 'the answer of another request'
+        if answer.headers.get('response-signature') != 'signed':
+            return 'a success without a signature'
+        if answer.text not in self._fleet.workers:
+            return f'body {answer.text!r} is no whole body of a worker'
+        return ''
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,56 @@
+"""Check promises by what callers were told and what workers ran."""
+
+from collections import Counter
+
+from tests.soak.callers import Told
+from tests.soak.fleet import BURST, RATE_PER_S, Run
+
+_WINDOW_S = 5.0
+_OVERRUN = 1.1
+_SLACK = 20
+
+
+def find_faults(told: list[Told], runs: list[Run]) -> list[str]:
+    """Return a line for each promise that was broken."""
+    by_attempt = Counter(run.attempt for run in runs)
+    faults = [f'{each.attempt}: {each.fault}' for each in told if each.fault]
+    faults.extend(
+        f'{each.attempt}: answered {each.status} and ran'
+        for each in told
+        if each.is_promise and by_attempt[each.attempt]
+    )
+    faults.extend(
+        f'{attempt}: ran {count} times'
+        for attempt, count in _unsafe_counts(runs).items()
+        if count > 1
+    )
+    sent = {each.attempt for each in told}
+    faults.extend(
+        f'{run.attempt}: no caller sent it' for run in runs if run.attempt not in sent
+    )
+    faults.extend(
+        f'{run.attempt}: ran for {run.organisation!r}, key passed: {run.key_was_passed}'
+        for run in runs
+        if run.organisation != 'school' or run.key_was_passed
+    )
+    worst = worst_window([run.at_s for run in runs if by_attempt[run.attempt] == 1])
+    bound = (RATE_PER_S * _WINDOW_S + BURST) * _OVERRUN + _SLACK
+    if worst > bound:
+        faults.append(f'{worst} runs of the organisation within {_WINDOW_S} s')
+    return faults
+
+
+def worst_window(times_s: list[float]) -> int:
+    """Return the most runs within a window."""
+    ordered = sorted(times_s)
+    worst = 0
+    start = 0
+    for end, at_s in enumerate(ordered):
+        while at_s - ordered[start] > _WINDOW_S:
+            start += 1
+        worst = max(worst, end - start + 1)
+    return worst
+
+
+def _unsafe_counts(runs: list[Run]) -> Counter[str]:
+    return Counter(run.attempt for run in runs if run.method != 'GET')
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,139 @@
+"""Draw faults from a seed, and apply them in series and overlapping."""
+
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from tests.soak.fleet import Fleet
+from tests.soak.relay import Relay, Trouble
+
+_TROUBLES = tuple(each for each in Trouble if each is not Trouble.NONE)
+_AWAY = ('busy', 'many', 'reset', 'silent')
+_WORKER_TROUBLES = ('shed', 'reset', 'fail', 'foreign', 'unsigned', 'short')
+_LONGEST_S = 2.5
+_END_POLL_S = 0.05
+
+
+Play = Callable[[], Awaitable[None]]
+
+
+class Faults:
+    """Play one fault after the other; some begin before the last one has ended."""
+
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self.log: list[str] = []
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self._kinds: tuple[Play, ...] = (
+            self._harm_worker_link,
+            self._harm_store_link,
+            self._take_store_away,
+            self._lose_store_answers,
+            self._forget_history,
+            self._pause_host,
+            self._kill_host,
+            self._stop_host,
+            self._reload_host,
+            self._spoil_answers,
+            self._drain_worker,
+            self._change_configuration,
+        )
+
+    async def play(self, length_s: float) -> None:
+        """Play faults for a while, and return when all have ended."""
+        with anyio.move_on_after(length_s) as beginning:
+            async with anyio.create_task_group() as tasks:
+                while not beginning.cancel_called:
+                    with anyio.CancelScope(shield=True):
+                        tasks.start_soon(self._shielded, self._draw())
+                    await anyio.sleep(self._random.uniform(0.2, 1.2))
+
+    def _draw(self) -> Play:
+        return self._random.choice(self._kinds)
+
+    async def _shielded(self, fault: Play) -> None:
+        with anyio.CancelScope(shield=True):
+            await fault()
+
+    async def _hold(self, what: str) -> None:
+        held_s = self._random.uniform(0.3, _LONGEST_S)
+        self.log.append(f'{what} for {held_s:.2f} s')
+        await anyio.sleep(held_s)
+
+    async def _harm_worker_link(self) -> None:
+        name = self._random.choice(sorted(self._fleet.worker_relays))
+        await self._harm(name, self._fleet.worker_relays[name])
+
+    async def _harm_store_link(self) -> None:
+        number = self._random.randrange(len(self._fleet.store_relays))
+        await self._harm(f'store of host-{number}', self._fleet.store_relays[number])
+
+    async def _harm(self, what: str, relay: Relay) -> None:
+        trouble = self._random.choice(_TROUBLES)
+        relay.set_trouble(trouble)
+        await self._hold(f'{what}: {trouble.value}')
+        relay.set_trouble(Trouble.NONE)
+
+    async def _take_store_away(self) -> None:
+        away = self._random.choice(_AWAY)
+        self._fleet.store.faults.away = away
+        self._fleet.store.cut_watches()
+        await self._hold(f'store: {away}')
+        self._fleet.store.faults.away = ''
+
+    async def _lose_store_answers(self) -> None:
+        self.log.append('store: loses the answers of 3 writes')
+        self._fleet.store.faults.lose_answers += 3
+
+    async def _forget_history(self) -> None:
+        self.log.append('store: forgets its history')
+        self._fleet.store.forget_history()
+
+    async def _pause_host(self) -> None:
+        host = self._random.choice(self._fleet.hosts)
+        if host.process.is_running():
+            host.process.pause()
+            await self._hold(f'{host.name}: SIGSTOP')
+            host.process.resume()
+
+    async def _kill_host(self) -> None:
+        host = self._random.choice(self._fleet.hosts)
+        if host.process.is_running():
+            host.process.kill()
+            await self._hold(f'{host.name}: SIGKILL')
+            host.restart()
+
+    async def _stop_host(self) -> None:
+        host = self._random.choice(self._fleet.hosts)
+        if not host.process.is_running():
+            return
+        self.log.append(f'{host.name}: SIGTERM')
+        host.process.send(signal.SIGTERM)
+        while host.process.is_running():
+            await anyio.sleep(_END_POLL_S)
+        host.restart()
+
+    async def _reload_host(self) -> None:
+        host = self._random.choice(self._fleet.hosts)
+        if host.process.is_running():
+            self.log.append(f'{host.name}: SIGHUP')
+            host.write_settings(retry_slack=self._random.randrange(20, 60))
+            host.process.send(signal.SIGHUP)
+
+    async def _spoil_answers(self) -> None:
+        worker = self._random.choice(sorted(self._fleet.workers))
+        trouble = self._random.choice(_WORKER_TROUBLES)
+        self.log.append(f'{worker}: {trouble}')
+        self._fleet.workers[worker].script.extend((trouble, trouble, trouble))
+
+    async def _drain_worker(self) -> None:
+        worker = self._random.choice(sorted(self._fleet.workers))
+        self._fleet.announce(worker, 'draining')
+        await self._hold(f'{worker}: draining')
+        self._fleet.announce(worker, 'ready')
+
+    async def _change_configuration(self) -> None:
+        self.log.append('operator: a new version')
+        self._fleet.configure()
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,149 @@
+"""Hold the processes, stand-ins and relays of one soak."""
+
+import json
+import signal
+import time
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+from tests.soak.relay import Relay
+from tests.utils.entry_hosts import Worker
+from tests.utils.metadata_store import MetadataStore, configuration, worker_entry
+from tests.utils.processes import Ports, TestProcess, python_module
+from tests.utils.raw_server import RawConnection, RawRequest, serving
+
+REGIONS = {'muc-a': 'muenchen', 'nue-a': 'nuernberg'}
+RATE_PER_S = 60.0
+BURST = 60.0
+KILL_AFTER_S = 4
+
+
+class Run:
+    """Hold that a worker began to work on a request."""
+
+    __slots__ = ('at_s', 'attempt', 'key_was_passed', 'method', 'organisation')
+
+    def __init__(self, request: RawRequest) -> None:
+        self.at_s = time.monotonic()
+        self.attempt = request.headers.get('attempt-id', '')
+        self.method = request.method
+        self.organisation = request.headers.get('tenant', '')
+        self.key_was_passed = 'authorization' in request.headers
+
+
+class SoakWorker(Worker):
+    """Record each run when it begins."""
+
+    def __init__(self, instance_id: str, runs: list[Run]) -> None:
+        super().__init__(instance_id)
+        self.all_runs = runs
+        self.work_s = 0.02
+
+    async def handle(self, request: RawRequest, connection: RawConnection) -> None:
+        """Take one request."""
+        is_mine = request.headers.get('target-instance') == self.instance_id
+        if is_mine and self.script[:1] != ['shed']:
+            self.all_runs.append(Run(request))
+        await super().handle(request, connection)
+
+
+class Host:
+    """Run one entry host as a process."""
+
+    def __init__(self, name: str, domain: str, folder: Path, store: str) -> None:
+        self.name = name
+        self.path = folder / f'{name}.json'
+        self.callers = Ports.address()
+        self.settings = {
+            'host': name,
+            'failure_domain': domain,
+            'region': REGIONS[domain],
+            'region_of_domain': REGIONS,
+            'callers': self.callers,
+            'readiness': Ports.address(),
+            'directory': Ports.address(),
+            'metrics': Ports.address(),
+            'peers': Ports.address(),
+            'store': store,
+            'kill_after_s': KILL_AFTER_S,
+        }
+        self.write_settings()
+        command = python_module('cicadadoor.entry', str(self.path))
+        self.process = TestProcess(name, command, folder)
+
+    def write_settings(self, **changes: object) -> None:
+        """Write the settings file."""
+        self.settings.update(changes)
+        self.path.write_text(json.dumps(self.settings))
+
+    def restart(self) -> None:
+        """Start the process again if it has ended."""
+        if not self.process.is_running():
+            self.process.start()
+
+    def end(self) -> None:
+        """End the process that this soak started."""
+        if self.process.is_running():
+            self.process.send(signal.SIGCONT)
+            self.process.kill()
+
+
+class Fleet:
+    """Start everything, and change what the operator and the workers write."""
+
+    def __init__(self, folder: Path) -> None:
+        self.store = MetadataStore()
+        self.runs: list[Run] = []
+        self.workers: dict[str, SoakWorker] = {}
+        self.worker_relays: dict[str, Relay] = {}
+        self.store_relays: list[Relay] = []
+        self.hosts: list[Host] = []
+        self.version = 1
+        self._folder = folder
+        self._stack = AsyncExitStack()
+
+    async def start(self, hosts: int, workers: int) -> None:
+        """Start stand-ins, relays and hosts."""
+        server = await self._stack.enter_async_context(serving(self.store.handle))
+        self.configure()
+        for number in range(workers):
+            await self._add_worker(f'i-{number}')
+        for number in range(hosts):
+            relay = Relay(server.address)
+            await relay.start()
+            self.store_relays.append(relay)
+            domain = tuple(REGIONS)[number % len(REGIONS)]
+            host = Host(f'host-{number}', domain, self._folder, relay.address)
+            self.hosts.append(host)
+
+    async def stop(self) -> None:
+        """End everything that was started."""
+        for host in self.hosts:
+            host.end()
+        for relay in (*self.store_relays, *self.worker_relays.values()):
+            relay.stop()
+        await self._stack.aclose()
+
+    def configure(self, keys: tuple[str, ...] = ('key-1', 'key-2')) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        organisation = ['school', list(keys), 1, RATE_PER_S, BURST]
+        columns = ['name', 'api_keys', 'priority', 'rate_per_s', 'burst']
+        tenants = {'columns': columns, 'rows': [organisation]}
+        changed = configuration(self.version, tenants=tenants)
+        self.store.put('config', 'main', changed)
+
+    def announce(self, instance_id: str, state: str) -> None:
+        """Write what a worker says of itself."""
+        status = {'state': state, 'seq': 1, 'cold_remaining_ms': 0}
+        address = self.worker_relays[instance_id].address
+        self.store.put('servers', instance_id, worker_entry(address, status=status))
+
+    async def _add_worker(self, instance_id: str) -> None:
+        worker = SoakWorker(instance_id, self.runs)
+        server = await self._stack.enter_async_context(serving(worker.handle))
+        relay = Relay(server.address)
+        await relay.start()
+        self.workers[instance_id] = worker
+        self.worker_relays[instance_id] = relay
+        self.announce(instance_id, 'ready')
--- /dev/null
+++ b/tests/soak/relay.py
@@ -0,0 +1,112 @@
+"""Relay connections between two parties, with faults."""
+
+import asyncio
+import enum
+import socket
+import struct
+from contextlib import suppress
+
+_CHUNK_BYTES = 65_536
+_HOLD_POLL_S = 0.05
+
+
+@enum.unique
+class Trouble(enum.Enum):
+    """Name what a relay does to its connections."""
+
+    NONE = 'none'
+    DELAY = 'delay'
+    # Bytes of one direction are held back; those of the other go on.
+    CUT_FORWARD = 'cut_forward'
+    CUT_BACK = 'cut_back'
+    SILENCE = 'silence'
+    # Open connections are reset, and new ones are reset as well.
+    RESET = 'reset'
+
+
+_HELD_FORWARD = frozenset((Trouble.CUT_FORWARD, Trouble.SILENCE))
+_HELD_BACK = frozenset((Trouble.CUT_BACK, Trouble.SILENCE))
+
+
+class Relay:
+    """Accept connections at one address and pass them on to another."""
+
+    def __init__(self, target: str) -> None:
+        self.address = ''
+        self.trouble = Trouble.NONE
+        self.delay_s = 0.3
+        self._target_ip, _, port = target.rpartition(':')
+        self._target_port = int(port)
+        self._server: asyncio.Server
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen at a port of the system's choice."""
+        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        bound = self._server.sockets[0].getsockname()
+        self.address = f'{bound[0]}:{bound[1]}'
+
+    def stop(self) -> None:
+        """End all connections."""
+        self._server.close()
+        self._reset_all()
+
+    def set_trouble(self, trouble: Trouble) -> None:
+        """Begin a fault, or end it."""
+        self.trouble = trouble
+        if trouble is Trouble.RESET:
+            self._reset_all()
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if self.trouble is Trouble.RESET:
+            _reset(writer)
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self._target_ip,
+                self._target_port,
+            )
+        except OSError:
+            _reset(writer)
+            return
+        self._writers.update((writer, far_writer))
+        await asyncio.gather(
+            self._pump(reader, far_writer, _HELD_FORWARD),
+            self._pump(far_reader, writer, _HELD_BACK),
+        )
+        self._writers.difference_update((writer, far_writer))
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        held: frozenset[Trouble],
+    ) -> None:
+        with suppress(OSError):
+            while chunk := await reader.read(_CHUNK_BYTES):
+                if self.trouble is Trouble.DELAY:
+                    await asyncio.sleep(self.delay_s)
+                while self.trouble in held:
+                    await asyncio.sleep(_HOLD_POLL_S)
+                writer.write(chunk)
+                await writer.drain()
+        writer.close()
+
+    def _reset_all(self) -> None:
+        for writer in list(self._writers):
+            _reset(writer)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    raw_socket = writer.get_extra_info('socket')
+    with suppress(OSError):
+        raw_socket.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_LINGER,
+            struct.pack('ii', 1, 0),
+        )
+    writer.transport.abort()
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,70 @@
+"""Play short soaks, and check that the soak would see a broken promise."""
+
+import anyio
+import pytest
+
+from tests.soak.callers import Told
+from tests.soak.checks import find_faults, worst_window
+from tests.soak.fleet import Run
+from tests.soak.run import soak
+from tests.utils.raw_server import RawRequest
+
+_LENGTH_S = 5.0
+# Seeds that broke a promise once stay here, with a line on the cause.
+_SEEDS = (1, 8)
+
+
+def _run(attempt: str, method: str = 'POST', **headers: str) -> Run:
+    request = RawRequest.__new__(RawRequest)
+    request.method = method
+    request.headers = {'attempt-id': attempt, 'tenant': 'school', **headers}
+    return Run(request)
+
+
+def _told(attempt: str, status: int) -> Told:
+    told = Told(attempt, 'key-1')
+    told.status = status
+    return told
+
+
+class TestSoak:
+    """Hosts as processes, under faults that a seed draws."""
+
+    @pytest.mark.parametrize('seed', _SEEDS)
+    def test_no_promise_is_broken(self, seed, tmp_path):
+        report = anyio.run(soak, seed, _LENGTH_S, tmp_path)
+        assert not report.faults, (report.faults, report.played)
+        assert report.served > 0
+
+
+class TestChecks:
+    """Guard against a soak that sees nothing."""
+
+    def test_honest_answers_break_nothing(self):
+        told = [_told('a', 200), _told('b', 503), _told('c', 0)]
+        assert not find_faults(told, [_run('a'), _run('c')])
+
+    def test_unsafe_request_that_ran_twice_is_found(self):
+        assert find_faults([_told('a', 200)], [_run('a'), _run('a')])
+
+    def test_safe_request_may_run_twice(self):
+        runs = [_run('a', 'GET'), _run('a', 'GET')]
+        assert not find_faults([_told('a', 200)], runs)
+
+    @pytest.mark.parametrize('status', (408, 421, 429, 503))
+    def test_refusal_of_a_request_that_ran_is_found(self, status):
+        assert find_faults([_told('a', status)], [_run('a')])
+
+    def test_request_that_nobody_sent_is_found(self):
+        assert find_faults([], [_run('a')])
+
+    def test_key_that_reached_a_worker_is_found(self):
+        assert find_faults([_told('a', 200)], [_run('a', authorization='Bearer k')])
+
+    def test_answer_of_another_request_is_found(self):
+        told = _told('a', 200)
+        told.fault = 'the answer of another request'
+        assert find_faults([told], [_run('a')])
+
+    def test_window_slides(self):
+        assert worst_window([0.0, 4.0, 6.0, 8.9, 9.5]) == 3
