Follow the failure domain of a backend server that changes it

Cause: a new test of homes through a whole host timed out: an entry that names another failure domain for the same run kept the region of the first one, and homes were decided by it. Ruled out: the filter itself (the entry alone was stale). Change: the region is taken from each entry. test_request_with_homes_runs_in_them_only failed before and passes; it is the first test of homes over a whole host.

--- a/cicadadoor/entry/backend_table.py
+++ b/cicadadoor/entry/backend_table.py
@@ -231,6 +231,7 @@
                 draining=record.is_draining,
             )
         backend.record = record
+        backend.region = region_of_domain.get(record.failure_domain, '')
         backend.lapses_s = None
         if record.cold_remaining_ms > 0:
             backend.cold_until_s = now_s + record.cold_remaining_ms / _MS_PER_S
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -264,6 +264,14 @@
         run_deployed(work)
 
 
+def _with_homes(region: str) -> dict:
+    changed = configuration(9)
+    changed['routes']['columns'].append('home_regions')
+    for row in changed['routes']['rows']:
+        row.append([region])
+    return changed
+
+
 class TestHosts:
     """Several hosts together."""
 
@@ -305,6 +313,26 @@
 
         run_deployed(work, hosts=2)
 
+    def test_request_with_homes_runs_in_them_only(self):
+        async def work(deployment):
+            address = deployment.find('backends').find('i-1').record.address
+            info = {'service': 'front', 'version': 'v1', 'zone': 'nue-a', 'slots': 8}
+            deployment.store.put('servers', 'i-1', worker_entry(address, info=info))
+            deployment.store.put('config', 'main', _with_homes('nuernberg'))
+            policy = deployment.find('policy')
+            backends = deployment.find('backends')
+            await until(lambda: policy.current.version == 9)
+            await until(lambda: backends.find('i-1').region == 'nuernberg')
+            for number in range(10):
+                cookie = f'Affinity-Key={number}'
+                answer = await deployment.call('/look/1', Cookie=cookie)
+                assert answer.text == 'i-1'
+            deployment.store.remove('servers', 'i-1')
+            await until(lambda: backends.find('i-1') is None)
+            assert (await deployment.call('/look/1')).status_code == 503
+
+        run_deployed(work, workers=2)
+
     def test_host_that_reads_late_learns_from_the_reader_of_its_domain(self):
         async def work(deployment):
             membership = deployment.find('membership', 1)
