Add up demand only for small organisations, and end a soak that waits for a new process

Cause 1: an idle host among 60 spent 2.75% of a core (fake beats and records, loopback), a third of it in sums of demand for organisations that nobody asks. Change: sums for known small organisations only, and no parts for them. Cause 2: soak seed 106 (6 s) did not end. Its log and processes show hosts alive and well: the soak waited for a host that it had stopped, while another fault had killed that one and started it again. Ruled out: a host that does not stop. Change: it waits for the process it stopped. Also: a limit of 0 with no demand divided by zero in SharedRate; the test failed before.

--- a/cicadadoor/decisions/host_shares.py
+++ b/cicadadoor/decisions/host_shares.py
@@ -138,6 +138,8 @@
         gain = 1 - math.exp(-elapsed_s / _USUAL_MEMORY_S)
         self._usual_per_s += gain * (near_per_s - self._usual_per_s)
         usual_per_s = max(self._usual_per_s, least_usual_per_s)
+        if usual_per_s <= 0:
+            return 1.0
         return min(_MOST_SURGE, max(1.0, near_per_s / usual_per_s))
 
 
--- a/cicadadoor/entry/quotas.py
+++ b/cicadadoor/entry/quotas.py
@@ -1,7 +1,6 @@
 """Keep each organisation within its rate over all hosts."""
 
 import random
-from collections import Counter
 
 from cicadadoor.decisions.buckets import TokenBucket
 from cicadadoor.decisions.host_shares import (
@@ -114,7 +113,7 @@
         for account in self._accounts.values():
             if not self._is_small(account.organisation):
                 account.demand.update(now_s, _DEMAND_MEMORY_S)
-            self._share_out(account, now_s)
+                self._share_out(account, now_s)
 
     def _is_small(self, organisation: OrganisationPolicy) -> bool:
         part_per_s = organisation.rate_per_s / self._membership.host_count
@@ -124,20 +123,20 @@
         """Follow the demand for small organisations."""
         peers = self._membership.peers
         near_beats = [beat for beat in beats if peers.is_near_host(beat.host)]
-        near = _sum_demand(near_beats)
-        everywhere = _sum_demand(beats)
+        far_beats = [beat for beat in beats if not peers.is_near_host(beat.host)]
         heard_count = 1 + len(beats)
         now_s = self._timer.now_s()
         for account in self._accounts.values():
             if not self._is_small(account.organisation):
                 continue
             account.demand.update(now_s, _SHARED_MEMORY_S)
-            near_per_s = near[account.short_name]
+            name = account.short_name
+            near_per_s = sum(beat.demand.get(name, 0) for beat in near_beats)
             self._follow(
                 account,
                 heard_part=heard_count / self._membership.host_count,
                 near_per_s=near_per_s + account.demand.rate_per_s,
-                far_per_s=everywhere[account.short_name] - near_per_s,
+                far_per_s=sum(beat.demand.get(name, 0) for beat in far_beats),
                 near_part=(1 + len(near_beats)) / heard_count,
             )
 
@@ -174,10 +173,3 @@
         # A part of less than one request would never serve any.
         bucket.burst = max(1.0, share * burst + spare / host_count)
         bucket.tokens = min(bucket.tokens, bucket.burst)
-
-
-def _sum_demand(beats: list[Beat]) -> Counter[int]:
-    total: Counter[int] = Counter()
-    for beat in beats:
-        total.update(beat.demand)
-    return total
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -111,7 +111,9 @@
             return
         self.log.append(f'{host.name}: SIGTERM')
         host.process.send(signal.SIGTERM)
-        while host.process.is_running():
+        stopped = host.process.pid
+        # Another fault may kill it and start it again meanwhile.
+        while host.process.is_running() and host.process.pid == stopped:
             await anyio.sleep(_END_POLL_S)
         host.restart()
 
--- a/tests/test_host_shares.py
+++ b/tests/test_host_shares.py
@@ -141,6 +141,14 @@
         bound = (rate_per_s * _WINDOW_S + rate_per_s) * 1.1 + 20
         assert fleet.worst_window() <= bound
 
+    def test_limit_of_nothing_admits_nothing(self):
+        """A configuration may lower a limit to 0 while hosts hear no demand."""
+        shared = SharedRate(0, 0)
+        none = {'rate_per_s': 0.0, 'burst': 0, 'far_per_s': 0.0, 'near_part': 1}
+        shared.update(1.0, near_per_s=0.0, **none)
+        shared.update(2.0, near_per_s=5.0, **none)
+        assert not shared.admits(0.01)
+
     def test_part_of_the_hosts_admits_a_part_of_the_rate(self):
         """Hosts that are cut off from each other must not add up to more."""
         shared = SharedRate(0, 0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,8 +10,9 @@
 from tests.utils.raw_server import RawRequest
 
 _LENGTH_S = 5.0
-# Seeds that broke a promise once stay here, with a line on the cause.
-_SEEDS = (1, 8)
+# Seeds that failed once stay here: 106 hung, since a stopped host that another fault had
+# started again was waited for.
+_SEEDS = (1, 8, 106)
 
 
 def _run(attempt: str, method: str = 'POST', **headers: str) -> Run:
