--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,8 +10,8 @@
 from tests.utils.raw_server import RawRequest
 
 _LENGTH_S = 5.0
-# Seeds that failed once stay here. 106 hung: it waited for a host that it had stopped and
-# that another fault had started again.
+# Seeds that failed once stay here. 106 hung: it waited for a host that it had
+# stopped and that another fault had started again.
 _SEEDS = (1, 8, 106)
 
 
