Let a stopping host beat while it beats, and finish work whatever fails at leaving

The UDP socket takes one sender at a time and raises BusyResourceError for a second one. The beat of the stop met the beat of the timer, the failed 'leave' ended the kernel, and all requests with it. Change: beats are sent one after the other, and a service that fails to leave is logged while the work of the others ends as it should. test_leaving_host_may_beat_while_it_beats and test_service_that_cannot_leave_cuts_no_work_of_others failed before and pass.

--- a/cicadadoor/entry/membership.py
+++ b/cicadadoor/entry/membership.py
@@ -53,6 +53,8 @@
         self._last_far_s = 0.0
         # Set when the copy has changed and the hosts of the region have not heard.
         self._has_news = False
+        # The socket takes one sender at a time.
+        self._sending = anyio.Lock()
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Beat)
 
@@ -192,11 +194,12 @@
         is_for_far = is_due_far or self._state.is_leaving
         if is_for_far:
             self._last_far_s = now_s
-        for peer in self.peers.all():
-            if self.peers.is_near(peer):
-                await self._send(near, peer.record.peers)
-            elif is_for_far:
-                await self._send(far, peer.record.peers)
+        async with self._sending:
+            for peer in self.peers.all():
+                if self.peers.is_near(peer):
+                    await self._send(near, peer.record.peers)
+                elif is_for_far:
+                    await self._send(far, peer.record.peers)
 
     async def _send(self, encoded: bytes, address: str) -> None:
         host_ip, _, port = address.rpartition(':')
--- a/cicadadoor/kernel.py
+++ b/cicadadoor/kernel.py
@@ -128,7 +128,7 @@
             phases.start_soon(_cancel_on_signal, wait_for_signal, phases.cancel_scope)
             async with anyio.create_task_group() as leaving:
                 for service in self._started:
-                    leaving.start_soon(service.leave)
+                    leaving.start_soon(_leave, service)
             log.info('refusing_new_work')
             for started in self._started:
                 started.refuse()
@@ -153,6 +153,14 @@
                 log.warning('service_stop_timed_out', service=service.name)
 
 
+async def _leave(service: Service) -> None:
+    # What a service fails to tell others must not end the work in flight.
+    try:
+        await service.leave()
+    except Exception:
+        log.exception('leave_failed', service=service.name)
+
+
 async def _cancel_on_signal(wait_for_signal: WaitForSignal, scope: CancelScope) -> None:
     await wait_for_signal()
     log.warning('second_signal')
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -313,6 +313,19 @@
 
         run_deployed(work, hosts=2)
 
+    def test_leaving_host_may_beat_while_it_beats(self):
+        """SIGTERM may come while a beat is being sent; requests must not end by it."""
+
+        async def work(deployment):
+            membership = deployment.find('membership')
+            await until(lambda: len(membership.live_beats()) == 1)
+            async with anyio.create_task_group() as tasks:
+                for _ in range(3):
+                    tasks.start_soon(membership._beat)
+                tasks.start_soon(membership.leave)
+
+        run_deployed(work, hosts=2)
+
     def test_request_with_homes_runs_in_them_only(self):
         async def work(deployment):
             address = deployment.find('backends').find('i-1').record.address
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -1,5 +1,7 @@
 """Run and stop the services of a process."""
 
+from functools import partial
+
 import anyio
 import pytest
 
@@ -30,14 +32,51 @@
         raise RuntimeError('the resource is closed')
 
 
-async def _run(resource: _Resource) -> str:
+class _FailingLeave(Service):
+    """Fail when asked to leave."""
+
+    name = 'failing'
+
+    async def leave(self) -> None:
+        """Fail."""
+        raise RuntimeError('cannot leave')
+
+
+class _Busy(Service):
+    """Have work in flight that ends a little later."""
+
+    name = 'busy'
+
+    def __init__(self) -> None:
+        self.left = 1
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin the work."""
+        kernel.spawn(self._work)
+
+    def work_left(self) -> int:
+        """Return how many pieces of work are in flight."""
+        return self.left
+
+    async def _work(self) -> None:
+        await anyio.sleep(0.2)
+        self.left = 0
+
+
+async def _run(*services: Service, grace_s: float = 0) -> str:
     kernel = Kernel()
-    kernel.register(resource)
+    for service in services:
+        kernel.register(service)
+
+    was_stopped: list[int] = []
 
     async def wait_for_signal() -> None:
+        if was_stopped:
+            await anyio.sleep_forever()
+        was_stopped.append(1)
         await anyio.sleep(0.01)
 
-    return await kernel.run(wait_for_signal, 0)
+    return await kernel.run(wait_for_signal, grace_s)
 
 
 class TestStop:
@@ -51,3 +90,9 @@
         """A process without one of its tasks must not seem well."""
         with pytest.raises(BaseExceptionGroup):
             anyio.run(_run, _Resource(fails_at_once=True))
+
+    def test_service_that_cannot_leave_cuts_no_work_of_others(self):
+        """Requests in flight must end whatever else fails at a stop."""
+        busy = _Busy()
+        assert not anyio.run(partial(_run, _FailingLeave(), busy, grace_s=5))
+        assert not busy.left
