Name the cause of a fault that reaches the log inside a group of errors

A task group wraps what its tasks raise, and 'task_failed' and 'ended_by_fault' then said 'unhandled errors in a TaskGroup (1 sub-exception)' and the place where the group was raised; on call, a socket that was busy looked like any other fault. Change: the line names the first cause inside the group and its place, and how many there were.

--- a/cicadadoor/kernel.py
+++ b/cicadadoor/kernel.py
@@ -8,7 +8,7 @@
 from anyio import CancelScope
 from anyio.abc import TaskGroup
 
-from cicadadoor.telemetry import logs
+from cicadadoor.telemetry import logs, metrics
 
 log = logs.logger('kernel')
 
@@ -83,6 +83,7 @@
         except Exception as error:
             if not self._is_closing:
                 log.exception('task_failed', task=work.__qualname__)
+                metrics.TASK_FAILURES.labels(work.__qualname__).inc()
                 raise
             # It met a resource that its service had closed before it.
             log.warning('task_cut_by_stop', task=work.__qualname__, error=error)
--- a/cicadadoor/telemetry/logs.py
+++ b/cicadadoor/telemetry/logs.py
@@ -113,9 +113,12 @@
 
     def exception(self, event: str, **fields: Any) -> None:
         """Log an unexpected error with the place where it was raised."""
-        error = sys.exc_info()[1]
-        fields['error'] = f'{type(error).__name__}: {error}'
-        fields['at'] = _place(error)
+        causes = _causes(sys.exc_info()[1])
+        first = causes[0]
+        fields['error'] = f'{type(first).__name__}: {first}'
+        fields['at'] = _place(first)
+        if len(causes) > 1:
+            fields['errors'] = len(causes)
         self._logger.opt(depth=1).error(_line(event, fields))
 
 
@@ -151,6 +154,13 @@
     return f'"{one_line}"'
 
 
+def _causes(error: BaseException | None) -> list[BaseException | None]:
+    """Return the errors inside a group, which itself tells neither cause nor place."""
+    if not isinstance(error, BaseExceptionGroup):
+        return [error]
+    return [cause for inner in error.exceptions for cause in _causes(inner)]
+
+
 def _place(error: BaseException | None) -> str:
     trace = error.__traceback__ if error else None
     if trace is None:
--- a/cicadadoor/telemetry/metrics.py
+++ b/cicadadoor/telemetry/metrics.py
@@ -34,6 +34,11 @@
     buckets=(0.05, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 2.5, 4, 6, 10),
 )
 GENERATION = Gauge('cicadadoor_generation', 'Configuration generation in use.')
+TASK_FAILURES = Counter(
+    'cicadadoor_task_failures_total',
+    'Faults of background tasks, by task.',
+    ('task',),
+)
 DROPPED_MESSAGES = Counter(
     'cicadadoor_dropped_messages_total',
     'Messages between processes that were dropped, by reason.',
--- a/tests/test_bounded_logs.py
+++ b/tests/test_bounded_logs.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from cicadadoor.telemetry.logs import BoundedSink
+from cicadadoor.telemetry.logs import BoundedSink, logger
+from tests.utils.logs import captured_logs
 
 
 @pytest.fixture
@@ -50,3 +51,19 @@
         reader, writer = pipe
         BoundedSink(writer).write(line('request_failed', 'x' * 10_000))
         assert len(os.read(reader, 100_000)) <= 4001
+
+
+class TestExceptions:
+    """Lines that have to tell why a process ended."""
+
+    def test_group_of_errors_does_not_hide_the_cause(self):
+        with captured_logs() as lines:
+            try:
+                raise ExceptionGroup(
+                    'unhandled errors in a TaskGroup',
+                    [ExceptionGroup('inner', [OSError('busy'), ValueError('other')])],
+                )
+            except ExceptionGroup:
+                logger('kernel').exception('ended_by_fault')
+        assert 'error="OSError: busy"' in lines[0]
+        assert 'errors=2' in lines[0]
