Show that the end of a host and a fault of one task cut requests with an untrue answer

What callers saw: 500 without a signature some ms after SIGTERM, at requests at which backend servers were at work. A fault in following the store, or in one follower of the copy, ends the host while a request is in flight. - TestEndOfGrace: a request that is in flight when the time to stop is over gets 500 ('assert 500 == 504'), also one that was never sent ('[500, 500] == [503, 504]'), and its line in the log says 'the caller left'.

--- /dev/null
+++ b/tests/test_entry_stop.py
@@ -0,0 +1,131 @@
+"""Check what callers are told of requests that a host's end cuts."""
+
+from functools import partial
+
+import anyio
+import httpx
+import pytest
+
+from tests.utils.entry_hosts import Deployment, run_deployed
+from tests.utils.logs import captured_logs
+from tests.utils.metadata_store import configuration
+from tests.utils.waiting import until
+
+
+async def _call_and_stop(
+    deployment: Deployment,
+    method: str = 'GET',
+) -> httpx.Response:
+    """Stop the host once a worker has the request, and return the answer."""
+    worker = deployment.workers['i-0']
+    worker.script = ['silent']
+    answers: list = []
+
+    async def call() -> None:
+        answers.append(await deployment.call('/look/1', method=method))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(call)
+        await until(lambda: worker.runs)
+        deployment.stopping.set()
+    return answers[0]
+
+
+class TestEndOfGrace:
+    """Guard against untrue answers when the time to stop is over."""
+
+    @pytest.mark.parametrize('method', ['GET', 'POST'])
+    def test_request_cut_by_the_stop_is_told_that_it_may_have_run(self, method):
+        async def work(deployment):
+            answer = await _call_and_stop(deployment, method)
+            assert answer.status_code == 504
+            assert answer.json()['run'] == 'unknown'
+            assert answer.headers['connection'] == 'close'
+
+        run_deployed(work)
+
+    def test_log_of_a_request_cut_by_the_stop_does_not_blame_the_caller(self):
+        async def work(deployment, lines):
+            await _call_and_stop(deployment)
+            failed = [line for line in lines if 'event=request_failed' in line]
+            assert len(failed) == 1
+            assert 'outcome=cut_by_stop' in failed[0]
+            assert 'caller left' not in failed[0]
+
+        with captured_logs() as lines:
+            run_deployed(partial(work, lines=lines))
+
+    def test_request_that_was_not_sent_is_told_that_it_did_not_run(self):
+        """A request waits while another one teaches the only worker its object."""
+
+        async def work(deployment):
+            worker = deployment.workers['i-0']
+            worker.script = ['silent']
+            answers: list = []
+
+            async def call() -> None:
+                cookie = {'cookie': 'Affinity-Key=7'}
+                answers.append(await deployment.call('/look/1', **cookie))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call)
+                await until(lambda: worker.runs)
+                tasks.start_soon(call)
+                await until(lambda: deployment.find('server').work_left() == 2)
+                await anyio.sleep(0.1)
+                deployment.stopping.set()
+            statuses = sorted(answer.status_code for answer in answers)
+            assert statuses == [503, 504]
+            refused = min(answers, key=lambda answer: answer.status_code)
+            assert refused.json()['run'] == 'no'
+            assert 'retry-after' in refused.headers
+
+        run_deployed(work)
+
+
+class TestFaultyTask:
+    """Guard requests against faults of the tasks beside them."""
+
+    def test_fault_in_following_the_store_cuts_no_request(self, monkeypatch):
+        """The host goes on following the store as well."""
+
+        async def work(deployment):
+            source = deployment.find('source')
+            policy = deployment.find('policy')
+            worker = deployment.workers['i-0']
+            worker.work_s = 0.5
+            answers: list = []
+
+            async def fail(*arguments, **options) -> None:
+                monkeypatch.undo()
+                raise RuntimeError('the reader has a fault')
+
+            async def call() -> None:
+                answers.append(await deployment.call('/look/1'))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call)
+                await until(lambda: worker.runs)
+                monkeypatch.setattr(source, 'wait', fail)
+                deployment.store.put('config', 'main', configuration(9))
+            assert [answer.status_code for answer in answers] == [200]
+            deployment.store.put('config', 'main', configuration(11))
+            await until(lambda: policy.current.version == 11)
+
+        run_deployed(work)
+
+    def test_fault_of_one_follower_of_the_copy_does_not_keep_it_from_others(self):
+        async def work(deployment):
+            def fail(topic) -> None:
+                raise RuntimeError('the follower has a fault')
+
+            told: list = []
+            mirror = deployment.find('mirror')
+            mirror._subscribers.insert(0, fail)
+            mirror.subscribe(told.append)
+            told.clear()
+            deployment.store.put('config', 'main', configuration(9))
+            await until(lambda: told)
+            assert (await deployment.call('/look/1')).status_code == 200
+
+        run_deployed(work)
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -42,6 +42,30 @@
         raise RuntimeError('cannot leave')
 
 
+class _FailingTask(Service):
+    """Fail in the background, once, at once or when the process stops."""
+
+    name = 'failing_task'
+
+    def __init__(self, *, fails_at_leave: bool) -> None:
+        self._fails_at_leave = fails_at_leave
+        self._is_leaving = anyio.Event()
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin the task."""
+        kernel.spawn(self._fail)
+
+    async def leave(self) -> None:
+        """Let the task fail, and take some time over leaving."""
+        self._is_leaving.set()
+        await anyio.sleep(0.05)
+
+    async def _fail(self) -> None:
+        if self._fails_at_leave:
+            await self._is_leaving.wait()
+        raise RuntimeError('the task has a fault')
+
+
 class _Busy(Service):
     """Have work in flight that ends a little later."""
 
@@ -96,3 +120,16 @@
         busy = _Busy()
         assert not anyio.run(partial(_run, _FailingLeave(), busy, grace_s=5))
         assert not busy.left
+
+
+class TestFailedTask:
+    """Guard the work in flight against a fault of another task."""
+
+    @pytest.mark.parametrize('fails_at_leave', [False, True])
+    def test_failed_task_cuts_no_work_of_others(self, fails_at_leave):
+        """The process still ends in a fault, but in order."""
+        busy = _Busy()
+        failing = _FailingTask(fails_at_leave=fails_at_leave)
+        with pytest.raises(BaseExceptionGroup):
+            anyio.run(partial(_run, failing, busy, grace_s=5))
+        assert not busy.left
--- a/tests/utils/entry_hosts.py
+++ b/tests/utils/entry_hosts.py
@@ -83,6 +83,8 @@
         self.workers: dict[str, Worker] = {}
         self.hosts: list[EntrySettings] = []
         self.kernels: list = []
+        # Ends all hosts, without any time for the work in flight.
+        self.stopping = anyio.Event()
         self._client = httpx.AsyncClient(trust_env=False, timeout=20)
         self._attempts = 0
 
@@ -171,7 +173,7 @@
             store.put('servers', worker.instance_id, worker_entry(running.address))
         tasks = await stack.enter_async_context(anyio.create_task_group())
         # The second wait of a kernel ends at once, and with it the wait for callers.
-        stopping = anyio.Event()
+        stopping = deployment.stopping
         stack.callback(stopping.set)
         for number in range(hosts):
             settings = host_settings(f'host-{number}', server.address)
