Stop in order for a fault of a background task, or start the task again

Ruled out: timer callbacks and handlers of messages, which catch what their callee raises. Change: spawn is told what a fault means. A loop that a host lives by (following the store, its record, beats, settings, links) starts again after a pause; work that is asked for anew (questions to neighbours, probes, relays) is lost alone; a fault of what serves callers, or of a task that does not say, stops the process in order, and the fault is raised when all work has ended. A signal during such a stop does not cut it short. The fakes of the kernel in tests take the new argument.

--- a/cicadadoor/agent/claims.py
+++ b/cicadadoor/agent/claims.py
@@ -5,7 +5,7 @@
 from cicadadoor.agent.membership import Membership
 from cicadadoor.agent.state import AgentState
 from cicadadoor.errors import ErrorKind, Failure
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.claim_messages import ClaimAnswer, ClaimRequest
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.object_store.base import StoredObject
@@ -89,7 +89,7 @@
 
     async def _take(self, request: ClaimRequest) -> None:
         # The platform may be slow; other messages of the gate must not wait for it.
-        self._kernel.spawn(self._answer, request)
+        self._kernel.spawn(self._answer, request, on_fault=OnFault.GO_ON)
 
     async def _answer(self, request: ClaimRequest) -> None:
         await self._link.send(await self.claim(request))
--- a/cicadadoor/agent/config_sender.py
+++ b/cicadadoor/agent/config_sender.py
@@ -5,7 +5,7 @@
 from cicadadoor.agent.state import AgentState
 from cicadadoor.agent.sync import ConfigSync
 from cicadadoor.agent.withdrawals import Withdrawals
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.config_messages import ConfigDelta
 from cicadadoor.links.config_parts import Generation, parts_of
 from cicadadoor.links.daemon_link import DaemonLink
@@ -44,7 +44,7 @@
         self._link = kernel.find('daemon_link')
         self._link.on(GateReport, self._take_report)
         self._sync.subscribe(self._take_generation)
-        kernel.spawn(self._run)
+        kernel.spawn(self._run, on_fault=OnFault.RESTART)
 
     async def _take_report(self, report: GateReport) -> None:
         self._state.gate_report = report
--- a/cicadadoor/agent/holds.py
+++ b/cicadadoor/agent/holds.py
@@ -19,7 +19,7 @@
     Scope,
 )
 from cicadadoor.errors import Failure
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.messages import Ack, Message
 from cicadadoor.links.peer_hub import PeerHub
@@ -93,6 +93,7 @@
                 address,
                 update,
                 _ANSWER_TIMEOUT_S,
+                on_fault=OnFault.GO_ON,
             )
 
     async def _hear(self, update: Message) -> Message:
--- a/cicadadoor/agent/membership.py
+++ b/cicadadoor/agent/membership.py
@@ -11,7 +11,7 @@
 from cicadadoor.decisions.isolation import IsolationEvidence
 from cicadadoor.decisions.membership import DomainTable, MemberTable
 from cicadadoor.errors import Failure
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.membership_messages import (
     Heartbeat,
     MemberRecord,
@@ -99,7 +99,7 @@
         self._peers.on(PullMembers, self._answer_members, MemberRecords)
         self._timer.subscribe('heartbeat', HEARTBEAT_PERIOD_S, self.beat)
         self._timer.subscribe('host_list', _HOST_LIST_PERIOD_S, self._read_host_list)
-        kernel.spawn(self.beat)
+        kernel.spawn(self.beat, on_fault=OnFault.GO_ON)
 
     def heard(self) -> list[MemberRecord]:
         """Return the record of each live host of this domain, and of other relays."""
@@ -173,7 +173,7 @@
             targets.setdefault(address, '')
         targets.pop(self.own.record.peer_address, None)
         for address, host in targets.items():
-            self._kernel.spawn(self.ask, address, host)
+            self._kernel.spawn(self.ask, address, host, on_fault=OnFault.GO_ON)
 
     def _outside_targets(self, now_s: float) -> list[str]:
         chosen: list[str] = []
--- a/cicadadoor/agent/platform_watch.py
+++ b/cicadadoor/agent/platform_watch.py
@@ -6,7 +6,7 @@
 import anyio
 
 from cicadadoor.errors import Failure
-from cicadadoor.kernel import Kernel
+from cicadadoor.kernel import Kernel, OnFault
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
 
@@ -34,7 +34,7 @@
         self._scope: anyio.CancelScope | None = None
         self._chooser = random.Random()
         self._timer.subscribe(f'{name}_role', _ROLE_PERIOD_S, self._check_role)
-        kernel.spawn(self._run)
+        kernel.spawn(self._run, on_fault=OnFault.RESTART)
 
     async def _check_role(self) -> None:
         if self._scope is not None and not self._is_wanted():
--- a/cicadadoor/agent/quarantine_relay.py
+++ b/cicadadoor/agent/quarantine_relay.py
@@ -1,7 +1,7 @@
 """Spread convictions of crashing requests among the gates of a failure domain."""
 
 from cicadadoor.agent.membership import Membership
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.messages import Ack, Message
 from cicadadoor.links.peer_hub import PeerHub
@@ -33,7 +33,7 @@
     async def _spread(self, report: CrashReport) -> None:
         update = QuarantineUpdate(convictions=report.convictions)
         for address in self._membership.domain_addresses():
-            self._kernel.spawn(self._send, address, update)
+            self._kernel.spawn(self._send, address, update, on_fault=OnFault.GO_ON)
 
     async def _send(self, address: str, update: QuarantineUpdate) -> None:
         await self._peers.ask(address, update, _ANSWER_TIMEOUT_S)
--- a/cicadadoor/agent/relay.py
+++ b/cicadadoor/agent/relay.py
@@ -8,7 +8,7 @@
 from cicadadoor.config import acceptance
 from cicadadoor.config.acceptance import StoredRoot
 from cicadadoor.errors import ErrorKind, Failure
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.config_messages import ConfigDelta, PushConfig
 from cicadadoor.links.config_parts import Generation
 from cicadadoor.links.fan_out import FanOut
@@ -143,7 +143,7 @@
             failure = await self._sync.apply(delta)
             if failure is not None:
                 self._sync.hear(push.from_address, delta.generation)
-                self._kernel.spawn(self._sync.catch_up)
+                self._kernel.spawn(self._sync.catch_up, on_fault=OnFault.GO_ON)
         self._push(delta, push.forward_to)
         return Ack()
 
--- a/cicadadoor/agent/status.py
+++ b/cicadadoor/agent/status.py
@@ -9,7 +9,7 @@
 from cicadadoor.agent.sync import ConfigSync
 from cicadadoor.decisions.membership import name_behind
 from cicadadoor.ids import digest_of
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.membership_messages import (
     DomainSummary,
@@ -107,6 +107,7 @@
                 self._ask,
                 member.record.host,
                 member.record.peer_address,
+                on_fault=OnFault.GO_ON,
             )
 
     async def _ask(self, host: str, address: str) -> None:
--- a/cicadadoor/entry/listing.py
+++ b/cicadadoor/entry/listing.py
@@ -8,7 +8,7 @@
 from cicadadoor.entry.source import RecordSource
 from cicadadoor.entry.state import EntryState
 from cicadadoor.errors import Failure
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
 
@@ -44,7 +44,7 @@
         self._timer = kernel.find('timer')
         self._membership = kernel.find('membership')
         self._mirror.subscribe(self._on_change)
-        kernel.spawn(self._publish)
+        kernel.spawn(self._publish, on_fault=OnFault.RESTART)
         self._timer.subscribe('remove_gone_hosts', _CHECK_S, self._remove_gone)
 
     async def leave(self) -> None:
@@ -73,7 +73,7 @@
         if not is_mine and not self._state.is_leaving:
             # Another host took this one for gone.
             self._is_published = False
-            self._kernel.spawn(self._publish)
+            self._kernel.spawn(self._publish, on_fault=OnFault.RESTART)
 
     async def _remove_gone(self) -> None:
         if self._state.is_leaving or self._membership.is_isolated:
--- a/cicadadoor/entry/membership.py
+++ b/cicadadoor/entry/membership.py
@@ -12,7 +12,7 @@
 from cicadadoor.entry.model import HostRecord, Topic
 from cicadadoor.entry.peers import BEAT_S, TOPICS, Beat, PeerTable
 from cicadadoor.entry.state import EntryState
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
 
@@ -72,7 +72,7 @@
         )
         self._last_beat_s = self._timer.now_s()
         self._mirror.subscribe(self._on_change)
-        kernel.spawn(self._listen)
+        kernel.spawn(self._listen, on_fault=OnFault.RESTART)
         self._timer.subscribe('beat', BEAT_S, self._tick)
 
     def join(self, part: BeatPart) -> None:
--- a/cicadadoor/entry/mirror.py
+++ b/cicadadoor/entry/mirror.py
@@ -11,7 +11,7 @@
 from cicadadoor.entry.model import Changes, Record, Snapshot, Topic
 from cicadadoor.entry.source import RecordSource
 from cicadadoor.errors import ErrorKind, Failure
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
 
@@ -109,7 +109,7 @@
         self._source = kernel.find('source')
         self._timer = kernel.find('timer')
         for topic in Topic:
-            kernel.spawn(self._follow, topic)
+            kernel.spawn(self._follow, topic, on_fault=OnFault.RESTART)
 
     async def stop(self, grace_s: float) -> None:
         """Read no more."""
@@ -125,7 +125,7 @@
         self._subscribers.append(on_change)
         for topic, copy in self._copies.items():
             if copy.revision:
-                on_change(topic)
+                _tell(on_change, topic)
 
     def records(self, topic: Topic) -> dict[str, Record | None]:
         """Return the current records of a topic."""
@@ -283,7 +283,15 @@
         copy.records = dict(snapshot.records)
         copy.digest = _digest(copy.records)
         for on_change in self._subscribers:
-            on_change(topic)
+            _tell(on_change, topic)
+
+
+def _tell(on_change: OnChange, topic: Topic) -> None:
+    # A fault of one service must not keep the change from the others.
+    try:
+        on_change(topic)
+    except Exception:
+        log.exception('change_not_taken', topic=topic.value)
 
 
 def _gather_s(host_count: int) -> float:
--- a/cicadadoor/entry/neighbours.py
+++ b/cicadadoor/entry/neighbours.py
@@ -8,7 +8,7 @@
 from cicadadoor.entry.model import Snapshot, Topic
 from cicadadoor.entry.peers import Beat
 from cicadadoor.errors import Failure
-from cicadadoor.kernel import Kernel
+from cicadadoor.kernel import Kernel, OnFault
 from cicadadoor.links.messages import Message
 from cicadadoor.links.peer_hub import PeerHub
 from cicadadoor.telemetry import logs
@@ -76,7 +76,8 @@
             return
         self._asking.add(topic)
         # A random one, so that many hosts don't ask the same neighbour.
-        self._kernel.spawn(self._ask, topic, random.choice(later).host)
+        host = random.choice(later).host
+        self._kernel.spawn(self._ask, topic, host, on_fault=OnFault.GO_ON)
 
     async def _ask(self, topic: Topic, host: str) -> None:
         address = self._membership.peers.address(host)
--- a/cicadadoor/entry/reload.py
+++ b/cicadadoor/entry/reload.py
@@ -9,7 +9,7 @@
 from cicadadoor.entry.settings import EntrySettings
 from cicadadoor.entry.state import EntryState
 from cicadadoor.errors import Failure
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
 
@@ -48,7 +48,7 @@
         self._state = kernel.find('state')
         self._timer = kernel.find('timer')
         self._content = self._read() or b''
-        kernel.spawn(self._listen)
+        kernel.spawn(self._listen, on_fault=OnFault.RESTART)
         self._timer.subscribe('check_settings', _CHECK_S, self._check)
 
     async def _listen(self) -> None:
--- a/cicadadoor/gate/credits.py
+++ b/cicadadoor/gate/credits.py
@@ -17,7 +17,7 @@
 from cicadadoor.gate.servers import BackendServers
 from cicadadoor.gate.state import GateState
 from cicadadoor.ids import new_nonce
-from cicadadoor.kernel import Kernel
+from cicadadoor.kernel import Kernel, OnFault
 from cicadadoor.links.forward_messages import ForwardRequest
 from cicadadoor.links.messages import Ack, GateInfo
 from cicadadoor.links.peer_hub import PeerHub
@@ -204,7 +204,7 @@
         self._return_surplus()
         if wanted and not self._is_asking:
             self._is_asking = True
-            self._kernel.spawn(self._ask_all, wanted)
+            self._kernel.spawn(self._ask_all, wanted, on_fault=OnFault.GO_ON)
 
     def _wanted(self) -> dict[str, int]:
         now_s = self._timer.now_s()
@@ -300,6 +300,7 @@
                     gate.peer_address,
                     message,
                     _ANSWER_TIMEOUT_S,
+                    on_fault=OnFault.GO_ON,
                 )
 
 
--- a/cicadadoor/gate/detached.py
+++ b/cicadadoor/gate/detached.py
@@ -6,7 +6,7 @@
 
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.gate.request import SteeredAnswer
-from cicadadoor.kernel import Kernel
+from cicadadoor.kernel import Kernel, OnFault
 from cicadadoor.telemetry import logs
 
 log = logs.logger('request')
@@ -25,7 +25,7 @@
 
     async def run(self, kernel: Kernel) -> SteeredAnswer | Failure:
         """Start the work and wait for its answer; cancelling ends only the wait."""
-        kernel.spawn(self._serve)
+        kernel.spawn(self._serve, on_fault=OnFault.GO_ON)
         is_taken = False
         try:
             await self._answered.wait()
@@ -34,7 +34,7 @@
             if not is_taken:
                 self._is_abandoned = True
                 if self._answer is not None:
-                    kernel.spawn(self._release)
+                    kernel.spawn(self._release, on_fault=OnFault.GO_ON)
         return self._answer
 
     async def _serve(self) -> None:
--- a/cicadadoor/gate/peer_forwarding.py
+++ b/cicadadoor/gate/peer_forwarding.py
@@ -7,7 +7,7 @@
 from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
 from cicadadoor.gate.state import GateState
 from cicadadoor.gate.streams import StreamBrokenError
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.forward_messages import (
     ForwardAnswer,
     ForwardCancel,
@@ -181,7 +181,7 @@
     def _cancel(self, gate: GateInfo, message: ForwardCancel) -> None:
         # While the kernel ends, nothing can be sent any more.
         with suppress(RuntimeError):
-            self._kernel.spawn(self._send_cancel, gate, message)
+            self._kernel.spawn(self._send_cancel, gate, message, on_fault=OnFault.GO_ON)
 
     async def _send_cancel(self, gate: GateInfo, message: ForwardCancel) -> None:
         await self._peers.ask(gate.peer_address, message, _CANCEL_TIMEOUT_S)
--- a/cicadadoor/gate/probing.py
+++ b/cicadadoor/gate/probing.py
@@ -12,7 +12,7 @@
 from cicadadoor.gate.servers import BackendServers
 from cicadadoor.gate.slot_share import SlotShare
 from cicadadoor.gate.state import GateState
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.messages import Ack
 from cicadadoor.links.peer_hub import PeerHub
 from cicadadoor.links.steering_messages import LeavingNotice
@@ -121,7 +121,7 @@
                 if is_due or server.name in self._servers.news:
                     self._asked_s[server.name] = now_s
                     self._servers.news.discard(server.name)
-                    self._kernel.spawn(self.probe, server)
+                    self._kernel.spawn(self.probe, server, on_fault=OnFault.GO_ON)
 
     def _period_s(self, service: ConfiguredService) -> float:
         cost_s = service.probe_cost_us * self._share.seat_count() / _US_PER_S
@@ -138,6 +138,7 @@
                 gate.peer_address,
                 notice,
                 _TIMEOUT_S,
+                on_fault=OnFault.GO_ON,
             )
 
 
--- a/cicadadoor/gate/quarantine.py
+++ b/cicadadoor/gate/quarantine.py
@@ -13,7 +13,7 @@
 from cicadadoor.gate.directory import GateDirectory
 from cicadadoor.gate.request import SteeredRequest
 from cicadadoor.gate.state import GateState
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.messages import Ack, Message, Refusal
 from cicadadoor.links.peer_hub import PeerHub
@@ -188,7 +188,7 @@
         self._own_reserved = ''
         if server is not None:
             self._reserved_s.pop(server.name, None)
-            self._kernel.spawn(self._ask_gates, server, 0)
+            self._kernel.spawn(self._ask_gates, server, 0, on_fault=OnFault.GO_ON)
 
     def _is_lock_owner(self) -> bool:
         owner = self._alone.statistics().owner
--- a/cicadadoor/gate/streams.py
+++ b/cicadadoor/gate/streams.py
@@ -6,7 +6,7 @@
 import anyio
 
 from cicadadoor.gate.request import SteeredAnswer, SteeredRequest
-from cicadadoor.kernel import Kernel
+from cicadadoor.kernel import Kernel, OnFault
 from cicadadoor.telemetry import logs
 
 log = logs.logger('stream')
@@ -42,7 +42,7 @@
         run=answer.run,
         deadline_s=answer.deadline_s,
     )
-    kernel.spawn(held.pump, send_chunk, left_s)
+    kernel.spawn(held.pump, send_chunk, left_s, on_fault=OnFault.GO_ON)
     return pumped
 
 
--- a/cicadadoor/kernel.py
+++ b/cicadadoor/kernel.py
@@ -2,6 +2,8 @@
 
 import abc
 from collections.abc import Awaitable, Callable
+from enum import Enum, auto, unique
+from functools import partial
 from typing import Any
 
 import anyio
@@ -18,10 +20,26 @@
 _SETTLE_S = 0.1
 _POLL_S = 0.05
 _CLOSE_LIMIT_S = 5.0
+# A task that fails again and again must neither fill the log nor stay away for long.
+_FIRST_PAUSE_S = 0.1
+_LONGEST_PAUSE_S = 5.0
 
+Work = Callable[..., Awaitable[None]]
 WaitForSignal = Callable[[], Awaitable[None]]
 
 
+@unique
+class OnFault(Enum):
+    """Name what becomes of a process when one of its background tasks has a fault."""
+
+    # It stops in order, and ends in a fault.
+    STOP = auto()
+    # The task starts again after a pause; for tasks that run as long as the process.
+    RESTART = auto()
+    # It goes on without this piece of work; for work that is asked for anew.
+    GO_ON = auto()
+
+
 class Service(abc.ABC):
     """Do one job in a daemon and be found by name."""
 
@@ -51,6 +69,8 @@
         self._services: dict[str, Service] = {}
         self._started: list[Service] = []
         self._tasks: TaskGroup | None = None
+        self._must_stop: anyio.Event
+        self._faults: list[Exception] = []
         self._is_closing = False
 
     def register(self, service: Service) -> None:
@@ -67,40 +87,66 @@
             raise LookupError(f'service {name!r} is not registered; known: {known}')
         return service
 
-    def spawn(self, work: Callable[..., Awaitable[None]], *arguments: Any) -> None:
+    def spawn(
+        self,
+        work: Work,
+        *arguments: Any,
+        on_fault: OnFault = OnFault.STOP,
+    ) -> None:
         """Run the coroutine function in the background until the kernel stops."""
         if self._tasks is None:
             raise RuntimeError('spawn was called while the kernel is not running')
-        self._tasks.start_soon(self._watch_over, work, *arguments)
+        self._tasks.start_soon(self._watch_over, on_fault, work, *arguments)
 
     async def _watch_over(
         self,
-        work: Callable[..., Awaitable[None]],
+        on_fault: OnFault,
+        work: Work,
         *arguments: Any,
     ) -> None:
+        pause_s = _FIRST_PAUSE_S
+        started_s = anyio.current_time()
+        while (error := await self._find_fault(work, *arguments)) is not None:
+            if on_fault is OnFault.STOP:
+                self._faults.append(error)
+                self._must_stop.set()
+            if on_fault is not OnFault.RESTART:
+                return
+            if anyio.current_time() - started_s > _LONGEST_PAUSE_S:
+                pause_s = _FIRST_PAUSE_S
+            await anyio.sleep(pause_s)
+            pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
+            started_s = anyio.current_time()
+
+    async def _find_fault(self, work: Work, *arguments: Any) -> Exception | None:
+        """Run the work, and return the fault that ended it, or None."""
         try:
             await work(*arguments)
         except Exception as error:
-            if not self._is_closing:
-                log.exception('task_failed', task=work.__qualname__)
-                metrics.TASK_FAILURES.labels(work.__qualname__).inc()
-                raise
-            # It met a resource that its service had closed before it.
-            log.warning('task_cut_by_stop', task=work.__qualname__, error=error)
+            if self._is_closing:
+                # It met a resource that its service had closed before it.
+                log.warning('task_cut_by_stop', task=work.__qualname__, error=error)
+                return None
+            log.exception('task_failed', task=work.__qualname__)
+            metrics.TASK_FAILURES.labels(work.__qualname__).inc()
+            return error
         except BaseException:
             # A task that fails ends the process, so the log has to tell which it was.
             if self._tasks is not None and not self._tasks.cancel_scope.cancel_called:
                 log.exception('task_failed', task=work.__qualname__)
             raise
+        return None
 
     async def run(self, wait_for_signal: WaitForSignal, grace_s: float) -> str:
         """Run all services until the first signal, then stop them in phases.
 
         Work in flight may take `grace_s`; a second signal ends the wait. Return what
-        was left, as `service=count` pairs, or an empty text.
+        was left, as `service=count` pairs, or an empty text. A task that must not fail
+        has the effect of the first signal; raise its fault when all has stopped.
         """
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
+            self._must_stop = anyio.Event()
             try:
                 return await self._run_phases(wait_for_signal, grace_s)
             finally:
@@ -109,12 +155,27 @@
 
     async def _run_phases(self, wait_for_signal: WaitForSignal, grace_s: float) -> str:
         await self._start_all()
-        await wait_for_signal()
-        await self._finish_work(wait_for_signal, grace_s)
+        if await self._is_signalled(wait_for_signal):
+            wait_for_end = wait_for_signal
+        else:
+            # The next signal asks for no more than what the fault has begun.
+            wait_for_end = partial(_wait_twice, wait_for_signal)
+        await self._finish_work(wait_for_end, grace_s)
         left = self._describe_work()
         await self._stop_all()
+        if self._faults:
+            raise ExceptionGroup('background tasks had faults', self._faults)
         return left
 
+    async def _is_signalled(self, wait_for_signal: WaitForSignal) -> bool:
+        """Wait for a signal or a fault; tell whether it was a signal."""
+        async with anyio.create_task_group() as waiting:
+            waiting.start_soon(_cancel_after, self._must_stop, waiting.cancel_scope)
+            await wait_for_signal()
+            waiting.cancel_scope.cancel()
+            return True
+        return False
+
     async def _start_all(self) -> None:
         for service in self._services.values():
             await service.start(self)
@@ -162,6 +223,16 @@
         log.exception('leave_failed', service=service.name)
 
 
+async def _cancel_after(event: anyio.Event, scope: CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
+
+
+async def _wait_twice(wait_for_signal: WaitForSignal) -> None:
+    await wait_for_signal()
+    await wait_for_signal()
+
+
 async def _cancel_on_signal(wait_for_signal: WaitForSignal, scope: CancelScope) -> None:
     await wait_for_signal()
     log.warning('second_signal')
--- a/cicadadoor/links/daemon_link.py
+++ b/cicadadoor/links/daemon_link.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 from cicadadoor.errors import Failure
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.messages import Codec, Message
 from cicadadoor.links.transport import MessageStamp, PairLink
 from cicadadoor.settings import Address
@@ -41,7 +41,7 @@
             self._link.listen(self._address)
         else:
             self._link.dial(self._address)
-        kernel.spawn(self._receive, self._link)
+        kernel.spawn(self._receive, self._link, on_fault=OnFault.RESTART)
 
     async def stop(self, grace_s: float) -> None:
         """Close the link."""
--- a/cicadadoor/links/fan_out.py
+++ b/cicadadoor/links/fan_out.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from cicadadoor.kernel import Kernel
+from cicadadoor.kernel import Kernel, OnFault
 from cicadadoor.links.messages import Ack, Message
 from cicadadoor.links.peer_hub import PeerHub
 
@@ -31,7 +31,7 @@
     def send(self, addresses: list[str], build: Build) -> None:
         """Send in the background; `build` is given the hosts to pass on to."""
         for group in split(addresses):
-            self._kernel.spawn(self._send_group, group, build)
+            self._kernel.spawn(self._send_group, group, build, on_fault=OnFault.GO_ON)
 
     async def _send_group(self, group: list[str], build: Build) -> None:
         for position, address in enumerate(group):
--- a/cicadadoor/links/transport.py
+++ b/cicadadoor/links/transport.py
@@ -173,11 +173,11 @@
             return self._refuse(request, 0)
         try:
             answer = await self._handlers[type(request)](request)
+            return encode(self._stamp.apply(answer, request.message_id))
         except Exception:
             log.exception('peer_handler_failed', message=type(request).__name__)
             failure = Failure(ErrorKind.INTERNAL, 'the handler failed')
             return self._refuse(failure, request.message_id)
-        return encode(self._stamp.apply(answer, request.message_id))
 
     def _refuse(self, failure: Failure, in_reply_to: int) -> bytes:
         metrics.DROPPED_MESSAGES.labels(failure.kind.value).inc()
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -255,6 +255,10 @@
         run_fleet(DOMAINS, scenario)
 
 
+def _start(tasks, work, *arguments, on_fault) -> None:
+    tasks.start_soon(work, *arguments)
+
+
 class TestFanOut:
     """Guard against hosts that the push tree leaves out."""
 
@@ -269,7 +273,7 @@
             async with anyio.create_task_group() as tasks:
 
                 def send(own: str, addresses: list[str]) -> None:
-                    kernel = SimpleNamespace(spawn=tasks.start_soon)
+                    kernel = SimpleNamespace(spawn=partial(_start, tasks))
                     peers = SimpleNamespace(ask=partial(ask, own))
                     FanOut(kernel, peers).send(addresses, list)
 
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 
 
 class _Resource(Service):
@@ -66,6 +66,24 @@
         raise RuntimeError('the task has a fault')
 
 
+class _FailingTwice(Service):
+    """Fail in the background twice, in a task that starts again."""
+
+    name = 'failing_twice'
+
+    def __init__(self) -> None:
+        self.began = 0
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin the task."""
+        kernel.spawn(self._work, on_fault=OnFault.RESTART)
+
+    async def _work(self) -> None:
+        self.began += 1
+        if self.began < 3:
+            raise RuntimeError('the task has a fault')
+
+
 class _Busy(Service):
     """Have work in flight that ends a little later."""
 
@@ -133,3 +151,28 @@
         with pytest.raises(BaseExceptionGroup):
             anyio.run(partial(_run, failing, busy, grace_s=5))
         assert not busy.left
+
+    def test_signal_after_a_fault_does_not_end_the_wait_for_work(self):
+        """The platform may stop a host that is about to end for a fault."""
+        busy = _Busy()
+        failing = _FailingTask(fails_at_leave=False)
+
+        async def main() -> None:
+            send, receive = anyio.create_memory_object_stream[None](1)
+            kernel = Kernel()
+            for service in (failing, busy):
+                kernel.register(service)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(kernel.run, receive.receive, 5)
+                await anyio.sleep(0.05)
+                await send.send(None)
+
+        with pytest.raises(BaseExceptionGroup):
+            anyio.run(main)
+        assert not busy.left
+
+    def test_task_that_runs_as_long_as_the_process_starts_again(self):
+        """A fault that comes again must not keep the task away for good."""
+        restarting = _FailingTwice()
+        assert not anyio.run(partial(_run, restarting, grace_s=5))
+        assert restarting.began == 3
--- a/tests/utils/gates.py
+++ b/tests/utils/gates.py
@@ -11,7 +11,7 @@
 from cicadadoor.gate.servers import BackendServers
 from cicadadoor.gate.slot_share import ConfiguredSeat
 from cicadadoor.gate.state import GateState
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.messages import Message, PeerUpdate
 from cicadadoor.links.transport import MessageStamp
 from cicadadoor.settings import parse_address
@@ -25,7 +25,7 @@
         super().__init__()
         self.spawned = []
 
-    def spawn(self, work, *arguments) -> None:
+    def spawn(self, work, *arguments, on_fault=OnFault.STOP) -> None:
         """Keep the work."""
         self.spawned.append((work, arguments))
 
--- a/tests/utils/sync_fleet.py
+++ b/tests/utils/sync_fleet.py
@@ -21,7 +21,7 @@
 from cicadadoor.gate.config_receiver import ConfigReceiver
 from cicadadoor.gate.keys import KeyCheck
 from cicadadoor.gate.state import GateState
-from cicadadoor.kernel import Kernel, Service
+from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.messages import Ack, Codec, Message, Refusal, encode
 from cicadadoor.links.transport import MessageStamp
 from cicadadoor.object_store.base import ObjectStore
@@ -324,7 +324,12 @@
         """Decode an answer to a request of this host."""
         return self._answer_codec.decode(encoded)
 
-    def _spawn(self, work: Callable[..., Awaitable[None]], *arguments: Any) -> None:
+    def _spawn(
+        self,
+        work: Callable[..., Awaitable[None]],
+        *arguments: Any,
+        on_fault: OnFault = OnFault.STOP,
+    ) -> None:
         self.fleet.tasks.start_soon(self._run, self._scope, work, arguments)
 
     async def _run(self, life_scope, work, arguments) -> None:
