Answer truly to requests that the end of a stop cuts

Cause: the process left the answer to the HTTP library, which answers a cancelled task with 500; the line of a request took any cancellation for a caller that left. Change: before a host closes its connections it ends the work on each request, and answers 504 with run unknown where a backend server may have run it, and 503 with run no and Retry-After where none has (also while its body was still coming). Such requests have the outcome 'cut_by_stop' or 'draining'; only a caller that left is logged as one.

--- a/cicadadoor/entry/dispatch.py
+++ b/cicadadoor/entry/dispatch.py
@@ -94,6 +94,17 @@
             if not self._may_repeat(steered, answer, budget):
                 return failed_answer or self._with_return(worst)
 
+    def cut(self, steered: Steered) -> Failure:
+        """Return what is answered to a request whose work the host has to end."""
+        if steered.may_have_run:
+            return Failure(
+                ErrorKind.CUT_BY_STOP,
+                f'no answer of {",".join(steered.tried)} before this host ended',
+            )
+        return self._with_return(
+            Failure(ErrorKind.DRAINING, 'this host ended before it was sent')
+        )
+
     def _note_failure(self, steered: Steered, failure: Failure) -> None:
         log.info(
             'attempt_failed',
@@ -117,6 +128,8 @@
             return Failure(ErrorKind.DEADLINE_PASSED, 'the time is over')
         steered.tried.append(backend.record.instance_id)
         visit = self._placement.begin(steered, backend, left_s)
+        had_run = steered.may_have_run
+        steered.may_have_run = True
         answer: BackendAnswer | Failure | None = None
         try:
             answer = await self._send(steered, backend, left_s)
@@ -125,6 +138,8 @@
             self._placement.end(steered, visit, is_answered=is_answered)
         took_s = self._timer.now_s() - now_s
         self._learn(steered, backend, answer, took_s)
+        is_not_run = isinstance(answer, Failure) and answer.run is Run.NO
+        steered.may_have_run = had_run or not is_not_run
         return answer
 
     async def _send(
--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -18,6 +18,7 @@
 from cicadadoor.http_server import (
     JSON_HEADER,
     HttpServer,
+    OpenRequests,
     Receive,
     Scope,
     Send,
@@ -70,7 +71,7 @@
         self._dispatcher: Dispatcher
         self._http: HttpServer
         self._callers_port = 0
-        self._open_requests = 0
+        self._open = OpenRequests()
 
     async def start(self, kernel: Kernel) -> None:
         """Listen at all addresses."""
@@ -98,10 +99,11 @@
 
     def work_left(self) -> int:
         """Return how many requests have no whole answer yet."""
-        return self._open_requests
+        return len(self._open)
 
     async def stop(self, grace_s: float) -> None:
-        """Stop listening and end the connections."""
+        """Answer what is left, stop listening and end the connections."""
+        await self._open.cut()
         await self._http.close()
 
     async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -109,13 +111,9 @@
         if scope['type'] == 'lifespan':
             await answer_lifespan(receive, send)
         elif scope['type'] == 'http' and scope['server'][1] == self._callers_port:
-            self._open_requests += 1
-            try:
-                await self._steer(
-                    scope, receive, closing_send(send, lambda: self._state.is_leaving)
-                )
-            finally:
-                self._open_requests -= 1
+            closing = closing_send(send, lambda: self._state.is_leaving)
+            with self._open.counted():
+                await self._steer(scope, receive, closing)
         elif scope['type'] == 'http':
             await self._answer_platform(scope, send)
 
@@ -152,14 +150,18 @@
             _target(scope),
             scope['headers'],
         )
-        body = await _read_body(receive, self._body_limit_bytes())
+        body: bytes | Failure = Failure(
+            ErrorKind.DRAINING, 'this host ended before the request was whole', 1
+        )
+        with self._open.cuttable():
+            body = await _read_body(receive, self._body_limit_bytes())
         if isinstance(body, Failure):
             await self._send_failure(send, body)
             return
         received_s = self._timer.now_s()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch_caller, receive, tasks.cancel_scope)
-            await self._answer(request, body, received_s, send)
+            await self._answer(request, body, received_s, send, tasks.cancel_scope)
             tasks.cancel_scope.cancel()
 
     async def _answer(
@@ -168,11 +170,11 @@
         body: bytes,
         received_s: float,
         send: Send,
+        caller: anyio.CancelScope,
     ) -> None:
         steered = self._admission.admit(request, body, received_s)
         answer: BackendAnswer | Failure
-        outcome = 'left'
-        detail = 'the caller left'
+        outcome, detail = '', ''
         try:
             if isinstance(steered, Failure):
                 answer = steered
@@ -188,14 +190,18 @@
                     send, answer.head.status, answer.head.headers, answer.body
                 )
         finally:
-            self._record(request, steered, outcome, detail, received_s)
+            if not outcome and caller.cancel_called:
+                outcome, detail = 'left', 'the caller left'
+            self._record(request, steered, outcome or 'unanswered', detail, received_s)
 
     async def _run(self, steered: Steered) -> BackendAnswer | Failure:
         try:
-            return await self._dispatcher.run(steered)
+            with self._open.cuttable():
+                return await self._dispatcher.run(steered)
         except Exception:
             log.exception('request_fault', request_id=steered.request.request_id)
             return Failure(ErrorKind.INTERNAL, 'the host has a fault')
+        return self._dispatcher.cut(steered)
 
     def _record(
         self,
--- a/cicadadoor/entry/steering.py
+++ b/cicadadoor/entry/steering.py
@@ -15,6 +15,7 @@
         'body',
         'deadline_s',
         'fingerprint',
+        'may_have_run',
         'object_key',
         'organisation',
         'received_s',
@@ -48,6 +49,8 @@
         self.attempts = 0
         self.unreached = 0
         self.tried: list[str] = []
+        # Set unless every attempt so far is known to have run nowhere.
+        self.may_have_run = False
 
     @property
     def organisation_name(self) -> str:
--- a/cicadadoor/errors.py
+++ b/cicadadoor/errors.py
@@ -67,6 +67,7 @@
     MEASUREMENTS_STALE = 'measurements_stale'
     CAP_EXCEEDED = 'cap_exceeded'
     TIMED_OUT = 'timed_out'
+    CUT_BY_STOP = 'cut_by_stop'
 
 
 class Answer:
@@ -206,4 +207,5 @@
     ErrorKind.MEASUREMENTS_STALE: _CONFLICT,
     ErrorKind.CAP_EXCEEDED: _CONFLICT,
     ErrorKind.TIMED_OUT: _not_run(HTTPStatus.GATEWAY_TIMEOUT),
+    ErrorKind.CUT_BY_STOP: Answer(HTTPStatus.GATEWAY_TIMEOUT, Run.UNKNOWN),
 }
--- a/cicadadoor/http_server.py
+++ b/cicadadoor/http_server.py
@@ -1,7 +1,8 @@
 """Share the HTTP server plumbing of gate and agent."""
 
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import anyio
@@ -13,6 +14,9 @@
 _BACKLOG = 1024
 _KEEP_ALIVE_S = 75
 _CLOSE_S = 2.0
+# Time in which requests that are cut get their answers.
+_CUT_LIMIT_S = 0.2
+_CUT_POLL_S = 0.01
 
 JSON_HEADER = (b'content-type', b'application/json')
 _CLOSE_HEADER = (b'connection', b'close')
@@ -63,6 +67,52 @@
         await self._closed.wait()
 
 
+class OpenRequests:
+    """Count the requests in flight, and cut them once the time to stop is over.
+
+    The HTTP library would answer a request that it cancels with 500.
+    """
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._scopes: set[anyio.CancelScope] = set()
+        self._is_cut = False
+
+    def __len__(self) -> int:
+        """Return how many requests have no whole answer yet."""
+        return self._count
+
+    @contextmanager
+    def counted(self) -> Iterator[None]:
+        """Count a request until it has its answer."""
+        self._count += 1
+        try:
+            yield
+        finally:
+            self._count -= 1
+
+    @contextmanager
+    def cuttable(self) -> Iterator[None]:
+        """Leave the block early if requests are cut; what follows has to answer."""
+        with anyio.CancelScope() as scope:
+            if self._is_cut:
+                scope.cancel()
+            self._scopes.add(scope)
+            try:
+                yield
+            finally:
+                self._scopes.discard(scope)
+
+    async def cut(self) -> None:
+        """End the work on all requests, and wait for their answers to be sent."""
+        self._is_cut = True
+        for scope in tuple(self._scopes):
+            scope.cancel()
+        with anyio.move_on_after(_CUT_LIMIT_S):
+            while self._count:
+                await anyio.sleep(_CUT_POLL_S)
+
+
 def listen(address: str) -> str:
     """Listen at an address and return it as hypercorn takes a bound socket.
 
