Ask hosts of an unknown failure domain back

Cause: only answers to own questions count as evidence of life, and an agent asks contact points in its first beats, while it is alone in its domain, and then in each tenth beat. Ruled out: a lost or late message (all other questions were answered within 0.06 s); a host known and then dropped (summaries are kept for 120 s, and it was never added before); the departure itself, which drops only its own host. Change: an agent asks a host back whose failure domain it does not know, one host for each such domain at a time. The question stays no evidence of life. New lines in the logs: 'failure_domain_heard' at the agent, 'hosts_named_to_callers' at the gate. Tests: test_gates_are_told_of_a_domain_that_starts_late (1, 3 and 5 s late, manual clock) and test_questions_of_an_unheard_domain_lead_to_one_question_at_a_time failed before and pass; the latter also fails without the bound.

--- a/cicadadoor/agent/membership.py
+++ b/cicadadoor/agent/membership.py
@@ -7,6 +7,7 @@
 from cicadadoor.agent.state import AgentState
 from cicadadoor.agent.status import StatusBoard
 from cicadadoor.agent.sync import ConfigSync
+from cicadadoor.agent.unheard_domains import UnheardDomains
 from cicadadoor.agent.withdrawals import Withdrawals
 from cicadadoor.decisions.isolation import IsolationEvidence
 from cicadadoor.decisions.membership import DomainTable, MemberTable
@@ -74,6 +75,7 @@
         self._kernel: Kernel
         self.own: OwnRecord
         self._contact_points: ContactPoints
+        self._unheard: UnheardDomains
         self.members: MemberTable
         self.domains: DomainTable
         self.evidence = IsolationEvidence()
@@ -95,6 +97,7 @@
         self.domains = DomainTable(settings.failure_domain)
         self.own = OwnRecord(self._state, self._timer)
         self._contact_points = ContactPoints(self._state)
+        self._unheard = UnheardDomains(kernel, self.domains, self._timer, self.ask)
         self._peers.on(Heartbeat, self._answer, Heartbeat)
         self._peers.on(PullMembers, self._answer_members, MemberRecords)
         self._timer.subscribe('heartbeat', HEARTBEAT_PERIOD_S, self.beat)
@@ -221,7 +224,7 @@
                 elif not self.members.note_sighting(sighting, asked_s):
                     missing.append(sighting.host)
         for summary in answer.summaries:
-            self.domains.note(summary, asked_s)
+            self._unheard.note_summary(summary, asked_s, address)
         self.domains.note_age(answer.record.failure_domain, asked_s, 0)
         for age in answer.domain_ages:
             self.domains.note_age(age.failure_domain, asked_s, age.age_s)
@@ -244,6 +247,7 @@
             address = request.record.peer_address
             self._sync.hear(address, request.generation)
             self._withdrawals.hear(address, request.withdrawals_digest)
+            self._unheard.note_question(request.record)
         return self._heartbeat(request.record.failure_domain)
 
     async def _answer_members(self, request: Message) -> Message:
--- /dev/null
+++ b/cicadadoor/agent/unheard_domains.py
@@ -0,0 +1,65 @@
+"""Get to know failure domains that have just started."""
+
+from collections.abc import Awaitable, Callable
+
+from cicadadoor.decisions.membership import DomainTable
+from cicadadoor.kernel import Kernel
+from cicadadoor.links.membership_messages import DomainSummary, MemberRecord
+from cicadadoor.telemetry import logs
+from cicadadoor.timer import TimerService
+
+log = logs.logger('membership')
+
+Ask = Callable[[str, str], Awaitable[None]]
+
+
+class UnheardDomains:
+    """Ask hosts back whose failure domain is not known.
+
+    A question is no evidence of life. Without asking back, a domain that started
+    after its peers stays unknown until they try their contact points again.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        domains: DomainTable,
+        timer: TimerService,
+        ask: Ask,
+    ) -> None:
+        self._kernel = kernel
+        self._domains = domains
+        self._timer = timer
+        self._ask = ask
+        self._asked: set[str] = set()
+
+    def note_question(self, asker: MemberRecord) -> None:
+        """Ask the host back, unless its domain is known or is being asked."""
+        name = asker.failure_domain
+        if name in self._asked or self._domains.is_known(name, self._timer.now_s()):
+            return
+        self._asked.add(name)
+        self._kernel.spawn(self._ask_back, asker)
+
+    async def _ask_back(self, asker: MemberRecord) -> None:
+        try:
+            await self._ask(asker.peer_address, '')
+        finally:
+            self._asked.discard(asker.failure_domain)
+
+    def note_summary(
+        self,
+        summary: DomainSummary,
+        received_s: float,
+        told_by: str,
+    ) -> None:
+        """Take a summary, and log the first one of a domain that was not known."""
+        was_known = self._domains.is_known(summary.failure_domain, received_s)
+        if self._domains.note(summary, received_s) and not was_known:
+            log.info(
+                'failure_domain_heard',
+                failure_domain=summary.failure_domain,
+                gates=len(summary.gates),
+                age_s=summary.age_s,
+                told_by=told_by,
+            )
--- a/cicadadoor/decisions/membership.py
+++ b/cicadadoor/decisions/membership.py
@@ -251,6 +251,13 @@
             if now_s - self._told_s[name] <= SUMMARY_VALID_S
         ]
 
+    def is_known(self, failure_domain: str, now_s: float) -> bool:
+        """Tell whether it is the own domain or one with a summary young enough."""
+        if failure_domain == self._own_domain:
+            return True
+        told_s = self._told_s.get(failure_domain, _NEVER_S)
+        return now_s - told_s <= SUMMARY_VALID_S
+
     def all_relays(self) -> dict[str, list[MemberRecord]]:
         """Return the relays that each domain last named."""
         return {name: summary.relays for name, summary in self._summaries.items()}
--- a/cicadadoor/gate/directory.py
+++ b/cicadadoor/gate/directory.py
@@ -1,13 +1,19 @@
 """Know the gates of other hosts."""
 
+from collections.abc import Iterable
+
 from cicadadoor.gate.lookup import EntryHost, Lookup
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.messages import AgentAlive, GateInfo, PeerUpdate
+from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
 
+log = logs.logger('directory')
+
 # Gates of all failure domains at the target size, twice.
 _MAX_REMEMBERED = 1000
+_MAX_LOGGED = 8
 
 
 class GateDirectory(Service):
@@ -67,6 +73,7 @@
     async def _apply(self, update: PeerUpdate) -> None:
         self._heard_s = self._timer.now_s()
         self._remember()
+        self._log_change(update)
         self._by_instance = {gate.instance: gate for gate in update.gates}
         hosts = [
             EntryHost(
@@ -78,3 +85,19 @@
             if gate.takes_callers
         ]
         self._lookup.set_hosts(hosts)
+
+    def _log_change(self, update: PeerUpdate) -> None:
+        before = _taking_callers(self._by_instance.values())
+        after = _taking_callers(update.gates)
+        if before == after:
+            return
+        log.info(
+            'hosts_named_to_callers',
+            count=len(after),
+            added=sorted(after - before)[:_MAX_LOGGED],
+            removed=sorted(before - after)[:_MAX_LOGGED],
+        )
+
+
+def _taking_callers(gates: Iterable[GateInfo]) -> set[str]:
+    return {gate.host for gate in gates if gate.takes_callers}
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,8 +2,10 @@
 
 import random
 
+import msgspec
 import pytest
 
+from cicadadoor.agent.membership import HEARTBEAT_PERIOD_S
 from cicadadoor.decisions.confirmation import REPORT_VALID_S, confirm
 from cicadadoor.decisions.membership import (
     DEAD_AFTER_S,
@@ -12,13 +14,16 @@
     DomainTable,
     MemberTable,
 )
+from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.links.membership_messages import (
     DomainSummary,
+    Heartbeat,
     Load,
     MemberRecord,
     Sighting,
 )
-from tests.utils.sync_fleet import Fleet, run_fleet
+from cicadadoor.links.messages import encode
+from tests.utils.sync_fleet import Fleet, Node, run_fleet
 
 NOW_S = 1000.0
 
@@ -253,3 +258,69 @@
             assert min(paused.membership.heard_domains().values()) > 50
 
         run_fleet({'m-1': 3, 'm-2': 2}, scenario)
+
+
+class TestLateStart:
+    """Guard against a running host that others leave out because it started late."""
+
+    @pytest.mark.parametrize('late_s', (1, 3, 5))
+    def test_gates_are_told_of_a_domain_that_starts_late(self, late_s):
+        """A refusal names the hosts that the gate was told of."""
+
+        async def scenario(fleet: Fleet) -> None:
+            late = fleet.nodes['augsburg-1-0']
+            late.kill()
+            await fleet.run_for(late_s)
+            await late.start()
+            others = [node for node in fleet.running() if node is not late]
+            # One beat to know the domain, one in which it knows its own gate, one in
+            # which it is asked again, and one until the gates are told.
+            await fleet.run_until(
+                lambda: all(late.host in _told_hosts(node) for node in others),
+                4 * HEARTBEAT_PERIOD_S,
+            )
+
+        run_fleet({'muenchen-1': 2, 'augsburg-1': 1}, scenario)
+
+    def test_questions_of_an_unheard_domain_lead_to_one_question_at_a_time(self):
+        """A whole domain that starts must not be asked by each host for each host."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.run_for(3)
+            node = fleet.nodes['m-1-0']
+            asked = []
+
+            async def ask_in_vain(address, message, timeout_s) -> Failure:
+                asked.append(address)
+                await fleet.timer.sleep(timeout_s)
+                return Failure(ErrorKind.OUTCOME_UNKNOWN, address)
+
+            node.peers.ask = ask_in_vain
+            stranger = fleet.nodes['m-1-1'].membership.own.record
+            for number in range(20):
+                question = Heartbeat(
+                    record=msgspec.structs.replace(
+                        stranger,
+                        host=f'm-9-{number}',
+                        failure_domain='m-9',
+                        peer_address=f'm-9-{number}:1',
+                    ),
+                    sighting=Sighting(f'm-9-{number}', 1, 0, 0, ''),
+                    generation=0,
+                    contact_age_s=0,
+                    evidence_age_s=0,
+                    withdrawals_digest='',
+                    sightings=[],
+                    summaries=[],
+                    domain_ages=[],
+                )
+                await node.receive(encode(question))
+            await fleet.settle()
+            assert asked == ['m-9-0:1']
+
+        run_fleet({'m-1': 3}, scenario)
+
+
+def _told_hosts(node: Node) -> set[str]:
+    """Return the hosts whose gates the agent names to its own gate."""
+    return {gate.host for gate in node.told_gates}
--- a/tests/utils/sync_fleet.py
+++ b/tests/utils/sync_fleet.py
@@ -22,7 +22,15 @@
 from cicadadoor.gate.keys import KeyCheck
 from cicadadoor.gate.state import GateState
 from cicadadoor.kernel import Kernel, Service
-from cicadadoor.links.messages import Ack, Codec, Message, Refusal, encode
+from cicadadoor.links.messages import (
+    Ack,
+    Codec,
+    GateInfo,
+    Message,
+    PeerUpdate,
+    Refusal,
+    encode,
+)
 from cicadadoor.links.transport import MessageStamp
 from cicadadoor.object_store.base import ObjectStore
 from cicadadoor.settings import Settings, parse_address
@@ -222,6 +230,7 @@
         self.is_paused = False
         self.has_platform = True
         self.generations: list[int] = []
+        self.told_gates: list[GateInfo] = []
         self._scope: anyio.CancelScope | None = None
         fields = dict.fromkeys(Settings.__slots__)
         address = parse_address(self.address)
@@ -281,6 +290,7 @@
             lambda: self._gate_life is life and self.is_running,
         )
         gate_link = FakeLink()
+        gate_link.on(PeerUpdate, self._note_told)
         gate_link.other = self.agent_link
         self.agent_link.other = gate_link
         self.generations = []
@@ -320,6 +330,9 @@
         answer = await self.peers.handlers[type(request)](request)
         return encode(self.stamp.apply(answer, request.message_id))
 
+    async def _note_told(self, update: PeerUpdate) -> None:
+        self.told_gates = update.gates
+
     def decode_answer(self, encoded: bytes) -> Message | Failure:
         """Decode an answer to a request of this host."""
         return self._answer_codec.decode(encoded)
