Let the test of a refusal wait until the gate knows the other region

Cause: the listed test stopped the gate as soon as each host served, and asserted without saying so that the gate hears of augsburg-1-0 within the 3.5 s until it refuses. A test over processes asserts no duration. The gate can't name whom its agent could not hear. Ruled out: that the wait hides a slow discovery; its bound of four heartbeats is asserted on a manual clock in test_gates_are_told_of_a_domain_that_starts_late. Change: the test waits until the look-up of the gate names the other region, as its neighbour does. The assertions stay; a mutant of 'other_urls' without other regions fails.

--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -79,6 +79,8 @@
     ):
         """A connection closed without notice leaves the next request in doubt."""
         host = cluster.hosts[HOST]
+        other_url = cluster.hosts['augsburg-1-0'].callers_url
+        wait_until(lambda: other_url in _named(host), 'it knows the other region')
         refusals = []
         with httpx.Client() as client:
             slow = threading.Thread(target=_enrol_slowly, args=(cluster, host, 5000))
@@ -95,7 +97,7 @@
         assert refusals[-1].json()['error'] == 'draining'
         assert refusals[-1].headers['x-cicadadoor-run'] == 'no'
         assert refusals[-1].headers['connection'] == 'close'
-        assert cluster.hosts['augsburg-1-0'].callers_url in refusals[-1].json()['hosts']
+        assert other_url in refusals[-1].json()['hosts']
         assert host.gate.wait() == ExitStatus.SUCCESS
         slow.join()
 
