--- a/cicadadoor/agent/unheard_domains.py
+++ b/cicadadoor/agent/unheard_domains.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 from cicadadoor.decisions.membership import DomainTable
-from cicadadoor.kernel import Kernel
+from cicadadoor.kernel import Kernel, OnFault
 from cicadadoor.links.membership_messages import DomainSummary, MemberRecord
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
@@ -39,7 +39,7 @@
         if name in self._asked or self._domains.is_known(name, self._timer.now_s()):
             return
         self._asked.add(name)
-        self._kernel.spawn(self._ask_back, asker)
+        self._kernel.spawn(self._ask_back, asker, on_fault=OnFault.GO_ON)
 
     async def _ask_back(self, asker: MemberRecord) -> None:
         try:
