Count bytes that are no answer against the backend server that sent them

Cause: a protocol error is raised while the answer is read, and the forwarder returned that failure without a word to the server's health; only answers that were read whole and turned out foreign were noted.

Callers saw: a server that sends such bytes stayed as welcome as a sound one, so request after request ended in 502 there.

Evidence: tests/test_entry_requests.py TestHealth, before the change, for bytes that are no status line ('noise') and for an answer that breaks off ('short'): assert backend.health.is_doubtful(now_s) -> AssertionError 2 failed; 'foreign' passed before. After it: 42 passed in the module.

Ruled out: a connection that ends without any byte stays an unknown outcome, which is counted as a crash of the server, not as a bad answer.

Change: the failure ANSWER_INVALID of an exchange is noted like a foreign answer.

--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -127,6 +127,8 @@
             # A reset ends one connection; the next one tells whether the server lives.
             if raw.kind is ErrorKind.ANSWER_TIMED_OUT:
                 backend.health.note_unreachable(self._timer.now_s(), sent_s)
+            elif raw.kind is ErrorKind.ANSWER_INVALID:
+                self._note_answer(backend, is_bad=True)
             return raw
         return self._judge(outgoing, backend, connection, raw)
 
@@ -213,15 +215,18 @@
         if fault is not None and fault.kind is ErrorKind.BACKEND_MOVED:
             backend.health.note_unreachable(now_s, now_s)
             return fault
-        if backend.health.was_refused:
-            self._backends.note_return(backend)
-        backend.health.note_answer(
-            now_s,
+        self._note_answer(
+            backend,
             is_bad=is_foreign or raw.status in _SERVER_FAULTS,
         )
         backend.note_load(head.load, now_s)
         return fault or BackendAnswer(head, raw.body)
 
+    def _note_answer(self, backend: Backend, *, is_bad: bool) -> None:
+        if backend.health.was_refused:
+            self._backends.note_return(backend)
+        backend.health.note_answer(self._timer.now_s(), is_bad=is_bad)
+
     def _give_back(
         self,
         backend: Backend,
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -161,6 +161,24 @@
         run_deployed(work, workers=3)
 
 
+class TestHealth:
+    """What a host notes of servers that answer badly."""
+
+    @pytest.mark.parametrize('trouble', ('foreign', 'noise', 'short'))
+    def test_server_whose_bytes_are_no_answer_becomes_doubtful(self, trouble):
+        async def work(deployment):
+            deployment.workers['i-0'].script = [trouble, trouble]
+            for _ in range(2):
+                answer = await deployment.call('/book/1', method='POST')
+                assert answer.status_code == 502
+                assert answer.json()['run'] == 'unknown'
+            backend = deployment.find('backends').find('i-0')
+            now_s = deployment.find('timer').now_s()
+            assert backend.health.is_doubtful(now_s)
+
+        run_deployed(work)
+
+
 class TestTime:
     """Time-outs and callers that leave."""
 
--- a/tests/utils/entry_hosts.py
+++ b/tests/utils/entry_hosts.py
@@ -17,6 +17,13 @@
 
 SITE = 'site.example'
 _REGIONS = {'muc-a': 'muenchen', 'nue-a': 'nuernberg'}
+# Bytes that are no whole answer in the protocol.
+_BROKEN = {
+    'short': (
+        b'HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 99\r\n\r\nab'
+    ),
+    'noise': b'\x16\x03\x01 no answer in the protocol\r\n\r\n',
+}
 
 
 class Worker:
@@ -65,11 +72,8 @@
             await connection.answer(200, {**head, 'Attempt-Id': 'another'}, body)
         elif trouble == 'unsigned':
             await connection.answer(200, {}, body)
-        elif trouble == 'short':
-            await connection.write(
-                b'HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n'
-                b'Content-Length: 99\r\n\r\nab'
-            )
+        elif trouble in _BROKEN:
+            await connection.write(_BROKEN[trouble])
             connection.close()
         else:
             await connection.answer(200, head, body)
