Give up an answer whose bytes are not of its body

Cause: the length of an answer was counted in bytes of its body alone. Interim answers, chunks of one byte and chunk extensions came without a bound, each small piece was kept as an object of its own, and whatever had been received was parsed without a turn for other requests. A head was only bounded if it came in several pieces.

Callers saw: the request waited until its deadline, and others on the host waited while the parser worked.

Evidence, tests/test_endless_answers.py before the change: interim_answers, tiny_chunks, chunk_extensions: TimeoutError (host took all 8 MB) head in one piece: DID NOT RAISE ExceptionGroup turns of other requests during 3000 chunks: assert 1 >= 10 is_reading() with 384 kB waiting for the parser: assert not True After it: the module's 10 passed, with test_entry_connections and test_entry_requests 71 passed.

Ruled out: one endless chunk extension, endless trailers and endless header lines were bounded before (by the parser, at 16 kB); their cases passed before and stay as guards.

The body is one piece of memory.

--- a/cicadadoor/entry/connections.py
+++ b/cicadadoor/entry/connections.py
@@ -10,12 +10,20 @@
 
 import anyio
 import h11
+from anyio import lowlevel
 
+from cicadadoor.decisions.answer_limits import AnswerProgress
 from cicadadoor.entry.messages import Headers
 from cicadadoor.sockets import KEEP_ALIVE_OPTIONS
 
 # Written in parts, so that an early answer is read before all of a body is sent.
 _WRITE_BYTES = 65_536
+# Parsed at once, so that the limits are checked between parts of a long stream.
+_READ_BYTES = 16_384
+# The transport reads no more while so much waits for the parser.
+_MOST_UNREAD_BYTES = 262_144
+# A stream of small chunks lets other requests go on after so many of them.
+_EVENTS_A_TURN = 64
 # A longer answer is not taken into memory.
 MAX_ANSWER_BYTES = 67_108_864
 # Used where a server names no idle limit of its own.
@@ -49,6 +57,10 @@
     def __init__(self) -> None:
         self._transport: asyncio.Transport
         self._parser = h11.Connection(h11.CLIENT)
+        # Received and not yet given to the parser.
+        self._unread = bytearray()
+        self._progress = AnswerProgress()
+        self._events = 0
         self._wake = anyio.Event()
         self._can_write = True
         self._error: Exception | None = None
@@ -73,15 +85,16 @@
             self.abort()
             return
         self.has_received = True
-        self._parser.receive_data(data)
+        self._unread += data
+        if len(self._unread) > _MOST_UNREAD_BYTES:
+            self._transport.pause_reading()
         self._notify()
 
     def eof_received(self) -> bool:
         """Note that the peer sends no more."""
         self.is_broken = True
-        if self.is_busy and not self._is_ended:
+        if self.is_busy:
             self._is_ended = True
-            self._parser.receive_data(b'')
         self._notify()
         return False
 
@@ -120,6 +133,7 @@
         self.is_busy = True
         self.has_sent = False
         self.has_received = False
+        self._progress = AnswerProgress()
         try:
             request = h11.Request(method=method, target=target, headers=headers)
             head = self._parser.send(request)
@@ -146,50 +160,70 @@
         self.has_sent = True
         self._transport.write(head)
         await self._write_body(body)
-        while (answer := self._next_head()) is None:
-            await self._more()
+        answer = await self._read_head()
         content = await self._read_body()
         headers = [(bytes(name), bytes(text)) for name, text in answer.headers]
         return RawAnswer(answer.status_code, headers, content)
 
+    async def _read_head(self) -> h11.Response:
+        while not isinstance(event := await self._next_event(), h11.Response):
+            if not isinstance(event, h11.InformationalResponse):
+                raise ConnectionBrokenError('no answer came')
+            self._progress.note_interim()
+            self._check()
+        return event
+
     async def _read_body(self) -> bytes:
-        parts: list[bytes] = []
-        size_bytes = 0
-        while not isinstance(event := self._parser.next_event(), h11.EndOfMessage):
-            if event is h11.NEED_DATA:
-                await self._more()
-                continue
+        # One piece of memory: small chunks as objects of their own take many times
+        # their length.
+        body = bytearray()
+        while not isinstance(event := await self._next_event(), h11.EndOfMessage):
             if not isinstance(event, h11.Data):
                 raise AnswerInvalidError('the answer did not end')
-            parts.append(bytes(event.data))
-            size_bytes += len(event.data)
-            if size_bytes > MAX_ANSWER_BYTES:
+            body += event.data
+            self._progress.body_bytes = len(body)
+            if len(body) > MAX_ANSWER_BYTES:
                 raise AnswerInvalidError('the answer is too long')
-        return b''.join(parts)
+        return bytes(body)
+
+    async def _next_event(self) -> object:
+        self._events += 1
+        if self._events % _EVENTS_A_TURN == 0:
+            await lowlevel.checkpoint()
+        while (event := self._parser.next_event()) is h11.NEED_DATA:
+            self._check()
+            await self._read_more()
+        return event
+
+    def _check(self) -> None:
+        fault = self._progress.find_fault()
+        if fault:
+            raise AnswerInvalidError(fault)
+
+    async def _read_more(self) -> None:
+        while not self._unread and not self._is_ended:
+            await self._wait()
+        part = bytes(self._unread[:_READ_BYTES])
+        del self._unread[:_READ_BYTES]
+        if not self._unread:
+            self._transport.resume_reading()
+        self._progress.received_bytes += len(part)
+        # An empty part tells the parser that the peer sends no more.
+        self._parser.receive_data(part)
 
     async def _write_body(self, body: bytes) -> None:
         for start in range(0, len(body), _WRITE_BYTES):
             part = h11.Data(data=body[start : start + _WRITE_BYTES])
             self._transport.write(self._parser.send(part) or b'')
             while not self._can_write and not self.has_received:
-                await self._more()
+                await self._wait()
             if self.has_received:
                 # An early answer: the rest of the body isn't owed, and the
                 # connection can't be used again.
                 return
         self._transport.write(self._parser.send(h11.EndOfMessage()) or b'')
 
-    def _next_head(self) -> h11.Response | None:
-        while True:
-            event = self._parser.next_event()
-            if isinstance(event, h11.Response):
-                return event
-            if event is h11.NEED_DATA:
-                return None
-            if not isinstance(event, h11.InformationalResponse):
-                raise ConnectionBrokenError('no answer came')
-
-    async def _more(self) -> None:
+    async def _wait(self) -> None:
         if self._error is not None:
             raise ConnectionBrokenError(str(self._error))
         await self._wake.wait()
@@ -199,7 +233,7 @@
         self._wake.set()
 
     def _can_reuse(self) -> bool:
-        if self.is_broken or self._parser.trailing_data[0]:
+        if self.is_broken or self._unread or self._parser.trailing_data[0]:
             return False
         try:
             self._parser.start_next_cycle()
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,147 @@
+"""Backend servers that send bytes without end, or more than an answer may take."""
+
+import anyio
+import pytest
+from anyio import lowlevel
+
+from cicadadoor.entry.connections import AnswerInvalidError, connect
+from tests.utils.raw_server import serving
+from tests.utils.waiting import until
+
+HEADERS = [(b'Host', b'a')]
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+# What a stand-in sends at most; a host that takes all of it has no bound.
+_SENT_BYTES = 8_388_608
+_GIVEN_UP_WITHIN_S = 20
+
+
+def run(handler, work) -> None:
+    """Run a coroutine function with a connection to a server of the handler."""
+
+    async def main() -> None:
+        with anyio.fail_after(_GIVEN_UP_WITHIN_S):
+            async with serving(handler) as server:
+                connection = await connect(server.address, 5)
+                await work(connection)
+                connection.abort()
+
+    anyio.run(main)
+
+
+async def get(connection, method: str = 'GET'):
+    return await connection.exchange(method, b'/', HEADERS, b'')
+
+
+async def must_reject(connection) -> None:
+    with pytest.raises(AnswerInvalidError):
+        await get(connection)
+    assert connection.is_broken
+
+
+def endless(first: bytes, part: bytes):
+    """Return a handler that sends parts up to a bound and then stays open."""
+
+    async def handle(request, connection) -> None:
+        await connection.write(first)
+        for _ in range(_SENT_BYTES // len(part)):
+            await connection.write(part)
+        await connection.closed()
+
+    return handle
+
+
+async def silent(request, connection) -> None:
+    await connection.closed()
+
+
+async def exchange_given(connection, given: bytes):
+    """Return the answer to bytes that come at once, and others' turns meanwhile."""
+    answers = []
+    turns = 0
+
+    async def ask() -> None:
+        answers.append(await get(connection))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        await until(lambda: connection.has_sent)
+        connection.data_received(given)
+        while connection.is_busy:
+            turns += 1
+            await lowlevel.checkpoint()
+    return answers[0], turns
+
+
+class TestFraming:
+    """Bytes of an answer that are not of its body."""
+
+    @pytest.mark.parametrize(
+        ('first', 'part'),
+        (
+            (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 100),
+            (CHUNKED, b'1\r\na\r\n' * 1000),
+            (CHUNKED, b'1;x=' + b'y' * 8000 + b'\r\na\r\n'),
+            (CHUNKED, b'1;x=' + b'y' * 8000),
+            (CHUNKED + b'0\r\n', b'a: b\r\n' * 100),
+            (b'HTTP/1.1 200 OK\r\n', b'a: b\r\n' * 100),
+        ),
+        ids=(
+            'interim_answers',
+            'tiny_chunks',
+            'chunk_extensions',
+            'one_chunk_extension',
+            'trailers',
+            'header_lines',
+        ),
+    )
+    def test_endless_framing_is_given_up(self, first, part):
+        run(endless(first, part), must_reject)
+
+    def test_head_that_comes_in_one_piece_is_bounded_too(self):
+        async def work(connection):
+            lines = b''.join(b'a%d: b\r\n' % number for number in range(20_000))
+            head = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n' + lines + b'\r\n'
+            with pytest.raises(ExceptionGroup) as raised:
+                await exchange_given(connection, head)
+            assert raised.group_contains(AnswerInvalidError)
+
+        run(silent, work)
+
+    def test_answer_in_many_chunks_leaves_turns_to_other_requests(self):
+        async def work(connection):
+            chunk = b'40\r\n' + b'a' * 64 + b'\r\n'
+            given = CHUNKED + chunk * 3000 + b'0\r\n\r\n'
+            answer, turns = await exchange_given(connection, given)
+            assert len(answer.body) == 3000 * 64
+            assert turns >= 10
+
+        run(silent, work)
+
+    def test_transport_reads_no_more_than_the_parser_takes(self):
+        async def work(connection):
+            chunk = b'40\r\n' + b'a' * 64 + b'\r\n'
+            given = CHUNKED + chunk * 6000 + b'0\r\n\r\n'
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(get, connection)
+                await until(lambda: connection.has_sent)
+                connection.data_received(given)
+                assert not connection._transport.is_reading()
+            assert not connection.is_broken
+            assert connection._transport.is_reading()
+
+        run(silent, work)
+
+    def test_large_answer_in_chunks_is_served_whole(self):
+        async def chunked(request, connection):
+            part = b'1000\r\n' + b'a' * 4096 + b'\r\n'
+            await connection.write(CHUNKED)
+            for _ in range(2048):
+                await connection.write(part)
+            await connection.write(b'0\r\n\r\n')
+
+        async def work(connection):
+            answer = await get(connection)
+            assert answer.body == b'a' * _SENT_BYTES
+            assert not connection.is_broken
+
+        run(chunked, work)
