Give up bytes that can't become an answer as soon as that is known

Cause: a head was judged when its blank line had come, and a declared length only when that many bytes had.

Callers saw: a backend server that began with bytes of another protocol, or announced more than a host takes, and then sent little or nothing, held the request until its deadline; a repeatable one lost the time that another server needed.

Change: decisions/answer_limits judges the part of a head that has come; a declared length over the limit is refused with the head.

--- a/cicadadoor/decisions/answer_limits.py
+++ b/cicadadoor/decisions/answer_limits.py
@@ -4,6 +4,11 @@
 without end: the stream is given up after few bytes, not at the request's deadline.
 """
 
+import re
+
+_STATUS_START = b'HTTP/1.'
+_STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] [0-9]{3}( |\r?$)')
+_FOLDED = (b' ', b'\t')
 # Head, trailers and the framing of small chunks; a whole answer of the usual size.
 MAX_OVERHEAD_BYTES = 65_536
 # A long body may come in chunks of some ten bytes: so many bytes of it allow one more
@@ -36,3 +41,17 @@
         if overhead_bytes > allowed_bytes:
             return f'{overhead_bytes} bytes that are not of its body'
         return ''
+
+
+def find_head_fault(unparsed: bytes) -> str:
+    """Return why an unfinished head can't become one, or an empty text."""
+    if unparsed[: len(_STATUS_START)] != _STATUS_START[: len(unparsed)]:
+        return 'no status line'
+    first, *lines = unparsed.split(b'\n')
+    if lines and not _STATUS_LINE.match(first):
+        return 'no status line'
+    # The last line may go on.
+    for line in lines[:-1]:
+        if b':' not in line and not line.startswith(_FOLDED):
+            return 'a header line without a colon'
+    return ''
--- a/cicadadoor/entry/connections.py
+++ b/cicadadoor/entry/connections.py
@@ -6,13 +6,14 @@
 """
 
 import asyncio
+from http import HTTPStatus
 from typing import Any
 
 import anyio
 import h11
 from anyio import lowlevel
 
-from cicadadoor.decisions.answer_limits import AnswerProgress
+from cicadadoor.decisions.answer_limits import AnswerProgress, find_head_fault
 from cicadadoor.entry.messages import Headers
 from cicadadoor.sockets import KEEP_ALIVE_OPTIONS
 
@@ -26,6 +27,7 @@
 _EVENTS_A_TURN = 64
 # A longer answer is not taken into memory.
 MAX_ANSWER_BYTES = 67_108_864
+_NO_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 # Used where a server names no idle limit of its own.
 DEFAULT_IDLE_S = 4.0
 # Part of a server's idle limit after which a connection is not used any more.
@@ -61,6 +63,7 @@
         self._unread = bytearray()
         self._progress = AnswerProgress()
         self._events = 0
+        self._is_in_head = False
         self._wake = anyio.Event()
         self._can_write = True
         self._error: Exception | None = None
@@ -142,7 +145,7 @@
             raise AnswerInvalidError(str(error)) from error
         is_done = False
         try:
-            answer = await self._run(head, body)
+            answer = await self._run(method, head, body)
             is_done = True
         except h11.ProtocolError as error:
             if self.has_received:
@@ -154,25 +157,35 @@
                 self.abort()
         return answer
 
-    async def _run(self, head: bytes, body: bytes) -> RawAnswer:
+    async def _run(self, method: str, head: bytes, body: bytes) -> RawAnswer:
         if self.is_broken:
             raise ConnectionBrokenError('closed before the request')
         self.has_sent = True
         self._transport.write(head)
         await self._write_body(body)
         answer = await self._read_head()
+        self._check_length(method, answer)
         content = await self._read_body()
         headers = [(bytes(name), bytes(text)) for name, text in answer.headers]
         return RawAnswer(answer.status_code, headers, content)
 
     async def _read_head(self) -> h11.Response:
+        self._is_in_head = True
         while not isinstance(event := await self._next_event(), h11.Response):
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionBrokenError('no answer came')
             self._progress.note_interim()
             self._check()
+        self._is_in_head = False
         return event
 
+    def _check_length(self, method: str, answer: h11.Response) -> None:
+        if method == 'HEAD' or answer.status_code in _NO_BODY:
+            return
+        for name, text in answer.headers:
+            if name == b'content-length' and int(text) > MAX_ANSWER_BYTES:
+                raise AnswerInvalidError(f'the answer is too long: {int(text)} bytes')
+
     async def _read_body(self) -> bytes:
         # One piece of memory: small chunks as objects of their own take many times
         # their length.
@@ -197,6 +210,8 @@
 
     def _check(self) -> None:
         fault = self._progress.find_fault()
+        if self._is_in_head and not fault:
+            fault = find_head_fault(self._parser.trailing_data[0])
         if fault:
             raise AnswerInvalidError(fault)
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -145,3 +145,49 @@
             assert not connection.is_broken
 
         run(chunked, work)
+
+
+class TestEarly:
+    """Bytes that are known to be no answer before they end."""
+
+    @pytest.mark.parametrize(
+        'content',
+        (
+            b'SSH-2.0',
+            b'HTTP/2',
+            b'HTTP/1.1 OK\r\n',
+            b'HTTP/1.1 200 OK\r\nno header line\r\n',
+            b'HTTP/1.1 200 OK\r\nContent-Length: 99999999999999\r\n\r\nab',
+            b'HTTP/1.1 102 Processing\r\n\r\nSSH-2.0',
+        ),
+    )
+    def test_bytes_that_can_not_become_an_answer_are_given_up_at_once(self, content):
+        async def stalled(request, connection):
+            await connection.write(content)
+            await connection.closed()
+
+        run(stalled, must_reject)
+
+    def test_head_that_comes_byte_by_byte_is_an_answer(self):
+        async def slow(request, connection):
+            head = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: b\r\n c\r\n\r\n'
+            for byte in head:
+                await connection.write(bytes((byte,)))
+                await anyio.sleep(0.001)
+            await connection.write(b'ab')
+
+        async def work(connection):
+            assert (await get(connection)).body == b'ab'
+
+        run(slow, work)
+
+    def test_length_of_an_answer_without_a_body_is_not_taken_for_one(self):
+        async def head_only(request, connection):
+            await connection.write(
+                b'HTTP/1.1 200 OK\r\nContent-Length: 99999999999999\r\n\r\n'
+            )
+
+        async def work(connection):
+            assert (await get(connection, 'HEAD')).body == b''
+
+        run(head_only, work)
