Judge an answer by its head, before its body has come

Cause: whose answer it is, and whether the server says that it did not run the request, stands in the head; both were looked at only once the body was whole.

Callers saw: bytes that were known to be no answer to the request held it until the time of its route, while they filled memory; a refusal behind which the body never came was told as a time-out that may have run, although the server had said that it did not run.

Evidence, tests/test_entry_requests.py, before the change: test_head_that_decides_is_not_kept_waiting_by_its_body[unsigned_open, shed_open] assert answer.json() == {'error': error, 'run': statement} -> AssertionError, 2 failed After it: 81 passed with test_endless_answers and test_entry_connections.

Ruled out: closing the connection behind every refusal. Shedding servers accept few connections, so the rest of a short body is taken for 0.1 s and the connection is kept.

Change: the connection asks the forwarder with the head whether the body is wanted.

--- a/cicadadoor/entry/connections.py
+++ b/cicadadoor/entry/connections.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+from collections.abc import Callable
+from contextlib import suppress
 from http import HTTPStatus
 from typing import Any
 
@@ -27,6 +29,9 @@
 _EVENTS_A_TURN = 64
 # A longer answer is not taken into memory.
 MAX_ANSWER_BYTES = 67_108_864
+# The body of an answer that is not passed on: a round trip between regions and more.
+_SKIP_S = 0.1
+_SKIP_BYTES = 65_536
 _NO_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 # Used where a server names no idle limit of its own.
 DEFAULT_IDLE_S = 4.0
@@ -42,6 +47,13 @@
     """Raise when what came is not an answer in the protocol."""
 
 
+WantsBody = Callable[[int, Headers], bool]
+
+
+def _always(status: int, headers: Headers) -> bool:
+    return True
+
+
 class RawAnswer:
     """Hold status, headers and the whole body of an answer."""
 
@@ -128,10 +140,12 @@
         target: bytes,
         headers: Headers,
         body: bytes,
+        wants_body: WantsBody = _always,
     ) -> RawAnswer:
         """Send a request and return the whole answer.
 
-        The connection is closed if it can't carry another request after it.
+        An answer whose body is not wanted is returned without it. The connection is
+        closed if it can't carry another request after the answer.
         """
         self.is_busy = True
         self.has_sent = False
@@ -145,7 +159,7 @@
             raise AnswerInvalidError(str(error)) from error
         is_done = False
         try:
-            answer = await self._run(method, head, body)
+            answer = await self._run(method, head, body, wants_body)
             is_done = True
         except h11.ProtocolError as error:
             if self.has_received:
@@ -157,18 +171,29 @@
                 self.abort()
         return answer
 
-    async def _run(self, method: str, head: bytes, body: bytes) -> RawAnswer:
+    async def _run(
+        self, method: str, head: bytes, body: bytes, wants_body: WantsBody
+    ) -> RawAnswer:
         if self.is_broken:
             raise ConnectionBrokenError('closed before the request')
         self.has_sent = True
         self._transport.write(head)
         await self._write_body(body)
         answer = await self._read_head()
-        self._check_length(method, answer)
-        content = await self._read_body()
         headers = [(bytes(name), bytes(text)) for name, text in answer.headers]
+        if not wants_body(answer.status_code, headers):
+            await self._skip_body()
+            return RawAnswer(answer.status_code, headers, b'')
+        _check_length(method, answer)
+        content = await self._read_body(MAX_ANSWER_BYTES)
         return RawAnswer(answer.status_code, headers, content)
 
+    async def _skip_body(self) -> None:
+        # The head says all; the connection is kept if the rest comes soon.
+        with suppress(h11.ProtocolError, AnswerInvalidError, ConnectionBrokenError):
+            with anyio.move_on_after(_SKIP_S):
+                await self._read_body(_SKIP_BYTES)
+
     async def _read_head(self) -> h11.Response:
         self._is_in_head = True
         while not isinstance(event := await self._next_event(), h11.Response):
@@ -179,14 +204,7 @@
         self._is_in_head = False
         return event
 
-    def _check_length(self, method: str, answer: h11.Response) -> None:
-        if method == 'HEAD' or answer.status_code in _NO_BODY:
-            return
-        for name, text in answer.headers:
-            if name == b'content-length' and int(text) > MAX_ANSWER_BYTES:
-                raise AnswerInvalidError(f'the answer is too long: {int(text)} bytes')
-
-    async def _read_body(self) -> bytes:
+    async def _read_body(self, limit_bytes: int) -> bytes:
         # One piece of memory: small chunks as objects of their own take many times
         # their length.
         body = bytearray()
@@ -195,7 +213,7 @@
                 raise AnswerInvalidError('the answer did not end')
             body += event.data
             self._progress.body_bytes = len(body)
-            if len(body) > MAX_ANSWER_BYTES:
+            if len(body) > limit_bytes:
                 raise AnswerInvalidError('the answer is too long')
         return bytes(body)
 
@@ -258,6 +276,14 @@
         return True
 
 
+def _check_length(method: str, answer: h11.Response) -> None:
+    if method == 'HEAD' or answer.status_code in _NO_BODY:
+        return
+    for name, text in answer.headers:
+        if name == b'content-length' and int(text) > MAX_ANSWER_BYTES:
+            raise AnswerInvalidError(f'the answer is too long: {int(text)} bytes')
+
+
 class _Idle:
     __slots__ = ('connection', 'until_s')
 
--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -122,7 +122,8 @@
         if left_s <= 0:
             self._give_back(backend, connection, None)
             return Failure(ErrorKind.DEADLINE_PASSED, 'no time was left to send')
-        raw = await self._exchange(outgoing, backend, connection, timeout_s)
+        verdict = _HeadVerdict(outgoing.request, backend, self._dialect)
+        raw = await self._exchange(outgoing, verdict, connection, timeout_s)
         if isinstance(raw, Failure):
             # A reset ends one connection; the next one tells whether the server lives.
             if raw.kind is ErrorKind.ANSWER_TIMED_OUT:
@@ -130,7 +131,7 @@
             elif raw.kind is ErrorKind.ANSWER_INVALID:
                 self._note_answer(backend, is_bad=True)
             return raw
-        return self._judge(outgoing, backend, connection, raw)
+        return self._judge(verdict, connection, raw)
 
     async def _open(self, backend: Backend, timeout_s: float) -> BackendConnection:
         kept = self._pool.take(backend.pool_key, self._timer.now_s())
@@ -143,11 +144,12 @@
     async def _exchange(
         self,
         outgoing: Outgoing,
-        backend: Backend,
+        verdict: '_HeadVerdict',
         connection: BackendConnection,
         timeout_s: float,
     ) -> RawAnswer | Failure:
         request = outgoing.request
+        backend = verdict.backend
         left_s = outgoing.deadline_s - self._timer.now_s()
         headers = self._dialect.backend_headers(
             request,
@@ -164,6 +166,7 @@
                     request.target,
                     headers,
                     outgoing.body,
+                    verdict.wants_body,
                 )
         except TimeoutError:
             return Failure(
@@ -199,14 +202,12 @@
 
     def _judge(
         self,
-        outgoing: Outgoing,
-        backend: Backend,
+        verdict: '_HeadVerdict',
         connection: BackendConnection,
         raw: RawAnswer,
     ) -> BackendAnswer | Failure:
         now_s = self._timer.now_s()
-        head = self._dialect.read_answer(raw.status, raw.headers)
-        fault = _find_fault(outgoing.request, head, backend)
+        backend, head, fault = verdict.backend, verdict.head, verdict.fault
         is_foreign = fault is not None and fault.kind is ErrorKind.ANSWER_INVALID
         if is_foreign or head.is_last:
             connection.abort()
@@ -244,6 +245,30 @@
         self._pool.prune(self._backends.pool_keys(), self._timer.now_s())
 
 
+class _HeadVerdict:
+    """Judge an answer by its head, before its body has come."""
+
+    __slots__ = ('_dialect', '_request', 'backend', 'fault', 'head')
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        backend: Backend,
+        dialect: Dialect,
+    ) -> None:
+        self._request = request
+        self._dialect = dialect
+        self.backend = backend
+        self.head: AnswerHead
+        self.fault: Failure | None = None
+
+    def wants_body(self, status: int, headers: Headers) -> bool:
+        """Tell whether the answer will be passed on."""
+        self.head = self._dialect.read_answer(status, headers)
+        self.fault = _find_fault(self._request, self.head, self.backend)
+        return self.fault is None
+
+
 def _find_fault(
     request: CallerRequest,
     head: AnswerHead,
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -111,6 +111,23 @@
 
         run_deployed(work, workers=2)
 
+    @pytest.mark.parametrize(
+        ('trouble', 'error', 'statement'),
+        (
+            ('unsigned_open', 'answer_invalid', 'unknown'),
+            ('shed_open', 'backend_shed', 'no'),
+        ),
+    )
+    def test_head_that_decides_is_not_kept_waiting_by_its_body(
+        self, trouble, error, statement
+    ):
+        async def work(deployment):
+            deployment.workers['i-0'].script = [trouble]
+            answer = await deployment.call('/book/1', method='POST', deadline_ms=60_000)
+            assert answer.json() == {'error': error, 'run': statement}
+
+        run_deployed(work)
+
     def test_request_that_a_worker_shed_is_sent_to_another(self):
         async def work(deployment):
             for worker in deployment.workers.values():
--- a/tests/utils/entry_hosts.py
+++ b/tests/utils/entry_hosts.py
@@ -22,6 +22,9 @@
     'short': (
         b'HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 99\r\n\r\nab'
     ),
+    # Heads of others' answers, and of a refusal, whose bodies never end.
+    'unsigned_open': b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nab',
+    'shed_open': (b'HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 99\r\n\r\nab'),
     'noise': b'\x16\x03\x01 no answer in the protocol\r\n\r\n',
 }
 
@@ -74,6 +77,8 @@
             await connection.answer(200, {}, body)
         elif trouble in _BROKEN:
             await connection.write(_BROKEN[trouble])
+            if trouble.endswith('_open'):
+                await connection.closed()
             connection.close()
         else:
             await connection.answer(200, head, body)
