Bound the memory of all unfinished answers of a host together

Cause: each answer may take 64 MB, and nothing counted them together. A host has 300 MB.

Callers saw: a few backend servers that send without end at once would end the process, and with it every request on the host. (Shown by bytes taken, not by a process that died.)

Ruled out: a smaller limit for each answer, which would refuse legitimate ones also when the host has room.

Change: decisions/answer_budget counts what unfinished answers hold; the largest is given up as ANSWER_INVALID, which says that the request may have run and lets a repeatable one go elsewhere. Reading moves from connections to answer_reader, the pool to connection_pool.

--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -5,16 +5,16 @@
 
 import anyio
 
-from cicadadoor.entry.backend_table import Backend
-from cicadadoor.entry.backends import Backends
-from cicadadoor.entry.connections import (
+from cicadadoor.decisions.answer_budget import AnswerBudget
+from cicadadoor.entry.answer_reader import (
+    UNFINISHED_BYTES,
     AnswerInvalidError,
-    BackendConnection,
     ConnectionBrokenError,
-    ConnectionPool,
-    RawAnswer,
-    connect,
 )
+from cicadadoor.entry.backend_table import Backend
+from cicadadoor.entry.backends import Backends
+from cicadadoor.entry.connection_pool import ConnectionPool
+from cicadadoor.entry.connections import BackendConnection, RawAnswer, connect
 from cicadadoor.entry.messages import AnswerHead, BackendAnswer, CallerRequest, Headers
 from cicadadoor.errors import ErrorKind, Failure, Run
 from cicadadoor.kernel import Kernel, Service
@@ -90,6 +90,7 @@
         self._timer: TimerService
         self._backends: Backends
         self._pool = ConnectionPool()
+        self._budget = AnswerBudget(UNFINISHED_BYTES)
 
     async def start(self, kernel: Kernel) -> None:
         """Close connections that have been idle for too long, from time to time."""
@@ -137,7 +138,7 @@
         kept = self._pool.take(backend.pool_key, self._timer.now_s())
         if kept is not None:
             return kept
-        connection = await connect(backend.record.address, timeout_s)
+        connection = await connect(backend.record.address, timeout_s, self._budget)
         metrics.BACKEND_CONNECTIONS.inc()
         return connection
 
--- /dev/null
+++ b/tests/test_answer_budget.py
@@ -0,0 +1,49 @@
+"""The memory of unfinished answers."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cicadadoor.decisions.answer_budget import AnswerBudget
+
+_LIMIT_BYTES = 100
+
+
+class TestBudget:
+    """Which answer is given up when the budget is full."""
+
+    def test_answers_within_the_limit_are_all_kept(self):
+        budget = AnswerBudget(_LIMIT_BYTES)
+        assert budget.take('a', 60) is None
+        assert budget.take('b', 40) is None
+
+    def test_largest_answer_is_given_up_for_a_small_one(self):
+        budget = AnswerBudget(_LIMIT_BYTES)
+        budget.take('endless', 90)
+        budget.take('small', 5)
+        assert budget.take('small', 6) == 'endless'
+        assert budget.held_bytes == 11
+
+    def test_answer_that_is_the_largest_itself_is_given_up(self):
+        budget = AnswerBudget(_LIMIT_BYTES)
+        budget.take('small', 5)
+        assert budget.take('endless', 96) == 'endless'
+
+    def test_released_bytes_can_be_taken_again(self):
+        budget = AnswerBudget(_LIMIT_BYTES)
+        budget.take('a', 100)
+        budget.release('a')
+        budget.release('a')
+        assert budget.take('b', 100) is None
+
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 9), st.integers(1, 99), st.booleans()),
+        )
+    )
+    def test_limit_holds_after_every_step(self, steps):
+        budget = AnswerBudget(_LIMIT_BYTES)
+        for holder, size_bytes, is_done in steps:
+            budget.take(holder, size_bytes)
+            assert 0 <= budget.held_bytes <= _LIMIT_BYTES
+            if is_done:
+                budget.release(holder)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -4,7 +4,9 @@
 import pytest
 from anyio import lowlevel
 
-from cicadadoor.entry.connections import AnswerInvalidError, connect
+from cicadadoor.decisions.answer_budget import AnswerBudget
+from cicadadoor.entry.answer_reader import AnswerInvalidError
+from cicadadoor.entry.connections import connect
 from tests.utils.raw_server import serving
 from tests.utils.waiting import until
 
@@ -191,3 +193,67 @@
             assert (await get(connection, 'HEAD')).body == b''
 
         run(head_only, work)
+
+
+class TestMemory:
+    """Several answers without end at once."""
+
+    def test_endless_answers_are_given_up_and_a_small_one_is_served(self):
+        limit_bytes = 4_194_304
+        endless_chunks = endless(CHUNKED, b'1000\r\n' + b'a' * 4096 + b'\r\n')
+
+        async def handle(request, connection) -> None:
+            if request.target == '/small':
+                await connection.write(b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n')
+                await until(lambda: len(given_up) == 4)
+                await connection.write(b'abcd')
+                return
+            await endless_chunks(request, connection)
+
+        given_up = []
+
+        async def ask_endless(connection) -> None:
+            await must_reject(connection)
+            given_up.append(connection)
+
+        async def main() -> None:
+            budget = AnswerBudget(limit_bytes)
+            with anyio.fail_after(_GIVEN_UP_WITHIN_S):
+                async with serving(handle) as server:
+                    small = await connect(server.address, 5, budget)
+                    async with anyio.create_task_group() as tasks:
+                        for _ in range(4):
+                            connection = await connect(server.address, 5, budget)
+                            tasks.start_soon(ask_endless, connection)
+                        answer = await small.exchange('GET', b'/small', HEADERS, b'')
+                    assert answer.body == b'abcd'
+                    assert budget.held_bytes == 0
+                    small.abort()
+
+        anyio.run(main)
+
+    def test_answer_that_stalls_is_given_up_for_one_that_goes_on(self):
+        sent = anyio.Event()
+        goes_on = endless(CHUNKED, b'1000\r\n' + b'a' * 4096 + b'\r\n')
+
+        async def handle(request, connection) -> None:
+            if request.target == '/goes_on':
+                await sent.wait()
+                await goes_on(request, connection)
+                return
+            await connection.write(CHUNKED + b'300000\r\n' + b'a' * 3_145_728)
+            sent.set()
+            await connection.closed()
+
+        async def main() -> None:
+            budget = AnswerBudget(4_194_304)
+            with anyio.fail_after(_GIVEN_UP_WITHIN_S):
+                async with serving(handle) as server:
+                    stalled = await connect(server.address, 5, budget)
+                    other = await connect(server.address, 5, budget)
+                    async with anyio.create_task_group() as tasks:
+                        tasks.start_soon(must_reject, stalled)
+                        with pytest.raises(AnswerInvalidError):
+                            await other.exchange('GET', b'/goes_on', HEADERS, b'')
+
+        anyio.run(main)
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -3,12 +3,9 @@
 import anyio
 import pytest
 
-from cicadadoor.entry.connections import (
-    AnswerInvalidError,
-    ConnectionBrokenError,
-    ConnectionPool,
-    connect,
-)
+from cicadadoor.entry.answer_reader import AnswerInvalidError, ConnectionBrokenError
+from cicadadoor.entry.connection_pool import ConnectionPool
+from cicadadoor.entry.connections import connect
 from tests.utils.raw_server import serving
 from tests.utils.waiting import until
 
