Don't wait for a backend server that ended while a body is written

Cause: the end of the connection was looked at only by who reads; a writer waited for room in the transport, which a peer that no longer reads never gives.

Callers saw: a long request waited until the deadline for a server that had ended.

Evidence: tests/test_entry_connections.py test_server_that_ends_without_reading_the_body_is_not_waited_for, before the change: TimeoutError. After it: 40 passed with test_endless_answers.

Ruled out: a server that closes with unread bytes; that resets the connection, which the writer saw before.

Change: the end of the stream ends the writing, like an early answer.

--- a/cicadadoor/entry/connections.py
+++ b/cicadadoor/entry/connections.py
@@ -164,14 +164,18 @@
         for start in range(0, len(body), _WRITE_BYTES):
             part = h11.Data(data=body[start : start + _WRITE_BYTES])
             self._transport.write(self._parser.send(part) or b'')
-            while not self._can_write and not self.has_received:
+            while not self._can_write and not self._is_answered:
                 await self._wait()
-            if self.has_received:
-                # An early answer: the rest of the body isn't owed, and the
+            if self._is_answered:
+                # An early answer, or none: the rest of the body isn't owed, and the
                 # connection can't be used again.
                 return
         self._transport.write(self._parser.send(h11.EndOfMessage()) or b'')
 
+    @property
+    def _is_answered(self) -> bool:
+        return self.has_received or self._reader.is_ended
+
     async def _wait(self) -> None:
         if self._reader.fault:
             raise AnswerInvalidError(self._reader.fault)
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -1,5 +1,7 @@
 """Connections to backend servers, well-behaved and not."""
 
+import asyncio
+
 import anyio
 import pytest
 
@@ -149,6 +151,27 @@
 
         run(silent, work)
 
+    def test_server_that_ends_without_reading_the_body_is_not_waited_for(self):
+        async def main() -> None:
+            gone = anyio.Event()
+
+            async def end_at_once(reader, writer) -> None:
+                writer.write_eof()
+                await gone.wait()
+                writer.close()
+
+            listener = await asyncio.start_server(end_at_once, '127.0.0.1', 0)
+            port = listener.sockets[0].getsockname()[1]
+            with anyio.fail_after(20):
+                connection = await connect(f'127.0.0.1:{port}', 5)
+                with pytest.raises(ConnectionBrokenError):
+                    await get(connection, 'POST', b'a' * 33_554_432)
+                assert connection.is_broken
+            gone.set()
+            listener.close()
+
+        anyio.run(main)
+
     def test_cancelled_exchange_closes_the_connection(self):
         gone = anyio.Event()
 
