--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -5,16 +5,16 @@
 
 import anyio
 
-from cicadadoor.entry.backend_table import Backend
-from cicadadoor.entry.backends import Backends
-from cicadadoor.entry.connections import (
+from cicadadoor.decisions.answer_budget import AnswerBudget
+from cicadadoor.entry.answer_reader import (
+    UNFINISHED_BYTES,
     AnswerInvalidError,
-    BackendConnection,
     ConnectionBrokenError,
-    ConnectionPool,
-    RawAnswer,
-    connect,
 )
+from cicadadoor.entry.backend_table import Backend
+from cicadadoor.entry.backends import Backends
+from cicadadoor.entry.connection_pool import ConnectionPool
+from cicadadoor.entry.connections import BackendConnection, RawAnswer, connect
 from cicadadoor.entry.messages import AnswerHead, BackendAnswer, CallerRequest, Headers
 from cicadadoor.errors import ErrorKind, Failure, Run
 from cicadadoor.kernel import Kernel, Service
@@ -90,6 +90,7 @@
         self._timer: TimerService
         self._backends: Backends
         self._pool = ConnectionPool()
+        self._budget = AnswerBudget(UNFINISHED_BYTES)
 
     async def start(self, kernel: Kernel) -> None:
         """Close connections that have been idle for too long, from time to time."""
@@ -122,30 +123,34 @@
         if left_s <= 0:
             self._give_back(backend, connection, None)
             return Failure(ErrorKind.DEADLINE_PASSED, 'no time was left to send')
-        raw = await self._exchange(outgoing, backend, connection, timeout_s)
+        verdict = _HeadVerdict(outgoing.request, backend, self._dialect)
+        raw = await self._exchange(outgoing, verdict, connection, timeout_s)
         if isinstance(raw, Failure):
             # A reset ends one connection; the next one tells whether the server lives.
             if raw.kind is ErrorKind.ANSWER_TIMED_OUT:
                 backend.health.note_unreachable(self._timer.now_s(), sent_s)
+            elif raw.kind is ErrorKind.ANSWER_INVALID:
+                self._note_answer(backend, is_bad=True)
             return raw
-        return self._judge(outgoing, backend, connection, raw)
+        return self._judge(verdict, connection, raw)
 
     async def _open(self, backend: Backend, timeout_s: float) -> BackendConnection:
         kept = self._pool.take(backend.pool_key, self._timer.now_s())
         if kept is not None:
             return kept
-        connection = await connect(backend.record.address, timeout_s)
+        connection = await connect(backend.record.address, timeout_s, self._budget)
         metrics.BACKEND_CONNECTIONS.inc()
         return connection
 
     async def _exchange(
         self,
         outgoing: Outgoing,
-        backend: Backend,
+        verdict: '_HeadVerdict',
         connection: BackendConnection,
         timeout_s: float,
     ) -> RawAnswer | Failure:
         request = outgoing.request
+        backend = verdict.backend
         left_s = outgoing.deadline_s - self._timer.now_s()
         headers = self._dialect.backend_headers(
             request,
@@ -162,6 +167,7 @@
                     request.target,
                     headers,
                     outgoing.body,
+                    verdict.wants_body,
                 )
         except TimeoutError:
             return Failure(
@@ -197,14 +203,12 @@
 
     def _judge(
         self,
-        outgoing: Outgoing,
-        backend: Backend,
+        verdict: '_HeadVerdict',
         connection: BackendConnection,
         raw: RawAnswer,
     ) -> BackendAnswer | Failure:
         now_s = self._timer.now_s()
-        head = self._dialect.read_answer(raw.status, raw.headers)
-        fault = _find_fault(outgoing.request, head, backend)
+        backend, head, fault = verdict.backend, verdict.head, verdict.fault
         is_foreign = fault is not None and fault.kind is ErrorKind.ANSWER_INVALID
         if is_foreign or head.is_last:
             connection.abort()
@@ -213,15 +217,18 @@
         if fault is not None and fault.kind is ErrorKind.BACKEND_MOVED:
             backend.health.note_unreachable(now_s, now_s)
             return fault
-        if backend.health.was_refused:
-            self._backends.note_return(backend)
-        backend.health.note_answer(
-            now_s,
+        self._note_answer(
+            backend,
             is_bad=is_foreign or raw.status in _SERVER_FAULTS,
         )
         backend.note_load(head.load, now_s)
         return fault or BackendAnswer(head, raw.body)
 
+    def _note_answer(self, backend: Backend, *, is_bad: bool) -> None:
+        if backend.health.was_refused:
+            self._backends.note_return(backend)
+        backend.health.note_answer(self._timer.now_s(), is_bad=is_bad)
+
     def _give_back(
         self,
         backend: Backend,
@@ -239,6 +246,30 @@
         self._pool.prune(self._backends.pool_keys(), self._timer.now_s())
 
 
+class _HeadVerdict:
+    """Judge an answer by its head, before its body has come."""
+
+    __slots__ = ('_dialect', '_request', 'backend', 'fault', 'head')
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        backend: Backend,
+        dialect: Dialect,
+    ) -> None:
+        self._request = request
+        self._dialect = dialect
+        self.backend = backend
+        self.head: AnswerHead
+        self.fault: Failure | None = None
+
+    def wants_body(self, status: int, headers: Headers) -> bool:
+        """Tell whether the answer will be passed on."""
+        self.head = self._dialect.read_answer(status, headers)
+        self.fault = _find_fault(self._request, self.head, self.backend)
+        return self.fault is None
+
+
 def _find_fault(
     request: CallerRequest,
     head: AnswerHead,
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -111,6 +111,23 @@
 
         run_deployed(work, workers=2)
 
+    @pytest.mark.parametrize(
+        ('trouble', 'error', 'statement'),
+        (
+            ('unsigned_open', 'answer_invalid', 'unknown'),
+            ('shed_open', 'backend_shed', 'no'),
+        ),
+    )
+    def test_head_that_decides_is_not_kept_waiting_by_its_body(
+        self, trouble, error, statement
+    ):
+        async def work(deployment):
+            deployment.workers['i-0'].script = [trouble]
+            answer = await deployment.call('/book/1', method='POST', deadline_ms=60_000)
+            assert answer.json() == {'error': error, 'run': statement}
+
+        run_deployed(work)
+
     def test_request_that_a_worker_shed_is_sent_to_another(self):
         async def work(deployment):
             for worker in deployment.workers.values():
@@ -161,6 +178,24 @@
         run_deployed(work, workers=3)
 
 
+class TestHealth:
+    """What a host notes of servers that answer badly."""
+
+    @pytest.mark.parametrize('trouble', ('foreign', 'noise', 'short'))
+    def test_server_whose_bytes_are_no_answer_becomes_doubtful(self, trouble):
+        async def work(deployment):
+            deployment.workers['i-0'].script = [trouble, trouble]
+            for _ in range(2):
+                answer = await deployment.call('/book/1', method='POST')
+                assert answer.status_code == 502
+                assert answer.json()['run'] == 'unknown'
+            backend = deployment.find('backends').find('i-0')
+            now_s = deployment.find('timer').now_s()
+            assert backend.health.is_doubtful(now_s)
+
+        run_deployed(work)
+
+
 class TestTime:
     """Time-outs and callers that leave."""
 
