Answer truly to requests that the end of a gate's stop cuts

The same cause as at entry hosts: a gate that ends while a request is in flight left the answer to the HTTP library, which answers 500 without a statement on run. Change: the gate ends the work itself, and answers 504 with run unknown, or 503 with run no while the request's body was still coming. test_request_cut_by_the_stop_is_told_that_it_may_have_run (over the daemons, at the deadline of the stop) failed before ('assert 500 == 504') and passes, with the other 7 of test_graceful_stop (8 passed in 111 s).

--- a/cicadadoor/gate/app.py
+++ b/cicadadoor/gate/app.py
@@ -12,10 +12,12 @@
 from cicadadoor.gate.lookup import Lookup
 from cicadadoor.gate.paths import path_at_service
 from cicadadoor.gate.pipeline import Pipeline, RawRequest
+from cicadadoor.gate.request import SteeredAnswer
 from cicadadoor.gate.state import GateState
 from cicadadoor.http_server import (
     JSON_HEADER,
     HttpServer,
+    OpenRequests,
     Receive,
     Scope,
     Send,
@@ -58,7 +60,7 @@
         self._pipeline: Pipeline
         self._timer: TimerService
         self._server: HttpServer
-        self._open_requests = 0
+        self._open = OpenRequests()
 
     async def start(self, kernel: Kernel) -> None:
         """Listen at the callers' address."""
@@ -78,10 +80,11 @@
 
     def work_left(self) -> int:
         """Return how many requests have no whole answer yet."""
-        return self._open_requests
+        return len(self._open)
 
     async def stop(self, grace_s: float) -> None:
-        """Stop listening and end the connections."""
+        """Answer what is left, stop listening and end the connections."""
+        await self._open.cut()
         await self._server.close()
 
     async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -91,13 +94,9 @@
             return
         if scope['type'] != 'http':
             return
-        self._open_requests += 1
-        try:
-            await self._answer(
-                scope, receive, closing_send(send, lambda: self._state.is_stopping)
-            )
-        finally:
-            self._open_requests -= 1
+        closing = closing_send(send, lambda: self._state.is_stopping)
+        with self._open.counted():
+            await self._answer(scope, receive, closing)
 
     async def _answer(self, scope: Scope, receive: Receive, send: Send) -> None:
         path: str = scope['path']
@@ -137,7 +136,11 @@
         if isinstance(headers, Failure):
             await self._send_failure(send, headers)
             return
-        body = await _read_body(headers, receive)
+        body: bytes | Failure = Failure(
+            ErrorKind.DRAINING, 'this host ended before the request was whole'
+        )
+        with self._open.cuttable():
+            body = await _read_body(headers, receive)
         if isinstance(body, Failure):
             await self._send_failure(send, body)
             return
@@ -169,7 +172,11 @@
     ) -> None:
         with tracing.hop('gate', headers) as span:
             span.set_attribute('service', raw.service)
-            answer = await self._pipeline.handle(raw)
+            answer: SteeredAnswer | Failure = Failure(
+                ErrorKind.CUT_BY_STOP, 'this host ended before the request was answered'
+            )
+            with self._open.cuttable():
+                answer = await self._pipeline.handle(raw)
             outcome = answer.kind.value if isinstance(answer, Failure) else 'answered'
             span.set_attribute('outcome', outcome)
         metrics.REQUESTS.labels(
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -122,6 +122,25 @@
         assert 'departure=1' in host.gate.log_text()
         slow.join()
 
+    def test_request_cut_by_the_stop_is_told_that_it_may_have_run(self, cluster):
+        """A caller that is told 500 can't tell a fault of the host from its end."""
+        host = cluster.hosts[HOST]
+        set_faults(cluster.backends['kb-muenchen-1'].url, work_ms=60_000)
+        answers = []
+
+        def enrol() -> None:
+            answers.append(_enrol_slowly(cluster, host, 0))
+
+        slow = threading.Thread(target=enrol)
+        slow.start()
+        wait_until(lambda: _enrolments(cluster), 'the request runs')
+        host.gate.send(15)
+        assert host.gate.wait() == ExitStatus.STOPPED_WITH_WORK_LEFT
+        slow.join()
+        assert answers[0].status_code == 504
+        assert answers[0].headers['x-cicadadoor-run'] == 'unknown'
+        assert answers[0].json()['error'] == 'cut_by_stop'
+
 
 class Callers:
     """Enrol from several threads, each with its own kept-alive connections."""
@@ -238,11 +257,11 @@
     return [entry['url'] for entry in found['hosts']]
 
 
-def _enrol_slowly(cluster, host, work_ms) -> None:
+def _enrol_slowly(cluster, host, work_ms) -> httpx.Response | None:
     headers = {'x-api-key': cluster.key, 'x-work-ms': str(work_ms)}
     url = f'{host.callers_url}/s/kursbuchung/enrol/slow'
     try:
-        httpx.post(url, headers=headers, timeout=60)
+        return httpx.post(url, headers=headers, timeout=60)
     except httpx.HTTPError:
         # The test that cuts the request off asserts on the exit code and the log.
-        return
+        return None
