Log faults outside of a request's attempts, and say that it did not run

What callers saw: 500 without a statement on run; on call nothing at all, since the HTTP library keeps the errors of its handlers to itself here. Cause: only the attempts of a request were guarded; its admission, its reading and the platform's own calls were not. Change: a fault of the admission is logged with the request's id and answered with run no; any other one is logged with the path before the library answers. test_fault_outside_of_the_attempts_is_logged_with_the_request failed before and passes.

--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -108,6 +108,14 @@
 
     async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one HTTP request."""
+        try:
+            await self._handle(scope, receive, send)
+        except Exception:
+            # The HTTP library answers 500, and keeps the error to itself.
+            log.exception('request_fault', path=scope.get('path'))
+            raise
+
+    async def _handle(self, scope: Scope, receive: Receive, send: Send) -> None:
         if scope['type'] == 'lifespan':
             await answer_lifespan(receive, send)
         elif scope['type'] == 'http' and scope['server'][1] == self._callers_port:
@@ -172,7 +180,7 @@
         send: Send,
         caller: anyio.CancelScope,
     ) -> None:
-        steered = self._admission.admit(request, body, received_s)
+        steered = self._admit(request, body, received_s)
         answer: BackendAnswer | Failure
         outcome, detail = '', ''
         try:
@@ -194,6 +202,18 @@
                 outcome, detail = 'left', 'the caller left'
             self._record(request, steered, outcome or 'unanswered', detail, received_s)
 
+    def _admit(
+        self,
+        request: CallerRequest,
+        body: bytes,
+        received_s: float,
+    ) -> Steered | Failure:
+        try:
+            return self._admission.admit(request, body, received_s)
+        except Exception:
+            log.exception('request_fault', request_id=request.request_id)
+            return Failure(ErrorKind.INTERNAL, 'the host has a fault', run=Run.NO)
+
     async def _run(self, steered: Steered) -> BackendAnswer | Failure:
         try:
             with self._open.cuttable():
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -129,3 +129,25 @@
             assert (await deployment.call('/look/1')).status_code == 200
 
         run_deployed(work)
+
+    def test_fault_outside_of_the_attempts_is_logged_with_the_request(
+        self, monkeypatch
+    ):
+        """The HTTP library answers 500 and keeps the error to itself."""
+
+        async def work(deployment):
+            def fail(*arguments) -> None:
+                raise RuntimeError('the admission has a fault')
+
+            with monkeypatch.context() as patch:
+                patch.setattr(deployment.find('admission'), 'admit', fail)
+                answer = await deployment.call('/look/1')
+            assert answer.status_code == 500
+            assert answer.json()['run'] == 'no'
+
+        with captured_logs() as lines:
+            run_deployed(work)
+        faults = [line for line in lines if 'event=request_fault' in line]
+        assert len(faults) == 1
+        assert 'request_id=attempt-1' in faults[0]
+        assert 'the admission has a fault' in faults[0]
