Beat whatever one part of the beats can't do

Change: a part that fails is logged as 'beat_part_failed', and the beat goes out without it. test_fault_of_one_part_of_the_beats_does_not_silence_the_host failed before (no beat in 15 s, 'timer_callback_failed callback=beat' in each tick) and passes.

--- a/cicadadoor/entry/membership.py
+++ b/cicadadoor/entry/membership.py
@@ -1,7 +1,9 @@
 """Hear other hosts, and tell them what this one knows."""
 
 import socket
+from collections.abc import Callable
 from contextlib import suppress
+from typing import Any
 
 import anyio
 import msgspec
@@ -144,7 +146,7 @@
         now_s = self._timer.now_s()
         beats = self.live_beats()
         for part in self._parts:
-            part.compare(beats)
+            _tell(part.compare, beats)
         elapsed_s = now_s - self._last_beat_s
         if elapsed_s < self.peers.period_s - BEAT_S / 2:
             if self._has_news:
@@ -155,7 +157,7 @@
             self._wake(elapsed_s)
         self.peers.prune(now_s)
         for part in self._parts:
-            part.heard(beats)
+            _tell(part.heard, beats)
         await self._beat()
 
     def _wake(self, away_s: float) -> None:
@@ -172,7 +174,7 @@
             'is_served': self._mirror.is_served,
         }
         for part in self._parts:
-            part.fill(fields)
+            _tell(part.fill, fields)
         beat = Beat(
             host=self._state.settings.host,
             instance=self._state.instance,
@@ -232,3 +234,11 @@
             if isinstance(record, HostRecord) and name != self._state.settings.host
         }
         self.peers.list(others, self._timer.now_s())
+
+
+def _tell(method: Callable[[Any], None], told: Any) -> None:
+    # A host that does not beat is taken for gone, whatever one part can't do.
+    try:
+        method(told)
+    except Exception:
+        log.exception('beat_part_failed', part=method.__qualname__)
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -151,3 +151,28 @@
         assert len(faults) == 1
         assert 'request_id=attempt-1' in faults[0]
         assert 'the admission has a fault' in faults[0]
+
+    def test_fault_of_one_part_of_the_beats_does_not_silence_the_host(
+        self, monkeypatch
+    ):
+        """A host that does not beat is taken for gone by all others."""
+
+        async def work(deployment):
+            def fail(*arguments) -> None:
+                raise RuntimeError('the part has a fault')
+
+            quotas = deployment.find('quotas')
+            for method in ('fill', 'heard', 'compare'):
+                monkeypatch.setattr(quotas, method, fail)
+            other = deployment.find('membership', host=1)
+            name = deployment.hosts[0].host
+            await until(lambda: _beat_number(other, name) > 0)
+            before = _beat_number(other, name)
+            await until(lambda: _beat_number(other, name) > before + 2)
+
+        run_deployed(work, hosts=2)
+
+
+def _beat_number(membership, host: str) -> int:
+    beats = [beat for beat in membership.live_beats() if beat.host == host]
+    return beats[0].number if beats else 0
