--- a/cicadadoor/entry/settings.py
+++ b/cicadadoor/entry/settings.py
@@ -6,9 +6,9 @@
 from cicadadoor.errors import Failure
 from cicadadoor.settings import FieldRule
 
-# The rest is left for closing connections.
+# The rest is left for answers to requests that are cut, and for closing connections.
 _LEAVE_SHARE = 0.5
-_GRACE_SHARE = 0.36
+_GRACE_SHARE = 0.39
 
 
 class EntrySettings:
