Bound the answers of the store, of agents and of probes in length and time

Cause: the client library bounds each read, not the answer. Whole answers were taken into memory at any length, for as long as they came, and unpacked if they came packed; the line of a watch had no bound.

Seen: a store, an agent or a backend server's health page that answers without end holds the call for ever and fills the process. On an entry host this is the store's client, whose call is said to be given up after a second.

Ruled out: links between hosts, whose messages are bounded by recv_max_size.

Change: http_client.fetch reads an answer within a length and a time, read_lines bounds a line. Failures stay httpx errors, which each caller already translates.

--- a/cicadadoor/cli/client.py
+++ b/cicadadoor/cli/client.py
@@ -5,8 +5,11 @@
 
 from cicadadoor.agent.operator_api import HostStatus, WithdrawalAnswer
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.http_client import fetch
 
 _CALL_TIMEOUT_S = 5.0
+# The status names every host once.
+_ANSWER_BYTES = 16_777_216
 
 
 async def read_status(agent_url: str) -> HostStatus | Failure:
@@ -34,7 +37,14 @@
         async with httpx.AsyncClient(
             timeout=_CALL_TIMEOUT_S, trust_env=False
         ) as client:
-            answer = await client.request(method, url, content=content)
+            answer = await fetch(
+                client,
+                method,
+                url,
+                limit_bytes=_ANSWER_BYTES,
+                within_s=2 * _CALL_TIMEOUT_S,
+                content=content,
+            )
     except (httpx.HTTPError, httpx.InvalidURL) as error:
         return Failure(
             ErrorKind.PEER_UNREACHABLE,
@@ -43,7 +53,7 @@
     if not answer.is_success:
         return Failure(
             ErrorKind.PEER_UNREACHABLE,
-            f'agent {url}: status {answer.status_code}',
+            f'agent {url}: status {answer.status}',
         )
     try:
         return msgspec.json.decode(answer.content, type=wanted)
--- a/cicadadoor/gate/probing.py
+++ b/cicadadoor/gate/probing.py
@@ -12,6 +12,7 @@
 from cicadadoor.gate.servers import BackendServers
 from cicadadoor.gate.slot_share import SlotShare
 from cicadadoor.gate.state import GateState
+from cicadadoor.http_client import WholeAnswer, fetch
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.messages import Ack
 from cicadadoor.links.peer_hub import PeerHub
@@ -21,6 +22,8 @@
 _TICK_S = 0.5
 _PERIOD_S = 2.0
 _TIMEOUT_S = 1.0
+# The answers are JSON objects of a few fields.
+_ANSWER_BYTES = 65_536
 _NOTICE_PERIOD_S = 1.0
 # All gates of a domain together take at most this part of a server's time.
 _COST_SHARE = 0.02
@@ -84,7 +87,7 @@
         """Ask one server for health and load, and note the answers."""
         asked_s = self._timer.now_s()
         try:
-            answer = await self._client.get(f'{server.url}/health')
+            answer = await self._get(f'{server.url}/health')
         except httpx.ConnectError:
             self._servers.note_leaving(server.name, Evidence.REFUSED)
             self._servers.note_probe(server.name, asked_s, is_good=False)
@@ -94,13 +97,22 @@
             return
         if _says_draining(answer):
             self._servers.note_leaving(server.name, Evidence.HEALTH)
-        is_good = answer.status_code < _SERVER_ERROR and not _says_draining(answer)
+        is_good = answer.status < _SERVER_ERROR and not _says_draining(answer)
         self._servers.note_probe(server.name, asked_s, is_good=is_good)
         await self._ask_load(server)
 
+    async def _get(self, url: str) -> WholeAnswer:
+        return await fetch(
+            self._client,
+            'GET',
+            url,
+            limit_bytes=_ANSWER_BYTES,
+            within_s=2 * _TIMEOUT_S,
+        )
+
     async def _ask_load(self, server: BackendServer) -> None:
         try:
-            answer = await self._client.get(f'{server.url}/load')
+            answer = await self._get(f'{server.url}/load')
             reported = msgspec.json.decode(answer.content, type=Load)
         except (httpx.HTTPError, msgspec.MsgspecError):
             return
@@ -141,7 +153,7 @@
             )
 
 
-def _says_draining(answer: httpx.Response) -> bool:
+def _says_draining(answer: WholeAnswer) -> bool:
     if answer.headers.get('x-draining') == '1':
         return True
     try:
--- a/cicadadoor/object_store/http.py
+++ b/cicadadoor/object_store/http.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.http_client import PLAIN_HEADERS, fetch, read_lines
 from cicadadoor.object_store.base import (
     MAX_OBJECT_BYTES,
     ChangeEvent,
@@ -21,6 +22,9 @@
 # empty line every few seconds.
 _WATCH_SILENCE_S = 15.0
 _DETAIL_BYTES = 200
+# An object with its encoding; a list holds all objects of a kind.
+_OBJECT_BYTES = 4 * MAX_OBJECT_BYTES
+_LIST_BYTES = 67_108_864
 
 _FAILURE_KINDS = {
     HTTPStatus.NOT_FOUND: ErrorKind.STORE_NOT_FOUND,
@@ -37,6 +41,7 @@
     def __init__(self, base_url: str) -> None:
         self._client = httpx.AsyncClient(
             base_url=f'{base_url}/api/v1/',
+            headers=PLAIN_HEADERS,
             timeout=_CALL_TIMEOUT_S,
             trust_env=False,
         )
@@ -48,7 +53,7 @@
 
     async def list(self, kind: str) -> ObjectList | Failure:
         """Read all objects of a kind."""
-        body = await self._call('GET', kind)
+        body = await self._call('GET', kind, limit_bytes=_LIST_BYTES)
         return body if isinstance(body, Failure) else _decode(body, ObjectList)
 
     async def create(self, wanted: StoredObject) -> StoredObject | Failure:
@@ -78,9 +83,9 @@
                 if response.status_code != HTTPStatus.OK:
                     yield _status_failure(response.status_code, path, b'')
                     return
-                async for line in response.aiter_lines():
+                async for line in read_lines(response, _OBJECT_BYTES):
                     if line:
-                        yield _decode(line.encode(), ChangeEvent)
+                        yield _decode(line, ChangeEvent)
         except httpx.HTTPError as error:
             yield Failure(
                 ErrorKind.STORE_UNAVAILABLE,
@@ -116,9 +121,17 @@
         encoded: bytes | None = None,
         *,
         writes: bool = False,
+        limit_bytes: int = _OBJECT_BYTES,
     ) -> bytes | Failure:
         try:
-            response = await self._client.request(method, path, content=encoded)
+            response = await fetch(
+                self._client,
+                method,
+                path,
+                limit_bytes=limit_bytes,
+                within_s=2 * _CALL_TIMEOUT_S,
+                content=encoded,
+            )
         except _NOT_SENT as error:
             return _unavailable(method, path, error)
         except httpx.HTTPError as error:
@@ -130,9 +143,9 @@
             return _unavailable(method, path, error)
         if response.is_success:
             return response.content
-        failure = _status_failure(response.status_code, path, response.content)
+        failure = _status_failure(response.status, path, response.content)
         is_unclear = writes and failure.kind is ErrorKind.STORE_UNAVAILABLE
-        if is_unclear and response.status_code != HTTPStatus.SERVICE_UNAVAILABLE:
+        if is_unclear and response.status != HTTPStatus.SERVICE_UNAVAILABLE:
             failure.kind = ErrorKind.STORE_OUTCOME_UNKNOWN
         return failure
 
--- a/cicadadoor/platform/store_client.py
+++ b/cicadadoor/platform/store_client.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.http_client import fetch
 from cicadadoor.sockets import KEEP_ALIVE_OPTIONS
 
 # An answer takes 4 ms when the store is well; a call that takes longer than this is
@@ -15,6 +16,9 @@
 # What a watch may take beyond the time that it asked for.
 _WATCH_MARGIN_S = 1.0
 _MS_PER_S = 1000
+# A page has about 1 MB; a watch brings what changed meanwhile, of which 16 MB leave
+# room in the 300 MB of a host.
+_ANSWER_BYTES = 16_777_216
 # Costs a tenth of the price; the answer may be seconds old.
 _STALE = 'allow_stale=1'
 
@@ -111,8 +115,8 @@
         path = f'{kind}?watch={revision}&wait_ms={int(wait_s * _MS_PER_S)}'
         if allow_stale:
             path = f'{path}&{_STALE}'
-        timeout = httpx.Timeout(CALL_TIMEOUT_S, read=wait_s + _WATCH_MARGIN_S)
-        return _decoded(await self._call('GET', path, timeout=timeout), Events)
+        answer = await self._call('GET', path, answer_s=wait_s + _WATCH_MARGIN_S)
+        return _decoded(answer, Events)
 
     async def get(self, kind: str, name: str) -> StoreObject | Failure:
         """Read one object."""
@@ -144,16 +148,19 @@
         method: str,
         path: str,
         encoded: bytes | None = None,
-        timeout: httpx.Timeout | None = None,
+        answer_s: float = CALL_TIMEOUT_S,
     ) -> bytes | Failure:
         headers = {'content-type': 'application/json'} if encoded else None
         try:
-            response = await self._client.request(
+            response = await fetch(
+                self._client,
                 method,
                 path,
+                limit_bytes=_ANSWER_BYTES,
+                within_s=CALL_TIMEOUT_S + answer_s,
                 content=encoded,
                 headers=headers,
-                timeout=timeout or CALL_TIMEOUT_S,
+                timeout=httpx.Timeout(CALL_TIMEOUT_S, read=answer_s),
             )
         except _NOT_SENT as error:
             return _lost(ErrorKind.STORE_UNAVAILABLE, method, path, error)
@@ -166,10 +173,10 @@
         if response.is_success:
             return response.content
         kind = _FAILURE_KINDS.get(
-            HTTPStatus(response.status_code),
+            HTTPStatus(response.status),
             ErrorKind.STORE_UNAVAILABLE,
         )
-        return Failure(kind, f'{method} {path}: status {response.status_code}')
+        return Failure(kind, f'{method} {path}: status {response.status}')
 
 
 def _path(kind: str, name: str) -> str:
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,140 @@
+"""Other processes that answer without end."""
+
+import gzip
+
+import anyio
+import httpx
+import pytest
+
+from cicadadoor.cli.client import read_status
+from cicadadoor.config.model import BackendServer
+from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.probing import Prober
+from cicadadoor.http_client import fetch
+from cicadadoor.object_store.http import HttpObjectStore
+from cicadadoor.platform.store_client import StoreClient
+from cicadadoor.timer import BootTimer
+from tests.test_keyed_once import Named
+from tests.utils.gates import FakeKernel
+from tests.utils.raw_server import serving
+
+HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+CHUNK = b'10000\r\n' + b' ' * 65_536 + b'\r\n'
+# More than any client takes of one answer.
+_CHUNKS = 512
+_GIVEN_UP_WITHIN_S = 20
+
+
+async def ask_store(address: str) -> object:
+    client = StoreClient(address)
+    answer = await client.get('config', 'main')
+    await client.close()
+    return answer
+
+
+async def ask_object_store(address: str) -> object:
+    client = HttpObjectStore(f'http://{address}')
+    answer = await client.get('config', 'main')
+    await client.close()
+    return answer
+
+
+async def watch_object_store(address: str) -> object:
+    client = HttpObjectStore(f'http://{address}')
+    answers = [each async for each in client.watch('config', 1)]
+    await client.close()
+    return answers[-1]
+
+
+async def ask_agent(address: str) -> object:
+    return await read_status(f'http://{address}')
+
+
+async def probe(address: str) -> object:
+    noted = []
+    kernel = FakeKernel()
+    services = Named('servers', note_probe=lambda *args, **facts: noted.append(facts))
+    for service in (
+        BootTimer(),
+        services,
+        Named('state'),
+        Named('slot_share'),
+        Named('directory'),
+        Named('peers', on=lambda *args: None),
+    ):
+        kernel.register(service)
+    prober = Prober()
+    await prober.start(kernel)
+    await prober.probe(
+        BackendServer(
+            name='a',
+            url=f'http://{address}',
+            failure_domain='b',
+            slots=1,
+            connections=1,
+        )
+    )
+    await prober.stop(0)
+    assert noted == [{'is_good': False}]
+    return Failure(ErrorKind.PEER_UNREACHABLE, 'noted as bad')
+
+
+ALL = (ask_store, ask_object_store, ask_agent, probe)
+
+
+def run(handle, ask) -> None:
+    """Check that a client gives up on what a handler sends."""
+
+    async def main() -> None:
+        with anyio.fail_after(_GIVEN_UP_WITHIN_S):
+            async with serving(handle) as server:
+                assert isinstance(await ask(server.address), Failure)
+
+    anyio.run(main)
+
+
+class TestEndless:
+    """Answers that go on."""
+
+    @pytest.mark.parametrize('ask', (*ALL, watch_object_store))
+    def test_body_without_end_is_not_taken_whole(self, ask):
+        sent = []
+
+        async def endless(request, connection) -> None:
+            await connection.write(HEAD)
+            for number in range(_CHUNKS):
+                await connection.write(CHUNK)
+                sent.append(number)
+            await connection.closed()
+
+        run(endless, ask)
+        assert len(sent) < _CHUNKS
+
+    def test_answer_in_an_encoding_is_not_unpacked(self):
+        async def packed(request, connection) -> None:
+            assert request.headers['accept-encoding'] == 'identity'
+            body = gzip.compress(b' ' * 1000)
+            await connection.answer(200, {'Content-Encoding': 'gzip'}, body)
+
+        async def ask_packed(address: str) -> object:
+            async with httpx.AsyncClient(trust_env=False) as client:
+                with pytest.raises(httpx.DecodingError):
+                    await fetch(
+                        client, 'GET', f'http://{address}', limit_bytes=99, within_s=9
+                    )
+            return Failure(ErrorKind.PEER_UNREACHABLE, 'not unpacked')
+
+        run(packed, ask_packed)
+
+    @pytest.mark.parametrize('ask', ALL)
+    @pytest.mark.parametrize('start', (HEAD, b''), ids=('body', 'interim_answers'))
+    def test_answer_that_trickles_ends_with_the_time_of_the_call(self, ask, start):
+        part = b'1\r\n \r\n' if start else b'HTTP/1.1 102 Processing\r\n\r\n'
+
+        async def trickling(request, connection) -> None:
+            await connection.write(start)
+            while True:
+                await connection.write(part)
+                await anyio.sleep(0.05)
+
+        run(trickling, ask)
