Take a status that no page lists as a failure of the store

Cause: the status of a failed call was turned into HTTPStatus, which raises ValueError for any number that the standard library does not list.

Seen: the task that reads the store ends by an exception instead of reporting a failure.

Evidence, tests/test_http_client.py TestStatus before the change: ValueError: 599 is not a valid HTTPStatus, 3 failed (store, object store, its watch); agent and probe passed. After it: 5 passed.

Change: the kind of a failure is looked up by the number.

--- a/cicadadoor/object_store/http.py
+++ b/cicadadoor/object_store/http.py
@@ -26,7 +26,7 @@
 _OBJECT_BYTES = 4 * MAX_OBJECT_BYTES
 _LIST_BYTES = 67_108_864
 
-_FAILURE_KINDS = {
+_FAILURE_KINDS: dict[int, ErrorKind] = {
     HTTPStatus.NOT_FOUND: ErrorKind.STORE_NOT_FOUND,
     HTTPStatus.CONFLICT: ErrorKind.STORE_CONFLICT,
     HTTPStatus.GONE: ErrorKind.STORE_COMPACTED,
@@ -172,6 +172,6 @@
 
 
 def _status_failure(status: int, path: str, content: bytes) -> Failure:
-    kind = _FAILURE_KINDS.get(HTTPStatus(status), ErrorKind.STORE_UNAVAILABLE)
+    kind = _FAILURE_KINDS.get(status, ErrorKind.STORE_UNAVAILABLE)
     detail = content[:_DETAIL_BYTES].decode(errors='replace')
     return Failure(kind, f'{path}: status {status}: {detail}')
--- a/cicadadoor/platform/store_client.py
+++ b/cicadadoor/platform/store_client.py
@@ -22,7 +22,7 @@
 # Costs a tenth of the price; the answer may be seconds old.
 _STALE = 'allow_stale=1'
 
-_FAILURE_KINDS = {
+_FAILURE_KINDS: dict[int, ErrorKind] = {
     HTTPStatus.NOT_FOUND: ErrorKind.STORE_NOT_FOUND,
     HTTPStatus.CONFLICT: ErrorKind.STORE_CONFLICT,
     HTTPStatus.GONE: ErrorKind.STORE_COMPACTED,
@@ -173,7 +173,7 @@
         if response.is_success:
             return response.content
         kind = _FAILURE_KINDS.get(
-            HTTPStatus(response.status),
+            response.status,
             ErrorKind.STORE_UNAVAILABLE,
         )
         return Failure(kind, f'{method} {path}: status {response.status}')
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -138,3 +138,14 @@
                 await anyio.sleep(0.05)
 
         run(trickling, ask)
+
+
+class TestStatus:
+    """Answers with a status that no page lists."""
+
+    @pytest.mark.parametrize('ask', (*ALL, watch_object_store))
+    def test_unknown_status_is_a_failure(self, ask):
+        async def unknown(request, connection) -> None:
+            await connection.answer(599)
+
+        run(unknown, ask)
