Let other requests go on while a gate reads an answer in small chunks

Cause: the client library hands over the chunks that have come without a turn for other tasks, and each was kept as an object of its own until the answer was whole.

Callers saw: other requests of the gate wait while one answer's chunks are taken, 64 kB of the wire at a time; chunks of two bytes take some twenty times their length.

Evidence, tests/test_forwarding.py TestTurns before the change: assert 1 >= 50 for 5000 chunks.

Ruled out: endless bodies at a gate, which become streams after 1 MB and wait for their taker; heads, which the library bounds at 100 kB; and time, which the deadline bounds.

Change: a turn after 64 chunks, and one piece of memory for what is buffered.

--- a/cicadadoor/gate/forwarding.py
+++ b/cicadadoor/gate/forwarding.py
@@ -6,6 +6,7 @@
 
 import anyio
 import httpx
+from anyio import lowlevel
 
 from cicadadoor.config.model import BackendServer
 from cicadadoor.decisions.leaving import Evidence
@@ -18,6 +19,8 @@
 from cicadadoor.timer import TimerService
 
 MAX_BUFFERED_BYTES = 1_048_576
+# A stream of small chunks lets other requests go on after so many of them.
+_CHUNKS_A_TURN = 64
 _MS_PER_S = 1000
 _CONNECT_TIMEOUT_S = 1.0
 _MAX_CONNECTIONS = 1000
@@ -183,28 +186,38 @@
             f'backend server {server.name} sent neither a length nor chunks, so that '
             'a truncated answer could not be told from a whole one',
         )
-    buffered: list[bytes] = []
-    size_bytes = 0
-    chunks = response.aiter_raw()
+    # One piece of memory: small chunks as objects of their own take many times their
+    # length.
+    buffered = bytearray()
+    chunks = _in_turns(response.aiter_raw())
     try:
         async for chunk in chunks:
-            buffered.append(chunk)
-            size_bytes += len(chunk)
-            if size_bytes > MAX_BUFFERED_BYTES:
-                return _streamed(request, response, buffered, chunks)
+            buffered += chunk
+            if len(buffered) > MAX_BUFFERED_BYTES:
+                return _streamed(request, response, bytes(buffered), chunks)
     except httpx.HTTPError as error:
         return Failure(
             ErrorKind.ANSWER_TRUNCATED,
             f'backend server {server.name}: {type(error).__name__} after '
-            f'{size_bytes} bytes of the answer',
+            f'{len(buffered)} bytes of the answer',
         )
     return SteeredAnswer(
         status=response.status_code,
         headers=_kept_headers(response, keeps_length=not has_body),
-        body=b''.join(buffered),
+        body=bytes(buffered),
     )
 
 
+async def _in_turns(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    # The client library hands over what has come without a turn for other tasks.
+    count = 0
+    async for chunk in chunks:
+        yield chunk
+        count += 1
+        if count % _CHUNKS_A_TURN == 0:
+            await lowlevel.checkpoint()
+
+
 def has_surplus(response: httpx.Response) -> bool:
     """Tell whether the connection holds bytes beyond the answer.
 
@@ -229,13 +242,12 @@
 def _streamed(
     request: SteeredRequest,
     response: httpx.Response,
-    buffered: list[bytes],
+    buffered: bytes,
     rest: AsyncIterator[bytes],
 ) -> SteeredAnswer:
     # The client library raises an error when the body is shorter than declared.
     async def stream() -> AsyncIterator[bytes]:
-        for chunk in buffered:
-            yield chunk
+        yield buffered
         async for chunk in rest:
             yield chunk
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,7 +1,9 @@
 """Break the exchange with a backend server at each of its steps."""
 
 import anyio
+import httpx
 import pytest
+from anyio import lowlevel
 
 from cicadadoor.config.model import BackendServer
 from cicadadoor.decisions.retries import RetryBudget, is_repeatable
@@ -85,6 +87,15 @@
 def exchange(server, use):
     """Call `use` with a function that forwards to the raw server."""
 
+    async def use_alone(forward, forwarder):
+        await use(forward)
+
+    exchange_with(server, use_alone)
+
+
+def exchange_with(server, use):
+    """Call `use` also with the forwarder."""
+
     async def play():
         kernel = FakeKernel()
         kernel.register(BootTimer())
@@ -106,7 +117,7 @@
             async def forward(request):
                 return await forwarder.forward(request, backend)
 
-            await use(forward)
+            await use(forward, forwarder)
             tasks.cancel_scope.cancel()
         await forwarder.stop(0)
 
@@ -194,6 +205,48 @@
         exchange(server, use)
 
 
+class ManyChunks(httpx.AsyncByteStream):
+    """Give chunks that have all come, so that none is waited for."""
+
+    async def __aiter__(self):
+        for _ in range(5000):
+            yield b'ab'
+
+
+class TestTurns:
+    """Guard against an answer that keeps the loop from all other requests."""
+
+    def test_answer_in_many_chunks_leaves_turns_to_others(self):
+        """Chunks of two bytes must not hold up other callers until they end."""
+        turns = 0
+
+        async def use(forward, forwarder):
+            nonlocal turns
+            answers = []
+            forwarder._client = httpx.AsyncClient(
+                transport=httpx.MockTransport(
+                    lambda request: httpx.Response(
+                        200,
+                        headers={'transfer-encoding': 'chunked'},
+                        stream=ManyChunks(),
+                    )
+                )
+            )
+
+            async def take():
+                answers.append(await forward(steered()))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(take)
+                while not answers:
+                    turns += 1
+                    await lowlevel.checkpoint()
+            assert answers[0].body == b'ab' * 5000
+
+        exchange_with(RawServer(), use)
+        assert turns >= 50
+
+
 class TestAnswers:
     """Guard against parts of one answer in place of, or in, another."""
 
