--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -15,7 +15,8 @@
 from cicadadoor.entry.backends import Backends
 from cicadadoor.entry.connection_pool import ConnectionPool
 from cicadadoor.entry.connections import BackendConnection, RawAnswer, connect
-from cicadadoor.entry.messages import AnswerHead, BackendAnswer, CallerRequest, Headers
+from cicadadoor.entry.messages import BackendAnswer, CallerRequest, Headers
+from cicadadoor.entry.verdicts import HeadVerdict, ReadAnswer
 from cicadadoor.errors import ErrorKind, Failure, Run
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.telemetry import logs, metrics
@@ -39,7 +40,6 @@
 )
 
 BuildHeaders = Callable[..., Headers]
-ReadAnswer = Callable[[int, Headers], AnswerHead]
 
 
 class Dialect:
@@ -123,7 +123,7 @@
         if left_s <= 0:
             self._give_back(backend, connection, None)
             return Failure(ErrorKind.DEADLINE_PASSED, 'no time was left to send')
-        verdict = _HeadVerdict(outgoing.request, backend, self._dialect)
+        verdict = HeadVerdict(outgoing.request, backend, self._dialect.read_answer)
         raw = await self._exchange(outgoing, verdict, connection, timeout_s)
         if isinstance(raw, Failure):
             # A reset ends one connection; the next one tells whether the server lives.
@@ -131,6 +131,7 @@
                 backend.health.note_unreachable(self._timer.now_s(), sent_s)
             elif raw.kind is ErrorKind.ANSWER_INVALID:
                 self._note_answer(backend, is_bad=True)
+                metrics.INVALID_ANSWERS.labels(backend.record.service).inc()
             return raw
         return self._judge(verdict, connection, raw)
 
@@ -145,7 +146,7 @@
     async def _exchange(
         self,
         outgoing: Outgoing,
-        verdict: '_HeadVerdict',
+        verdict: HeadVerdict,
         connection: BackendConnection,
         timeout_s: float,
     ) -> RawAnswer | Failure:
@@ -203,13 +204,15 @@
 
     def _judge(
         self,
-        verdict: '_HeadVerdict',
+        verdict: HeadVerdict,
         connection: BackendConnection,
         raw: RawAnswer,
     ) -> BackendAnswer | Failure:
         now_s = self._timer.now_s()
         backend, head, fault = verdict.backend, verdict.head, verdict.fault
         is_foreign = fault is not None and fault.kind is ErrorKind.ANSWER_INVALID
+        if is_foreign:
+            metrics.INVALID_ANSWERS.labels(backend.record.service).inc()
         if is_foreign or head.is_last:
             connection.abort()
         else:
@@ -246,51 +249,6 @@
         self._pool.prune(self._backends.pool_keys(), self._timer.now_s())
 
 
-class _HeadVerdict:
-    """Judge an answer by its head, before its body has come."""
-
-    __slots__ = ('_dialect', '_request', 'backend', 'fault', 'head')
-
-    def __init__(
-        self,
-        request: CallerRequest,
-        backend: Backend,
-        dialect: Dialect,
-    ) -> None:
-        self._request = request
-        self._dialect = dialect
-        self.backend = backend
-        self.head: AnswerHead
-        self.fault: Failure | None = None
-
-    def wants_body(self, status: int, headers: Headers) -> bool:
-        """Tell whether the answer will be passed on."""
-        self.head = self._dialect.read_answer(status, headers)
-        self.fault = _find_fault(self._request, self.head, self.backend)
-        return self.fault is None
-
-
-def _find_fault(
-    request: CallerRequest,
-    head: AnswerHead,
-    backend: Backend,
-) -> Failure | None:
-    name = backend.record.instance_id
-    if head.status == HTTPStatus.MISDIRECTED_REQUEST:
-        return Failure(
-            ErrorKind.BACKEND_MOVED,
-            f'{name}: its address belongs to {head.instance_id or "another"}',
-        )
-    if head.request_id != request.request_id and (head.request_id or head.is_signed):
-        # The answer to an earlier request on this connection.
-        return Failure(ErrorKind.ANSWER_INVALID, f'{name}: answered another request')
-    if head.is_not_run:
-        return Failure(ErrorKind.BACKEND_SHED, f'{name}: shed with {head.status}')
-    if head.is_encoded or not head.is_signed:
-        return Failure(ErrorKind.ANSWER_INVALID, f'{name}: not its own answer')
-    return None
-
-
 def _unreached(backend: Backend, error: Exception) -> Failure:
     return Failure(
         ErrorKind.CONNECT_FAILED,
--- /dev/null
+++ b/cicadadoor/entry/verdicts.py
@@ -0,0 +1,55 @@
+"""Judge an answer of a backend server by its head."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+from cicadadoor.entry.backend_table import Backend
+from cicadadoor.entry.messages import AnswerHead, CallerRequest, Headers
+from cicadadoor.errors import ErrorKind, Failure
+
+ReadAnswer = Callable[[int, Headers], AnswerHead]
+
+
+class HeadVerdict:
+    """Judge an answer by its head, before its body has come."""
+
+    __slots__ = ('_read_answer', '_request', 'backend', 'fault', 'head')
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        backend: Backend,
+        read_answer: ReadAnswer,
+    ) -> None:
+        self._request = request
+        self._read_answer = read_answer
+        self.backend = backend
+        self.head: AnswerHead
+        self.fault: Failure | None = None
+
+    def wants_body(self, status: int, headers: Headers) -> bool:
+        """Tell whether the answer will be passed on."""
+        self.head = self._read_answer(status, headers)
+        self.fault = _find_fault(self._request, self.head, self.backend)
+        return self.fault is None
+
+
+def _find_fault(
+    request: CallerRequest,
+    head: AnswerHead,
+    backend: Backend,
+) -> Failure | None:
+    name = backend.record.instance_id
+    if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return Failure(
+            ErrorKind.BACKEND_MOVED,
+            f'{name}: its address belongs to {head.instance_id or "another"}',
+        )
+    if head.request_id != request.request_id and (head.request_id or head.is_signed):
+        # The answer to an earlier request on this connection.
+        return Failure(ErrorKind.ANSWER_INVALID, f'{name}: answered another request')
+    if head.is_not_run:
+        return Failure(ErrorKind.BACKEND_SHED, f'{name}: shed with {head.status}')
+    if head.is_encoded or not head.is_signed:
+        return Failure(ErrorKind.ANSWER_INVALID, f'{name}: not its own answer')
+    return None
--- a/cicadadoor/telemetry/metrics.py
+++ b/cicadadoor/telemetry/metrics.py
@@ -22,6 +22,11 @@
     'cicadadoor_backend_connections_total',
     'Connections opened to backend servers.',
 )
+INVALID_ANSWERS = Counter(
+    'cicadadoor_invalid_answers_total',
+    'Answers of backend servers that were given up as invalid, by service.',
+    ('service',),
+)
 ENTRY_REQUESTS = Counter(
     'cicadadoor_entry_requests_total',
     'Requests of callers by service, outcome and the number of attempts.',
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -4,6 +4,7 @@
 
 import anyio
 import pytest
+from prometheus_client import REGISTRY
 
 from cicadadoor.entry.model import Topic
 from cicadadoor.errors import ErrorKind, Failure
@@ -74,7 +75,10 @@
 class TestRepeats:
     """What is sent again, and what is not."""
 
-    @pytest.mark.parametrize('trouble', ('reset', 'short', 'foreign', 'fail', 'shed'))
+    @pytest.mark.parametrize(
+        'trouble',
+        ('reset', 'short', 'foreign', 'fail', 'shed', 'noise', 'unsigned_open'),
+    )
     def test_safe_request_is_served_by_another_worker(self, trouble):
         async def work(deployment):
             for worker in deployment.workers.values():
@@ -178,6 +182,11 @@
         run_deployed(work, workers=3)
 
 
+def invalid_answers() -> float:
+    labels = {'service': 'front'}
+    return REGISTRY.get_sample_value('cicadadoor_invalid_answers_total', labels) or 0
+
+
 class TestHealth:
     """What a host notes of servers that answer badly."""
 
@@ -185,6 +194,7 @@
     def test_server_whose_bytes_are_no_answer_becomes_doubtful(self, trouble):
         async def work(deployment):
             deployment.workers['i-0'].script = [trouble, trouble]
+            counted = invalid_answers()
             for _ in range(2):
                 answer = await deployment.call('/book/1', method='POST')
                 assert answer.status_code == 502
@@ -192,6 +202,7 @@
             backend = deployment.find('backends').find('i-0')
             now_s = deployment.find('timer').now_s()
             assert backend.health.is_doubtful(now_s)
+            assert invalid_answers() - counted == 2
 
         run_deployed(work)
 
