--- a/tests/test_request_processes.py
+++ b/tests/test_request_processes.py
@@ -86,6 +86,14 @@
     return httpx.get(url, headers={'x-api-key': cluster.key}).status_code == 200
 
 
+def has_left(cluster, name, backend):
+    """Tell whether the gate logged that it gives the server nothing new."""
+    text = cluster.hosts[name].gate.log_text()
+    left_at = text.rfind(f'event=backend_server_leaving backend_server={backend} ')
+    returned_at = text.rfind(f'event=backend_server_returns backend_server={backend}\n')
+    return left_at > returned_at
+
+
 def look_up(cluster, name):
     """Return what the gate answers to a look-up."""
     url = f'{cluster.hosts[name].callers_url}/cicadadoor/v1/hosts'
@@ -259,7 +267,9 @@
         def crash(name):
             return enrol(cluster, name, body=b'crash', x_crash='1', x_mark='crash')
 
-        assert {run_of(crash(FIRST)) for _ in range(3)} == {'unknown'}
+        crashes = [crash(FIRST) for _ in range(3)]
+        said = [answer.text for answer in crashes]
+        assert {run_of(answer) for answer in crashes} == {'unknown'}, said
         refused = crash(FIRST)
         assert refused.json()['error'] == 'quarantined'
         assert run_of(refused) == 'no'
@@ -277,6 +287,14 @@
             'other requests run at the backend server that is left',
         )
 
+    def test_suspect_is_not_refused_while_a_server_is_usable(self, cluster):
+        """The run alone is not given to a server that is known to be gone."""
+        cluster.backends['kb-1'].process.kill()
+        wait_until(lambda: has_left(cluster, FIRST, 'kb-1'), 'the gate leaves it out')
+        crashes = [enrol(cluster, FIRST, body=b'end', x_crash='1') for _ in range(3)]
+        said = [answer.text for answer in crashes]
+        assert {run_of(answer) for answer in crashes} == {'unknown'}, said
+
 
 class TestOpaqueKeys:
     """Guard against two gates that both dispatch under a caller's own key."""
