--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -132,6 +132,23 @@
 
         run_deployed(work)
 
+    @pytest.mark.parametrize('trouble', ('noise', 'unsigned_open', 'interim_open'))
+    def test_safe_requests_are_served_beside_a_worker_that_sends_no_answers(
+        self, trouble
+    ):
+        async def work(deployment):
+            bad = deployment.workers['i-0']
+            bad.script = [trouble for _ in range(20)]
+            for number in range(10):
+                answer = await deployment.call(
+                    '/look/1', Cookie=f'Affinity-Key={number}'
+                )
+                assert answer.status_code == 200
+                assert answer.content == b'i-1'
+            assert bad.arrivals
+
+        run_deployed(work, workers=2)
+
     def test_request_that_a_worker_shed_is_sent_to_another(self):
         async def work(deployment):
             for worker in deployment.workers.values():
--- a/tests/utils/entry_hosts.py
+++ b/tests/utils/entry_hosts.py
@@ -25,6 +25,8 @@
     # Heads of others' answers, and of a refusal, whose bodies never end.
     'unsigned_open': b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nab',
     'shed_open': (b'HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 99\r\n\r\nab'),
+    # More than a host reads of what is no answer.
+    'interim_open': b'HTTP/1.1 102 Processing\r\n\r\n' * 40_000,
     'noise': b'\x16\x03\x01 no answer in the protocol\r\n\r\n',
 }
 
