End the search for a test port when every port is taken

Cause: test_port_of_another_run_is_not_given lets another process draw two of three ports and draws the third itself; if another run of the tests holds that one, Ports.free searches for ever. Change: Ports.free looks at each port once and raises NoFreePortError. The test lets the other process take all that is left of a few ports; then none may be given here, and one again after its end. That checks every port, where the old test checked the one drawn.

--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -8,14 +8,20 @@
 
 from tests.utils import processes
 from tests.utils.cluster import Cluster
-from tests.utils.processes import Ports, python_module
+from tests.utils.processes import NoFreePortError, Ports, python_module
 
+_FEW_PORTS = 8
 _DRAW_ALL = """
 import sys
 from tests.utils import processes
 
-processes._PORTS = (int(sys.argv[1]), int(sys.argv[1]) + 3)
-ports = [processes.Ports.free() for _ in range(2)]
+processes._PORTS = (int(sys.argv[1]), int(sys.argv[2]))
+ports = []
+while True:
+    try:
+        ports.append(processes.Ports.free())
+    except processes.NoFreePortError:
+        break
 print(*ports, flush=True)
 sys.stdin.read()
 """
@@ -26,20 +32,22 @@
 
     def test_port_of_another_run_is_not_given(self, monkeypatch):
         """A port stays with its run also while nothing listens there."""
-        first = Ports.free()
+        first = Ports.free() + 1
+        end = first + _FEW_PORTS
         command = python_module('tests.utils.processes')[:1]
         other = subprocess.Popen(
-            [*command, '-c', _DRAW_ALL, str(first + 1)],
+            [*command, '-c', _DRAW_ALL, str(first), str(end)],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
             text=True,
         )
         taken = {int(port) for port in other.stdout.readline().split()}
-        assert len(taken) == 2
-        monkeypatch.setattr(processes, '_PORTS', (first + 1, first + 4))
-        given = Ports.free()
+        assert taken
+        monkeypatch.setattr(processes, '_PORTS', (first, end))
+        with pytest.raises(NoFreePortError):
+            Ports.free()
         other.communicate('')
-        assert given not in taken
+        assert Ports.free() in range(first, end)
 
     def test_order_does_not_follow_the_seed_of_a_test(self):
         """Runs that fix the same seed would draw the same ports."""
--- a/tests/utils/processes.py
+++ b/tests/utils/processes.py
@@ -88,6 +88,10 @@
     return [str(Path(sys.executable).parent / name), *arguments]
 
 
+class NoFreePortError(Exception):
+    """Raise when every port of the range is taken."""
+
+
 class Ports:
     """Hand out free loopback ports, none of them twice.
 
@@ -102,12 +106,14 @@
 
     @classmethod
     def free(cls) -> int:
-        """Return a port that is free now."""
-        while True:
-            port = cls._random.randrange(*_PORTS)
+        """Return a port that is free now; raise NoFreePortError if none is."""
+        first, end = _PORTS
+        start = cls._random.randrange(first, end)
+        for port in (*range(start, end), *range(first, start)):
             if port not in cls._given and cls._is_free(port):
                 cls._given.add(port)
                 return port
+        raise NoFreePortError(f'no port from {first} to {end - 1} is free')
 
     @classmethod
     def address(cls) -> str:
