Tell callers whose requests a stop of the gate cuts off what is known

Cause: at the end of a stop (a second signal, or 'grace_s' over) the gate closed its HTTP server under requests in flight. Their tasks were cancelled 2 s later, and the HTTP library answers for a cancelled task. Callers saw: 500, an empty body and no x-cicadadoor-run, also where the body had not come, so that the request had surely not run. Ruled out: that the answer comes from the pipeline (its INTERNAL states run=unknown and has a body; the log has no 'request_failed'). Change: before it closes its server, the gate ends the waits for bodies and for the pipeline. A request whose body had not come is refused as draining, run=no; one that was handed to the pipeline gets outcome_unknown, run=unknown. New requests on open connections are refused as draining also after a second signal, which skips the refusal's phase. One line in the log tells how many were cut off. The exit status stays. Tests: test_request_that_a_stop_cuts_off_is_told_that_it_may_have_run and test_request_that_a_stop_cuts_off_in_its_body_is_told_that_it_did_not_run, each by signal and by deadline: 4 failed before, 4 pass. Not covered: a request that still waits in the queue is told unknown although it did not run; an answer that is being streamed is cut in the middle, as before. Passed: test_graceful_stop, test_bad_input, test_docs, test_backend_health, test_crashes, test_tracing, test_keyed_once, test_readers, test_adapter_boundary, test_request_processes, test_whole_path, test_steering_processes.

--- a/cicadadoor/gate/app.py
+++ b/cicadadoor/gate/app.py
@@ -1,7 +1,10 @@
 """Speak HTTP with callers."""
 
 import time
+from collections.abc import Awaitable, Callable
+from functools import partial
 from http import HTTPStatus
+from typing import TypeVar
 from urllib.parse import parse_qs
 
 import anyio
@@ -36,6 +39,8 @@
 _SERVICE_PREFIX = '/s/'
 _encoder = msgspec.json.Encoder()
 
+_Result = TypeVar('_Result')
+
 
 class ErrorBody(msgspec.Struct, frozen=True, kw_only=True):
     """Hold what a caller is told about a failure."""
@@ -59,6 +64,8 @@
         self._timer: TimerService
         self._server: HttpServer
         self._open_requests = 0
+        # What a stop has to cancel, so that its caller still gets an answer.
+        self._waits: set[anyio.CancelScope] = set()
 
     async def start(self, kernel: Kernel) -> None:
         """Listen at the callers' address."""
@@ -81,9 +88,27 @@
         return self._open_requests
 
     async def stop(self, grace_s: float) -> None:
-        """Stop listening and end the connections."""
+        """Answer what is still open, stop listening and end the connections."""
+        # Not set yet if a second signal cut the stop short.
+        self._state.is_stopping = True
+        if self._waits:
+            log.warning('requests_cut_by_stop', count=len(self._waits))
+        for wait in self._waits:
+            wait.cancel()
         await self._server.close()
 
+    async def _until_cut(
+        self, work: Callable[[], Awaitable[_Result]], left: Failure
+    ) -> _Result | Failure:
+        """Return what the work returns, or the failure if a stop cuts it off."""
+        with anyio.CancelScope() as wait:
+            self._waits.add(wait)
+            try:
+                return await work()
+            finally:
+                self._waits.discard(wait)
+        return left
+
     async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one HTTP request."""
         if scope['type'] == 'lifespan':
@@ -137,7 +162,10 @@
         if isinstance(headers, Failure):
             await self._send_failure(send, headers)
             return
-        body = await _read_body(headers, receive)
+        body = await self._until_cut(
+            partial(_read_body, headers, receive),
+            Failure(ErrorKind.DRAINING, 'this host stopped before the body had come'),
+        )
         if isinstance(body, Failure):
             await self._send_failure(send, body)
             return
@@ -169,7 +197,12 @@
     ) -> None:
         with tracing.hop('gate', headers) as span:
             span.set_attribute('service', raw.service)
-            answer = await self._pipeline.handle(raw)
+            answer = await self._until_cut(
+                partial(self._pipeline.handle, raw),
+                Failure(
+                    ErrorKind.OUTCOME_UNKNOWN, 'this host stopped before the answer'
+                ),
+            )
             outcome = answer.kind.value if isinstance(answer, Failure) else 'answered'
             span.set_attribute('outcome', outcome)
         metrics.REQUESTS.labels(
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -1,7 +1,9 @@
 """Stop gates and agents under load."""
 
+import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import httpx
 import pytest
@@ -110,18 +112,57 @@
         slow = threading.Thread(target=_enrol_slowly, args=(cluster, host, 0))
         slow.start()
         wait_until(lambda: _enrolments(cluster), 'the request runs')
-        host.gate.send(15)
-        if by_signal:
-            wait_until(
-                lambda: 'event=left_lookups' in host.gate.log_text(),
-                'the first signal was taken',
-            )
-            host.gate.send(15)
+        _cut_off(host, by_signal=by_signal)
         assert host.gate.wait() == ExitStatus.STOPPED_WITH_WORK_LEFT
         assert 'event=stopped_with_work_left' in host.gate.log_text()
         assert 'departure=1' in host.gate.log_text()
         slow.join()
 
+    @pytest.mark.parametrize('by_signal', (True, False))
+    def test_request_that_a_stop_cuts_off_is_told_that_it_may_have_run(
+        self,
+        cluster,
+        by_signal,
+    ):
+        """A 500 that states nothing leaves the caller without a rule."""
+        host = cluster.hosts[HOST]
+        set_faults(cluster.backends['kb-muenchen-1'].url, work_ms=60_000)
+        with ThreadPoolExecutor() as threads:
+            enrolment = threads.submit(_post_slowly, cluster, host, 0)
+            wait_until(lambda: _enrolments(cluster), 'the request runs')
+            _cut_off(host, by_signal=by_signal)
+            answer = enrolment.result()
+        assert answer.json()['error'] == 'outcome_unknown'
+        assert answer.headers['x-cicadadoor-run'] == 'unknown'
+        assert answer.headers['connection'] == 'close'
+        assert host.gate.wait() == ExitStatus.STOPPED_WITH_WORK_LEFT
+
+    @pytest.mark.parametrize('by_signal', (True, False))
+    def test_request_that_a_stop_cuts_off_in_its_body_is_told_that_it_did_not_run(
+        self,
+        cluster,
+        by_signal,
+    ):
+        """An enrolment may be sent to another host only if it did not run."""
+        host = cluster.hosts[HOST]
+        head = (
+            'POST /s/kursbuchung/enrol/slow HTTP/1.1\r\n'
+            f'host: muenchen\r\nx-api-key: {cluster.key}\r\n'
+            'expect: 100-continue\r\ncontent-length: 8\r\n\r\n'
+        )
+        address = host.settings['callers'].rpartition(':')
+        with socket.create_connection((address[0], int(address[2])), 60) as caller:
+            caller.sendall(head.encode())
+            assert b' 100 ' in caller.recv(1000)
+            caller.sendall(b'half')
+            _cut_off(host, by_signal=by_signal)
+            answer = caller.makefile('rb').read()
+        assert answer.startswith(b'HTTP/1.1 503 ')
+        assert b'"error":"draining"' in answer
+        assert b'x-cicadadoor-run: no' in answer
+        assert host.gate.wait() == ExitStatus.STOPPED_WITH_WORK_LEFT
+        assert not _enrolments(cluster)
+
 
 class Callers:
     """Enrol from several threads, each with its own kept-alive connections."""
@@ -238,11 +279,26 @@
     return [entry['url'] for entry in found['hosts']]
 
 
-def _enrol_slowly(cluster, host, work_ms) -> None:
+def _cut_off(host, *, by_signal) -> None:
+    """Begin a stop, and end it early by a second signal or leave it to its limit."""
+    host.gate.send(15)
+    if by_signal:
+        wait_until(
+            lambda: 'event=left_lookups' in host.gate.log_text(),
+            'the first signal was taken',
+        )
+        host.gate.send(15)
+
+
+def _post_slowly(cluster, host, work_ms) -> httpx.Response:
     headers = {'x-api-key': cluster.key, 'x-work-ms': str(work_ms)}
     url = f'{host.callers_url}/s/kursbuchung/enrol/slow'
+    return httpx.post(url, headers=headers, timeout=60)
+
+
+def _enrol_slowly(cluster, host, work_ms) -> None:
     try:
-        httpx.post(url, headers=headers, timeout=60)
+        _post_slowly(cluster, host, work_ms)
     except httpx.HTTPError:
         # The test that cuts the request off asserts on the exit code and the log.
         return
