Confirm withdrawals that a stop of the agent meets

Cause: the agent's operator API tells the kernel of no work in flight, and a withdrawal may take 3 s (1 s for a gate that is away, 2 s for a platform that hangs), but its HTTP server cancels requests 2 s after the stop began to close it. Callers saw: 500, and the operators' command says that the agent was not reached, although the key is refused there and has been passed on to peers. The exit status was 0. Evidence: the new test with the gate killed, a platform that delays each answer and two signals: 500, 'stopped' in the log; failed in 1 of 1 before. Ruled out: a withdrawal in flight at a single SIGTERM with time left; leaving and refusing take 2 s before the server closes, so it is answered. Change: the API counts its open requests as work; at the stop a write to the platform may take 0.5 s more, and the withdrawal is then confirmed as not recorded. Test: test_withdrawal_that_a_stop_of_the_agent_meets_is_confirmed, also that another host knows the key; 3 of 3 alone after, and test_graceful_stop 1 of 1. Passed: test_operators, test_operator_orders, test_steering_commands, test_docs.

--- a/cicadadoor/agent/operator_api.py
+++ b/cicadadoor/agent/operator_api.py
@@ -30,6 +30,8 @@
 
 _MAX_BODY_BYTES = 4096
 _RECORD_LIMIT_S = 2.0
+# Leaves time to answer before the server of a stopping agent ends its connections.
+_RECORD_LIMIT_AT_STOP_S = 0.5
 
 
 class HostInUse(msgspec.Struct, frozen=True, kw_only=True):
@@ -91,6 +93,9 @@
         self._withdrawals: Withdrawals
         self._records: WithdrawalRecords
         self._server: HttpServer
+        self._open_requests = 0
+        self._is_stopping = False
+        self._record_waits: set[anyio.CancelScope] = set()
 
     async def start(self, kernel: Kernel) -> None:
         """Listen at the operators' address."""
@@ -110,8 +115,17 @@
         )
         kernel.spawn(self._server.serve)
 
+    def work_left(self) -> int:
+        """Return how many requests have no whole answer yet."""
+        return self._open_requests
+
     async def stop(self, grace_s: float) -> None:
-        """Stop listening and end the connections."""
+        """Answer what is still open, stop listening and end the connections."""
+        self._is_stopping = True
+        for wait in self._record_waits:
+            wait.deadline = min(
+                wait.deadline, anyio.current_time() + _RECORD_LIMIT_AT_STOP_S
+            )
         await self._server.close()
 
     async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -119,6 +133,13 @@
         if scope['type'] == 'lifespan':
             await answer_lifespan(receive, send)
             return
+        self._open_requests += 1
+        try:
+            await self._answer(scope, receive, send)
+        finally:
+            self._open_requests -= 1
+
+    async def _answer(self, scope: Scope, receive: Receive, send: Send) -> None:
         path = scope['path']
         if path == '/v1/status':
             await _send_json(send, HTTPStatus.OK, self.status())
@@ -143,10 +164,7 @@
             await _send_json(send, HTTPStatus.BAD_REQUEST, {'detail': detail})
             return
         await self._withdrawals.withdraw(request.key_hash)
-        # The answer must come before the operator's command gives up: the key is
-        # refused already, and a platform that hangs gets the record later.
-        with anyio.move_on_after(_RECORD_LIMIT_S):
-            await self._records.record_one(request.key_hash)
+        await self._record(request.key_hash)
         answer = WithdrawalAnswer(
             host=self._state.settings.host,
             recorded=self._withdrawals.keys.is_recorded(request.key_hash),
@@ -154,6 +172,17 @@
         )
         await _send_json(send, HTTPStatus.OK, answer)
 
+    async def _record(self, key_hash: str) -> None:
+        # The answer must come before the operator's command gives up: the key is
+        # refused already, and a platform that hangs gets the record later.
+        limit_s = _RECORD_LIMIT_AT_STOP_S if self._is_stopping else _RECORD_LIMIT_S
+        with anyio.move_on_after(limit_s) as wait:
+            self._record_waits.add(wait)
+            try:
+                await self._records.record_one(key_hash)
+            finally:
+                self._record_waits.discard(wait)
+
     def status(self) -> HostStatus:
         """Return what this host has in use; an unheard gate has generation 0."""
         settings = self._state.settings
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -163,6 +163,37 @@
         assert host.gate.wait() == ExitStatus.STOPPED_WITH_WORK_LEFT
         assert not _enrolments(cluster)
 
+    def test_withdrawal_that_a_stop_of_the_agent_meets_is_confirmed(self, cluster):
+        """The agent has passed the key on, also when nothing else answers."""
+        host = cluster.hosts[HOST]
+        host.gate.kill()
+        set_faults(cluster.platform_url, delay_ms=60_000)
+        with ThreadPoolExecutor() as threads:
+            withdrawal = threads.submit(
+                httpx.post,
+                f'{host.operators_url}/v1/withdrawals',
+                json={'key_hash': 'a' * 64},
+                timeout=60,
+            )
+            wait_until(
+                lambda: 'event=keys_withdrawn' in host.agent.log_text(),
+                'the key is refused',
+            )
+            host.agent.send(15)
+            wait_until(
+                lambda: 'event=stopping' in host.agent.log_text(),
+                'the first signal was taken',
+            )
+            host.agent.send(15)
+            answer = withdrawal.result()
+        assert answer.status_code == 200
+        assert answer.json()['recorded'] is False
+        assert answer.json()['told_hosts'] > 0
+        assert host.agent.wait() == ExitStatus.STOPPED_WITH_WORK_LEFT
+        assert 'operator_api=1' in host.agent.log_text()
+        other = cluster.hosts['muenchen-1-1']
+        wait_until(lambda: other.status()['withdrawn_keys'], 'the other host knows')
+
 
 class Callers:
     """Enrol from several threads, each with its own kept-alive connections."""
