--- a/cicadadoor/gate/app.py
+++ b/cicadadoor/gate/app.py
@@ -84,6 +84,8 @@
 
     async def stop(self, grace_s: float) -> None:
         """Answer what is left, stop listening and end the connections."""
+        # Not set yet if a second signal cut the stop short.
+        self._state.is_stopping = True
         await self._open.cut()
         await self._server.close()
 
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -1,7 +1,9 @@
 """Stop gates and agents under load."""
 
+import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import httpx
 import pytest
@@ -110,36 +112,88 @@
         slow = threading.Thread(target=_enrol_slowly, args=(cluster, host, 0))
         slow.start()
         wait_until(lambda: _enrolments(cluster), 'the request runs')
-        host.gate.send(15)
-        if by_signal:
-            wait_until(
-                lambda: 'event=left_lookups' in host.gate.log_text(),
-                'the first signal was taken',
-            )
-            host.gate.send(15)
+        _cut_off(host, by_signal=by_signal)
         assert host.gate.wait() == ExitStatus.STOPPED_WITH_WORK_LEFT
         assert 'event=stopped_with_work_left' in host.gate.log_text()
         assert 'departure=1' in host.gate.log_text()
         slow.join()
 
-    def test_request_cut_by_the_stop_is_told_that_it_may_have_run(self, cluster):
-        """A caller that is told 500 can't tell a fault of the host from its end."""
+    @pytest.mark.parametrize('by_signal', (True, False))
+    def test_request_that_a_stop_cuts_off_is_told_that_it_may_have_run(
+        self,
+        cluster,
+        by_signal,
+    ):
+        """A 500 that states nothing leaves the caller without a rule."""
         host = cluster.hosts[HOST]
         set_faults(cluster.backends['kb-muenchen-1'].url, work_ms=60_000)
-        answers = []
-
-        def enrol() -> None:
-            answers.append(_enrol_slowly(cluster, host, 0))
+        with ThreadPoolExecutor() as threads:
+            enrolment = threads.submit(_post_slowly, cluster, host, 0)
+            wait_until(lambda: _enrolments(cluster), 'the request runs')
+            _cut_off(host, by_signal=by_signal)
+            answer = enrolment.result()
+        assert answer.status_code == 504
+        assert answer.json()['error'] == 'cut_by_stop'
+        assert answer.headers['x-cicadadoor-run'] == 'unknown'
+        assert answer.headers['connection'] == 'close'
+        assert host.gate.wait() == ExitStatus.STOPPED_WITH_WORK_LEFT
 
-        slow = threading.Thread(target=enrol)
-        slow.start()
-        wait_until(lambda: _enrolments(cluster), 'the request runs')
-        host.gate.send(15)
+    @pytest.mark.parametrize('by_signal', (True, False))
+    def test_request_that_a_stop_cuts_off_in_its_body_is_told_that_it_did_not_run(
+        self,
+        cluster,
+        by_signal,
+    ):
+        """An enrolment may be sent to another host only if it did not run."""
+        host = cluster.hosts[HOST]
+        head = (
+            'POST /s/kursbuchung/enrol/slow HTTP/1.1\r\n'
+            f'host: muenchen\r\nx-api-key: {cluster.key}\r\n'
+            'expect: 100-continue\r\ncontent-length: 8\r\n\r\n'
+        )
+        address = host.settings['callers'].rpartition(':')
+        with socket.create_connection((address[0], int(address[2])), 60) as caller:
+            caller.sendall(head.encode())
+            assert b' 100 ' in caller.recv(1000)
+            caller.sendall(b'half')
+            _cut_off(host, by_signal=by_signal)
+            answer = caller.makefile('rb').read()
+        assert answer.startswith(b'HTTP/1.1 503 ')
+        assert b'"error":"draining"' in answer
+        assert b'x-cicadadoor-run: no' in answer
         assert host.gate.wait() == ExitStatus.STOPPED_WITH_WORK_LEFT
-        slow.join()
-        assert answers[0].status_code == 504
-        assert answers[0].headers['x-cicadadoor-run'] == 'unknown'
-        assert answers[0].json()['error'] == 'cut_by_stop'
+        assert not _enrolments(cluster)
+
+    def test_withdrawal_that_a_stop_of_the_agent_meets_is_confirmed(self, cluster):
+        """The agent has passed the key on, also when nothing else answers."""
+        host = cluster.hosts[HOST]
+        host.gate.kill()
+        set_faults(cluster.platform_url, delay_ms=60_000)
+        with ThreadPoolExecutor() as threads:
+            withdrawal = threads.submit(
+                httpx.post,
+                f'{host.operators_url}/v1/withdrawals',
+                json={'key_hash': 'a' * 64},
+                timeout=60,
+            )
+            wait_until(
+                lambda: 'event=keys_withdrawn' in host.agent.log_text(),
+                'the key is refused',
+            )
+            host.agent.send(15)
+            wait_until(
+                lambda: 'event=stopping' in host.agent.log_text(),
+                'the first signal was taken',
+            )
+            host.agent.send(15)
+            answer = withdrawal.result()
+        assert answer.status_code == 200
+        assert answer.json()['recorded'] is False
+        assert answer.json()['told_hosts'] > 0
+        assert host.agent.wait() == ExitStatus.STOPPED_WITH_WORK_LEFT
+        assert 'operator_api=1' in host.agent.log_text()
+        other = cluster.hosts['muenchen-1-1']
+        wait_until(lambda: other.status()['withdrawn_keys'], 'the other host knows')
 
 
 class Callers:
@@ -257,11 +311,26 @@
     return [entry['url'] for entry in found['hosts']]
 
 
-def _enrol_slowly(cluster, host, work_ms) -> httpx.Response | None:
+def _cut_off(host, *, by_signal) -> None:
+    """Begin a stop, and end it early by a second signal or leave it to its limit."""
+    host.gate.send(15)
+    if by_signal:
+        wait_until(
+            lambda: 'event=left_lookups' in host.gate.log_text(),
+            'the first signal was taken',
+        )
+        host.gate.send(15)
+
+
+def _post_slowly(cluster, host, work_ms) -> httpx.Response:
     headers = {'x-api-key': cluster.key, 'x-work-ms': str(work_ms)}
     url = f'{host.callers_url}/s/kursbuchung/enrol/slow'
+    return httpx.post(url, headers=headers, timeout=60)
+
+
+def _enrol_slowly(cluster, host, work_ms) -> None:
     try:
-        return httpx.post(url, headers=headers, timeout=60)
+        _post_slowly(cluster, host, work_ms)
     except httpx.HTTPError:
         # The test that cuts the request off asserts on the exit code and the log.
-        return None
+        return
