Let the soak look for answers that no one decided on

A 500 without a signature over processes shows that a host ended without answering, as in the incident LOST. test_answer_that_no_one_decided_on_is_found checks the check; the three seeds of the short run break nothing (71 passed with the pages' tests).

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -29,7 +29,15 @@
 class Told:
     """Hold what a caller was told of one request; status 0 is no answer."""
 
-    __slots__ = ('answered_s', 'attempt', 'fault', 'key', 'sent_s', 'status')
+    __slots__ = (
+        'answered_s',
+        'attempt',
+        'fault',
+        'is_signed',
+        'key',
+        'sent_s',
+        'status',
+    )
 
     def __init__(self, attempt: str, key: str) -> None:
         self.attempt = attempt
@@ -37,6 +45,7 @@
         self.sent_s = time.monotonic()
         self.answered_s = self.sent_s
         self.status = 0
+        self.is_signed = False
         self.fault = ''
 
     @property
@@ -93,14 +102,15 @@
             return told
         told.answered_s = time.monotonic()
         told.status = answer.status_code
+        told.is_signed = answer.headers.get('response-signature') == 'signed'
         if answer.is_success:
-            told.fault = self._find_fault(attempt, answer)
+            told.fault = self._find_fault(told, answer)
         return told
 
-    def _find_fault(self, attempt: str, answer: httpx.Response) -> str:
-        if answer.headers.get('attempt-id') != attempt:
+    def _find_fault(self, told: Told, answer: httpx.Response) -> str:
+        if answer.headers.get('attempt-id') != told.attempt:
             return 'the answer of another request'
-        if answer.headers.get('response-signature') != 'signed':
+        if not told.is_signed:
             return 'a success without a signature'
         if answer.text not in self._fleet.workers:
             return f'body {answer.text!r} is no whole body of a worker'
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,6 +1,7 @@
 """Check promises by what callers were told and what workers ran."""
 
 from collections import Counter
+from http import HTTPStatus
 
 from tests.soak.callers import Told
 from tests.soak.fleet import BURST, RATE_PER_S, Run
@@ -19,6 +20,11 @@
         for each in told
         if each.is_promise and by_attempt[each.attempt]
     )
+    faults.extend(
+        f'{each.attempt}: answered {each.status} by the host itself'
+        for each in told
+        if each.status == HTTPStatus.INTERNAL_SERVER_ERROR and not each.is_signed
+    )
     faults.extend(
         f'{attempt}: ran {count} times'
         for attempt, count in _unsafe_counts(runs).items()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -56,6 +56,13 @@
     def test_refusal_of_a_request_that_ran_is_found(self, status):
         assert find_faults([_told('a', status)], [_run('a')])
 
+    def test_answer_that_no_one_decided_on_is_found(self):
+        """The HTTP library answers 500 for a request that a host did not end."""
+        assert find_faults([_told('a', 500)], [_run('a')])
+        signed = _told('a', 500)
+        signed.is_signed = True
+        assert not find_faults([signed], [_run('a')])
+
     def test_request_that_nobody_sent_is_found(self):
         assert find_faults([], [_run('a')])
 
