Don't take the record of a host whose address can't be used

A record with port 70000 broke the UDP socket of every host that read it (OverflowError in sendto, then BrokenResourceError in each beat, for good); one without a port ended each beat before the hosts that are listed after it. test_unusable_address_of_one_host_silences_no_other failed before in all three cases and passes.

--- a/cicadadoor/platform/decoding.py
+++ b/cicadadoor/platform/decoding.py
@@ -20,6 +20,7 @@
     Topic,
 )
 from cicadadoor.platform.store_client import StoreObject
+from cicadadoor.settings import parse_address
 
 _VERSION = re.compile(r'r(\d+)')
 _LEAST_URGENT = 9
@@ -212,7 +213,11 @@
 
 
 def _host(stored: StoreObject) -> HostRecord:
-    return msgspec.json.decode(stored.spec, type=HostRecord)
+    record = msgspec.json.decode(stored.spec, type=HostRecord)
+    for address in (record.callers, record.peers):
+        if parse_address(address) is None:
+            raise ValueError(f'{address!r} is no address of a host')
+    return record
 
 
 _DECODERS: dict[Topic, Callable[[StoreObject], Record]] = {
--- /dev/null
+++ b/tests/test_faults_from_outside.py
@@ -0,0 +1,55 @@
+"""Feed a host what it can't use, from the store and from other hosts."""
+
+import anyio
+import pytest
+
+from cicadadoor.entry.model import Topic
+from cicadadoor.entry.peers import BEAT_S
+from tests.utils.entry_hosts import run_deployed
+from tests.utils.waiting import until
+
+_SOME_BEATS_S = 8 * BEAT_S
+
+
+class TestHostRecords:
+    """Guard the beats of all hosts against the record of one."""
+
+    @pytest.mark.parametrize('address', ['127.0.0.1:70000', '127.0.0.1:x', ''])
+    def test_unusable_address_of_one_host_silences_no_other(self, address):
+        """All hosts read the same record, and would be taken for gone."""
+
+        async def work(deployment):
+            own = deployment.find('membership')
+            other = deployment.find('membership', host=1)
+            name, other_name = (settings.host for settings in deployment.hosts)
+            await until(lambda: _beat_number(other, name) > 0)
+            _list_host(deployment, 'host-9', address)
+            mirror = deployment.find('mirror')
+            await until(lambda: 'host-9' in mirror.records(Topic.HOSTS))
+            # Listed anew, the other host comes after the one that can't be reached.
+            own.peers.forget(other_name)
+            deployment.store.remove('cicadadoor-hosts', other_name)
+            await until(lambda: own.peers.find(other_name) is not None)
+            before = _beat_number(other, name)
+            await anyio.sleep(_SOME_BEATS_S)
+            assert _beat_number(other, name) > before
+
+        run_deployed(work, hosts=2)
+
+
+def _beat_number(membership, host: str) -> int:
+    beats = [beat for beat in membership.live_beats() if beat.host == host]
+    return beats[0].number if beats else 0
+
+
+def _list_host(deployment, name: str, address: str) -> None:
+    present = deployment.hosts[0]
+    record = {
+        'host': name,
+        'instance': 'elsewhere',
+        'callers': str(present.callers),
+        'peers': address,
+        'failure_domain': present.failure_domain,
+        'region': present.region,
+    }
+    deployment.store.put('cicadadoor-hosts', name, record)
