Refuse messages that are nested too deeply

One message to the port of the peers stopped the host: the decoder raises RecursionError, which is none of its own errors, and the task that answers peers stops the process. test_message_that_is_nested_too_deeply_does_not_stop_the_host failed before and passes.

--- a/cicadadoor/links/messages.py
+++ b/cicadadoor/links/messages.py
@@ -112,5 +112,5 @@
             )
         try:
             return self._decoder.decode(encoded)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return Failure(ErrorKind.MESSAGE_INVALID, f'malformed message: {error}')
--- a/tests/test_faults_from_outside.py
+++ b/tests/test_faults_from_outside.py
@@ -1,6 +1,7 @@
 """Feed a host what it can't use, from the store and from other hosts."""
 
 import anyio
+import pynng
 import pytest
 
 from cicadadoor.entry.model import Topic
@@ -8,6 +9,8 @@
 from tests.utils.entry_hosts import run_deployed
 from tests.utils.waiting import until
 
+# A nesting that no decoder follows to its end.
+_TOO_DEEP = 5000
 _SOME_BEATS_S = 8 * BEAT_S
 
 
@@ -37,6 +40,26 @@
         run_deployed(work, hosts=2)
 
 
+class TestPeerMessages:
+    """Guard the process against one message."""
+
+    def test_message_that_is_nested_too_deeply_does_not_stop_the_host(self):
+        """Whatever reaches the ports could stop all hosts at once."""
+
+        async def work(deployment):
+            nested = b'\x81\xa1x' + b'\x91' * _TOO_DEEP + b'\x90'
+            with pynng.Req0() as socket:
+                socket.dial(f'tcp://{deployment.hosts[0].peers}', block=True)
+                await socket.asend(nested)
+                with anyio.fail_after(10):
+                    # The refusal; a host that has the fault sends none.
+                    await socket.arecv()
+            assert not deployment.find('state').is_leaving
+            assert (await deployment.call('/look/1')).status_code == 200
+
+        run_deployed(work)
+
+
 def _beat_number(membership, host: str) -> int:
     beats = [beat for beat in membership.live_beats() if beat.host == host]
     return beats[0].number if beats else 0
