Show that a host that can't follow the store calls its copy current

test_host_that_can_not_follow_the_store_does_not_call_its_copy_current fails: while its task starts again and again, the copy has age 0 and the host counts as served. Failing test alone.

--- a/tests/test_faults_from_outside.py
+++ b/tests/test_faults_from_outside.py
@@ -60,6 +60,32 @@
         run_deployed(work)
 
 
+class TestStoreFaults:
+    """Guard what a host believes of its copy of the store."""
+
+    def test_host_that_can_not_follow_the_store_does_not_call_its_copy_current(
+        self, monkeypatch
+    ):
+        """It would deny new keys and routes for good, and read for other hosts."""
+
+        async def work(deployment):
+            async def fail(*arguments, **options) -> None:
+                raise RuntimeError('the reader has a fault')
+
+            source = deployment.find('source')
+            mirror = deployment.find('mirror')
+            with monkeypatch.context() as patch:
+                patch.setattr(source, 'wait', fail)
+                patch.setattr(source, 'read', fail)
+                deployment.store.cut_watches()
+                await until(lambda: not mirror.is_served, 10)
+                await until(lambda: mirror.age_s(Topic.POLICY) > 0, 10)
+            await until(lambda: mirror.is_served, 10)
+            assert mirror.age_s(Topic.POLICY) == 0
+
+        run_deployed(work)
+
+
 def _beat_number(membership, host: str) -> int:
     beats = [beat for beat in membership.live_beats() if beat.host == host]
     return beats[0].number if beats else 0
