--- a/tests/test_kernel_others.py
+++ b/tests/test_kernel_others.py
@@ -40,3 +40,26 @@
         assert left == ''  # noqa: PLC1901
 
 
+class _EndlessLeave(Service):
+    """Never be done with leaving, as with a socket that stays full."""
+
+    name = 'endless'
+
+    async def leave(self) -> None:
+        """Wait for ever."""
+        await anyio.sleep_forever()
+
+
+class TestLeaving:
+    """Guard the end of a stop against one service."""
+
+    def test_service_that_leaves_without_end_does_not_keep_the_process(self):
+        """The process would be killed with its requests in flight."""
+
+        async def main() -> None:
+            with anyio.fail_after(8):
+                await _run(_EndlessLeave(), grace_s=0.1)
+
+        anyio.run(main)
+
+
