--- a/tests/test_kernel_others.py
+++ b/tests/test_kernel_others.py
@@ -63,3 +63,34 @@
         anyio.run(main)
 
 
+class _Steps(Service):
+    """Note the steps of a stop, and take some time over leaving."""
+
+    name = 'steps'
+
+    def __init__(self) -> None:
+        self.steps: list[str] = []
+
+    async def leave(self) -> None:
+        """Take some time."""
+        await anyio.sleep(1)
+
+    def refuse(self) -> None:
+        """Note it."""
+        self.steps.append('refuse')
+
+    async def stop(self, grace_s: float) -> None:
+        """Note it."""
+        self.steps.append('stop')
+
+
+class TestSecondSignal:
+    """Guard callers against an end that comes while services leave."""
+
+    def test_second_signal_while_services_leave_refuses_new_work(self):
+        """What arrives from then on must not be begun."""
+        noted = _Steps()
+        kernel = Kernel()
+        kernel.register(noted)
+        anyio.run(kernel.run, partial(anyio.sleep, 0.05), 0)
+        assert noted.steps == ['refuse', 'stop']
