Show that a worker's answer in hand is lost when its repeat is cut

test_failure_of_a_worker_is_passed_on_when_its_repeat_is_cut fails: the caller gets 504 of the host in place of the signed 500 that it holds. Failing test alone.

--- a/tests/test_entry_cut.py
+++ b/tests/test_entry_cut.py
@@ -1,8 +1,10 @@
 """Check requests that meet the very end of a host."""
 
+import anyio
 import pytest
 
 from tests.utils.entry_hosts import run_deployed
+from tests.utils.waiting import until
 
 
 class TestCut:
@@ -21,3 +23,24 @@
             assert answer.status_code == 503
 
         run_deployed(work)
+
+    def test_failure_of_a_worker_is_passed_on_when_its_repeat_is_cut(self):
+        """The host holds an answer of a worker already."""
+
+        async def work(deployment):
+            answers: list = []
+            script = ['fail', 'silent']
+            for worker in deployment.workers.values():
+                worker.script = script
+
+            async def call() -> None:
+                answers.append(await deployment.call('/look/1', deadline_ms=8000))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call)
+                await until(lambda: deployment.runs == 2)
+                deployment.stopping.set()
+            assert answers[0].status_code == 500
+            assert answers[0].headers['response-signature'] == 'signed'
+
+        run_deployed(work, workers=2)
