--- /dev/null
+++ b/tests/test_entry_cut.py
@@ -0,0 +1,66 @@
+"""Check requests that meet the very end of a host."""
+
+import anyio
+import pytest
+
+from cicadadoor import http_server, kernel
+from cicadadoor.entry import server
+from tests.utils.entry_hosts import host_settings, run_deployed
+from tests.utils.waiting import until
+
+
+class TestCut:
+    """Guard what is sent, and answered, once requests are cut."""
+
+    @pytest.mark.parametrize('method', ['GET', 'POST'])
+    def test_request_that_arrives_after_the_cut_is_not_passed_on(self, method):
+        """A kept connection takes it before the cancellation is noticed."""
+
+        async def work(deployment):
+            await deployment.call('/look/1')
+            before = deployment.runs
+            await deployment.find('server')._open.cut()
+            answer = await deployment.call('/look/1', method=method)
+            assert deployment.runs == before
+            assert answer.status_code == 503
+
+        run_deployed(work)
+
+    def test_failure_of_a_worker_is_passed_on_when_its_repeat_is_cut(self):
+        """The host holds an answer of a worker already."""
+
+        async def work(deployment):
+            answers: list = []
+            script = ['fail', 'silent']
+            for worker in deployment.workers.values():
+                worker.script = script
+
+            async def call() -> None:
+                answers.append(await deployment.call('/look/1', deadline_ms=8000))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call)
+                await until(lambda: deployment.runs == 2)
+                deployment.stopping.set()
+            assert answers[0].status_code == 500
+            assert answers[0].headers['response-signature'] == 'signed'
+
+        run_deployed(work, workers=2)
+
+
+class TestTime:
+    """Guard the end of a stop against the platform's patience."""
+
+    @pytest.mark.parametrize('kill_after_s', [1, 2, 4, 6])
+    def test_stop_ends_before_the_process_is_killed(self, kill_after_s):
+        """What is left for answers and connections doesn't shrink with the time."""
+        settings = host_settings('host-0', '127.0.0.1:1')
+        settings.kill_after_s = kill_after_s
+        takes_s = (
+            settings.leave_s
+            + settings.grace_s
+            + kernel._SETTLE_S
+            + http_server._CUT_LIMIT_S
+            + server._CLOSE_S
+        )
+        assert takes_s < kill_after_s
--- /dev/null
+++ b/tests/test_faults_from_outside.py
@@ -0,0 +1,104 @@
+"""Feed a host what it can't use, from the store and from other hosts."""
+
+import anyio
+import pynng
+import pytest
+
+from cicadadoor.entry.model import Topic
+from cicadadoor.entry.peers import BEAT_S
+from tests.utils.entry_hosts import run_deployed
+from tests.utils.waiting import until
+
+# A nesting that no decoder follows to its end.
+_TOO_DEEP = 5000
+_SOME_BEATS_S = 8 * BEAT_S
+
+
+class TestHostRecords:
+    """Guard the beats of all hosts against the record of one."""
+
+    @pytest.mark.parametrize('address', ['127.0.0.1:70000', '127.0.0.1:x', ''])
+    def test_unusable_address_of_one_host_silences_no_other(self, address):
+        """All hosts read the same record, and would be taken for gone."""
+
+        async def work(deployment):
+            own = deployment.find('membership')
+            other = deployment.find('membership', host=1)
+            name, other_name = (settings.host for settings in deployment.hosts)
+            await until(lambda: _beat_number(other, name) > 0)
+            _list_host(deployment, 'host-9', address)
+            mirror = deployment.find('mirror')
+            await until(lambda: 'host-9' in mirror.records(Topic.HOSTS))
+            # Listed anew, the other host comes after the one that can't be reached.
+            own.peers.forget(other_name)
+            deployment.store.remove('cicadadoor-hosts', other_name)
+            await until(lambda: own.peers.find(other_name) is not None)
+            before = _beat_number(other, name)
+            await anyio.sleep(_SOME_BEATS_S)
+            assert _beat_number(other, name) > before
+
+        run_deployed(work, hosts=2)
+
+
+class TestPeerMessages:
+    """Guard the process against one message."""
+
+    def test_message_that_is_nested_too_deeply_does_not_stop_the_host(self):
+        """Whatever reaches the ports could stop all hosts at once."""
+
+        async def work(deployment):
+            nested = b'\x81\xa1x' + b'\x91' * _TOO_DEEP + b'\x90'
+            with pynng.Req0() as socket:
+                socket.dial(f'tcp://{deployment.hosts[0].peers}', block=True)
+                await socket.asend(nested)
+                with anyio.fail_after(10):
+                    # The refusal; a host that has the fault sends none.
+                    await socket.arecv()
+            assert not deployment.find('state').is_leaving
+            assert (await deployment.call('/look/1')).status_code == 200
+
+        run_deployed(work)
+
+
+class TestStoreFaults:
+    """Guard what a host believes of its copy of the store."""
+
+    def test_host_that_can_not_follow_the_store_does_not_call_its_copy_current(
+        self, monkeypatch
+    ):
+        """It would deny new keys and routes for good, and read for other hosts."""
+
+        async def work(deployment):
+            async def fail(*arguments, **options) -> None:
+                raise RuntimeError('the reader has a fault')
+
+            source = deployment.find('source')
+            mirror = deployment.find('mirror')
+            with monkeypatch.context() as patch:
+                patch.setattr(source, 'wait', fail)
+                patch.setattr(source, 'read', fail)
+                deployment.store.cut_watches()
+                await until(lambda: not mirror.is_served, 10)
+                await until(lambda: mirror.age_s(Topic.POLICY) > 0, 10)
+            await until(lambda: mirror.is_served, 10)
+            assert mirror.age_s(Topic.POLICY) == 0
+
+        run_deployed(work)
+
+
+def _beat_number(membership, host: str) -> int:
+    beats = [beat for beat in membership.live_beats() if beat.host == host]
+    return beats[0].number if beats else 0
+
+
+def _list_host(deployment, name: str, address: str) -> None:
+    present = deployment.hosts[0]
+    record = {
+        'host': name,
+        'instance': 'elsewhere',
+        'callers': str(present.callers),
+        'peers': address,
+        'failure_domain': present.failure_domain,
+        'region': present.region,
+    }
+    deployment.store.put('cicadadoor-hosts', name, record)
