Keep listening for SIGHUP whatever the settings file holds

Found in review: a settings file that is nested too deeply raises RecursionError in the task that listens for the signal; until the task starts again the signal's default ends the process with its requests, as it does before the program listens at all. Change: a fault in reading keeps the settings, and the signal is ignored until it is heard. test_settings_that_are_a_fault_to_read_leave_the_signal_heard ended the run of the tests before (SIGHUP) and passes.

--- a/cicadadoor/entry/daemon.py
+++ b/cicadadoor/entry/daemon.py
@@ -1,5 +1,6 @@
 """Run an entry host."""
 
+import signal
 import sys
 
 from cicadadoor import core
@@ -68,6 +69,8 @@
 
 def main() -> None:
     """Run `cicadadoor-entry SETTINGS_FILE`."""
+    # Until it is listened to; what it tells of has not been read yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     sys.exit(
         core.run_daemon(
             'cicadadoor-entry',
--- a/cicadadoor/entry/reload.py
+++ b/cicadadoor/entry/reload.py
@@ -62,7 +62,12 @@
         if content is None or content == self._content:
             return
         self._content = content
-        loaded = entry_settings.load(str(self._path))
+        try:
+            loaded = entry_settings.load(str(self._path))
+        except Exception:
+            # Without its listener the signal would end the process.
+            log.exception('settings_kept', path=self._path)
+            return
         if isinstance(loaded, Failure):
             log.warning('settings_kept', reason=loaded.reason)
             return
--- a/tests/test_entry_settings.py
+++ b/tests/test_entry_settings.py
@@ -104,6 +104,22 @@
 
         run_reload(settings_file, work)
 
+    def test_settings_that_are_a_fault_to_read_leave_the_signal_heard(
+        self, settings_file
+    ):
+        """Without its listener the next signal would end the process."""
+
+        async def work(state):
+            settings_file.write_bytes(b'[' * 100_000)
+            os.kill(os.getpid(), signal.SIGHUP)
+            await anyio.sleep(0.02)
+            changed = {**FIELDS, 'quota_slack': 9}
+            settings_file.write_bytes(msgspec.json.encode(changed))
+            os.kill(os.getpid(), signal.SIGHUP)
+            await until(lambda: state.settings.quota_slack == 9)
+
+        run_reload(settings_file, work)
+
     def test_unreadable_settings_change_nothing(self, settings_file):
         async def work(state):
             settings_file.write_bytes(b'{broken')
