Call the copy of the store old while its reader has a fault

Found in review: a reader that starts again after a fault left the copy marked as current, so that the host denied new keys and routes by it (401, 404) and read for others. Change: a fault of the reader is noted as a failure of the store. test_host_that_can_not_follow_the_store_does_not_call_its_copy_current failed before and passes.

--- a/cicadadoor/entry/mirror.py
+++ b/cicadadoor/entry/mirror.py
@@ -3,7 +3,8 @@
 import math
 import random
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import anyio
 import msgspec
@@ -89,6 +90,16 @@
                 reason=failure.reason,
             )
 
+    @contextmanager
+    def noting_faults(self, topic: Topic, now_s: Callable[[], float]) -> Iterator[None]:
+        """Note a fault of the reader, which leaves the copy as it was, as a failure."""
+        try:
+            yield
+        except Exception as error:
+            reason = f'{type(error).__name__}: {error}'
+            self.note_failure(topic, Failure(ErrorKind.INTERNAL, reason), now_s())
+            raise
+
 
 class Mirror(Service):
     """Read and watch every topic for as long as the process runs."""
@@ -214,30 +225,31 @@
         is_whole = False
         # A first read may lag: the wait from its revision brings what it misses.
         may_read_late = topic not in _NEVER_LAGGING
-        while not self._is_stopped:
-            answer: Snapshot | Changes | Failure | None = None
-            with anyio.CancelScope() as scope:
-                copy.restart = scope
-                if is_whole:
-                    answer = await self._wait(topic)
-                else:
-                    answer = await self._source.read(topic, may_lag=may_read_late)
-            copy.restart = None
-            if isinstance(answer, Snapshot | Changes):
-                backoff_s = _FIRST_BACKOFF_S
-                copy.note_answer(topic, self._timer.now_s())
-                self._apply(topic, answer)
-                is_whole = True
-                # Changes that come in quick succession share a call.
-                await self._timer.sleep(_gather_s(len(self.records(Topic.HOSTS))))
-                continue
-            if answer is None or answer.kind is ErrorKind.STORE_COMPACTED:
-                is_whole = False
-                may_read_late = False
-                continue
-            copy.note_failure(topic, answer, self._timer.now_s())
-            await self._timer.sleep(backoff_s * (0.5 + random.random()))
-            backoff_s = min(_LONGEST_BACKOFF_S, 2 * backoff_s)
+        with copy.noting_faults(topic, self._timer.now_s):
+            while not self._is_stopped:
+                answer: Snapshot | Changes | Failure | None = None
+                with anyio.CancelScope() as scope:
+                    copy.restart = scope
+                    if is_whole:
+                        answer = await self._wait(topic)
+                    else:
+                        answer = await self._source.read(topic, may_lag=may_read_late)
+                copy.restart = None
+                if isinstance(answer, Snapshot | Changes):
+                    backoff_s = _FIRST_BACKOFF_S
+                    copy.note_answer(topic, self._timer.now_s())
+                    self._apply(topic, answer)
+                    is_whole = True
+                    # Changes that come in quick succession share a call.
+                    await self._timer.sleep(_gather_s(len(self.records(Topic.HOSTS))))
+                    continue
+                if answer is None or answer.kind is ErrorKind.STORE_COMPACTED:
+                    is_whole = False
+                    may_read_late = False
+                    continue
+                copy.note_failure(topic, answer, self._timer.now_s())
+                await self._timer.sleep(backoff_s * (0.5 + random.random()))
+                backoff_s = min(_LONGEST_BACKOFF_S, 2 * backoff_s)
 
     async def _wait(self, topic: Topic) -> Changes | Failure:
         wait_s = _LAGGING_WAIT_S if self.may_lag else WAIT_S
