Leave a fixed time for the end of a stop

Found in review: answers to requests that are cut, and closing, take the same time however short the time until SIGKILL is; a share of it was too little below 6 s. Change: 0.65 s are kept; the rest is divided as before at 6 s (leave 3.0 s, wait 2.35 s). test_stop_ends_before_the_process_is_killed failed for 1, 2 and 4 s and passes.

--- a/cicadadoor/entry/settings.py
+++ b/cicadadoor/entry/settings.py
@@ -6,9 +6,9 @@
 from cicadadoor.errors import Failure
 from cicadadoor.settings import FieldRule
 
-# The rest is left for answers to requests that are cut, and for closing connections.
-_LEAVE_SHARE = 0.5
-_GRACE_SHARE = 0.39
+# Left at the end for answers to requests that are cut, and for closing connections.
+_END_S = 0.65
+_LEAVE_SHARE = 0.56
 
 
 class EntrySettings:
@@ -49,12 +49,12 @@
 
         Clients keep a directory answer for up to three times its `ttl_s`.
         """
-        return self.kill_after_s * _LEAVE_SHARE
+        return (self.kill_after_s - _END_S) * _LEAVE_SHARE
 
     @property
     def grace_s(self) -> float:
         """Return how long requests in flight may take after that."""
-        return self.kill_after_s * _GRACE_SHARE
+        return self.kill_after_s - _END_S - self.leave_s
 
     def region_of(self, failure_domain: str) -> str:
         """Return the region of a failure domain, or an empty text."""
