--- a/cicadadoor/links/transport.py
+++ b/cicadadoor/links/transport.py
@@ -168,7 +168,12 @@
                 log.warning('peer_answer_failed', error=type(error).__name__)
 
     async def _answer(self, encoded: bytes) -> bytes:
-        request = self._codec.decode(encoded)
+        try:
+            request = self._codec.decode(encoded)
+        except Exception:
+            # Bytes from outside must not end the task that answers.
+            log.exception('peer_message_fault', size_bytes=len(encoded))
+            return self._refuse(Failure(ErrorKind.MESSAGE_INVALID, 'unreadable'), 0)
         if isinstance(request, Failure):
             return self._refuse(request, 0)
         try:
--- a/cicadadoor/platform/source.py
+++ b/cicadadoor/platform/source.py
@@ -116,7 +116,7 @@
         if topic is Topic.POLICY and name != _POLICY_NAME:
             return name
         records[name] = decode(topic, stored)
-    except (msgspec.MsgspecError, MalformedObjectError) as error:
+    except (msgspec.MsgspecError, MalformedObjectError, RecursionError) as error:
         log.warning('object_unreadable', topic=topic.value, name=name, error=error)
         if name:
             records[name] = None
--- a/cicadadoor/platform/store_client.py
+++ b/cicadadoor/platform/store_client.py
@@ -192,7 +192,7 @@
         return body
     try:
         return msgspec.json.decode(body, type=wanted)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return Failure(
             ErrorKind.STORE_UNAVAILABLE,
             f'the store sent a malformed answer: {error}',
