Begin no request after the cut, and pass on a failure that is at hand

Found in review. A signed failure of a backend server was lost when the repeat that may improve on it was cut. A request cut while its body came left no line in the log.

--- a/cicadadoor/entry/dispatch.py
+++ b/cicadadoor/entry/dispatch.py
@@ -76,26 +76,27 @@
         budget = self._budget(steered.service)
         budget.earn(self._timer.now_s())
         worst: Failure | None = None
-        failed_answer: BackendAnswer | None = None
         while True:
             backend = await self._placement.place(steered)
             if backend is None:
-                return failed_answer or self._with_return(
+                return steered.failed_answer or self._with_return(
                     worst or self._placement.no_room(steered)
                 )
             answer = await self._attempt(steered, backend)
             if isinstance(answer, BackendAnswer):
                 if not self._may_improve(steered, answer, budget):
                     return answer
-                failed_answer = answer
+                steered.failed_answer = answer
                 continue
             self._note_failure(steered, answer)
             worst = _graver(worst, answer)
             if not self._may_repeat(steered, answer, budget):
-                return failed_answer or self._with_return(worst)
+                return steered.failed_answer or self._with_return(worst)
 
-    def cut(self, steered: Steered) -> Failure:
+    def cut(self, steered: Steered) -> BackendAnswer | Failure:
         """Return what is answered to a request whose work the host has to end."""
+        if steered.failed_answer is not None:
+            return steered.failed_answer
         if steered.may_have_run:
             return Failure(
                 ErrorKind.CUT_BY_STOP,
--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -163,10 +163,11 @@
         )
         with self._open.cuttable():
             body = await _read_body(receive, self._body_limit_bytes())
+        received_s = self._timer.now_s()
         if isinstance(body, Failure):
+            self._record(request, body, body.kind.value, body.reason, received_s)
             await self._send_failure(send, body)
             return
-        received_s = self._timer.now_s()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch_caller, receive, tasks.cancel_scope)
             await self._answer(request, body, received_s, send, tasks.cancel_scope)
@@ -215,6 +216,8 @@
             return Failure(ErrorKind.INTERNAL, 'the host has a fault', run=Run.NO)
 
     async def _run(self, steered: Steered) -> BackendAnswer | Failure:
+        if self._open.is_cut:
+            return self._dispatcher.cut(steered)
         try:
             with self._open.cuttable():
                 return await self._dispatcher.run(steered)
--- a/cicadadoor/entry/steering.py
+++ b/cicadadoor/entry/steering.py
@@ -2,7 +2,7 @@
 
 import random
 
-from cicadadoor.entry.messages import CallerRequest
+from cicadadoor.entry.messages import BackendAnswer, CallerRequest
 from cicadadoor.entry.model import OrganisationPolicy, RoutePolicy
 from cicadadoor.entry.quarantine import fingerprint_of
 
@@ -14,6 +14,7 @@
         'attempts',
         'body',
         'deadline_s',
+        'failed_answer',
         'fingerprint',
         'may_have_run',
         'object_key',
@@ -51,6 +52,8 @@
         self.tried: list[str] = []
         # Set unless every attempt so far is known to have run nowhere.
         self.may_have_run = False
+        # The failure that a backend server answered, while a repeat may improve on it.
+        self.failed_answer: BackendAnswer | None = None
 
     @property
     def organisation_name(self) -> str:
--- a/cicadadoor/http_server.py
+++ b/cicadadoor/http_server.py
@@ -76,7 +76,8 @@
     def __init__(self) -> None:
         self._count = 0
         self._scopes: set[anyio.CancelScope] = set()
-        self._is_cut = False
+        # Set once no request may be begun any more.
+        self.is_cut = False
 
     def __len__(self) -> int:
         """Return how many requests have no whole answer yet."""
@@ -95,7 +96,7 @@
     def cuttable(self) -> Iterator[None]:
         """Leave the block early if requests are cut; what follows has to answer."""
         with anyio.CancelScope() as scope:
-            if self._is_cut:
+            if self.is_cut:
                 scope.cancel()
             self._scopes.add(scope)
             try:
@@ -105,7 +106,7 @@
 
     async def cut(self) -> None:
         """End the work on all requests, and wait for their answers to be sent."""
-        self._is_cut = True
+        self.is_cut = True
         for scope in tuple(self._scopes):
             scope.cancel()
         with anyio.move_on_after(_CUT_LIMIT_S):
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -6,6 +6,7 @@
 import httpx
 import pytest
 
+from cicadadoor.entry.model import Topic
 from tests.utils.entry_hosts import Deployment, run_deployed
 from tests.utils.logs import captured_logs
 from tests.utils.metadata_store import configuration
@@ -44,6 +45,42 @@
 
         run_deployed(work)
 
+    def test_request_that_may_have_run_before_is_not_told_that_it_did_not(
+        self, monkeypatch
+    ):
+        """A later attempt that ran nowhere says nothing of the first one."""
+
+        async def work(deployment):
+            script = ['reset', 'shed']
+            for worker in deployment.workers.values():
+                worker.script = script
+            placement = deployment.find('placement')
+            place = placement.place
+            waits = anyio.Event()
+
+            async def place_twice(steered):
+                if len(steered.tried) < 2:
+                    return await place(steered)
+                waits.set()
+                return await anyio.sleep_forever()
+
+            monkeypatch.setattr(placement, 'place', place_twice)
+            monkeypatch.setattr(
+                deployment.find('dispatcher'), '_may_repeat', lambda *_: True
+            )
+            answers: list = []
+
+            async def call() -> None:
+                answers.append(await deployment.call('/look/1', deadline_ms=9000))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call)
+                await waits.wait()
+                deployment.stopping.set()
+            assert answers[0].status_code == 504
+
+        run_deployed(work, workers=2)
+
     def test_log_of_a_request_cut_by_the_stop_does_not_blame_the_caller(self):
         async def work(deployment, lines):
             await _call_and_stop(deployment)
@@ -96,7 +133,11 @@
             worker.work_s = 0.5
             answers: list = []
 
-            async def fail(*arguments, **options) -> None:
+            wait = source.wait
+
+            async def fail(topic, *arguments, **options) -> None:
+                if topic is not Topic.POLICY:
+                    return await wait(topic, *arguments, **options)
                 monkeypatch.undo()
                 raise RuntimeError('the reader has a fault')
 
