Bound leaving, refuse whenever it ends, and lose one task to a stray cancellation

Change: a stray cancellation is a fault of its task alone; leaving has a limit for each service, and 'leave_timed_out' in the log; the refusal comes whenever leaving ends. test_cancellation_in_one_task_cuts_no_work_of_others, test_service_that_leaves_without_end_does_not_keep_the_process and test_second_signal_while_services_leave_refuses_new_work failed before and pass.

--- a/cicadadoor/agent/gate_watch.py
+++ b/cicadadoor/agent/gate_watch.py
@@ -1,5 +1,7 @@
 """Keep the agent up while its gate leaves."""
 
+import math
+
 from cicadadoor.agent.state import AgentState
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.messages import GateReport
@@ -19,6 +21,8 @@
     """
 
     name = 'gate_watch'
+    # A gate that ends or falls silent is waited for no longer.
+    leave_limit_s = math.inf
 
     def __init__(self) -> None:
         self._state: AgentState
--- a/cicadadoor/entry/listing.py
+++ b/cicadadoor/entry/listing.py
@@ -1,7 +1,5 @@
 """List this host in the store, and remove the records of hosts that are gone."""
 
-import anyio
-
 from cicadadoor.entry.membership import Membership
 from cicadadoor.entry.mirror import Mirror
 from cicadadoor.entry.model import HostRecord, Topic
@@ -47,12 +45,16 @@
         kernel.spawn(self._publish, on_fault=OnFault.RESTART)
         self._timer.subscribe('remove_gone_hosts', _CHECK_S, self._remove_gone)
 
+    @property
+    def leave_limit_s(self) -> float:
+        """Return how long leaving may take; the others find a silent host."""
+        return self._state.settings.leave_s
+
     async def leave(self) -> None:
-        """Remove the record; if the store is away, the others find it silent."""
-        with anyio.move_on_after(self._state.settings.leave_s):
-            answer = await self._source.remove_host(self._state.settings.host)
-            if isinstance(answer, Failure):
-                log.warning('host_not_removed', reason=answer.reason)
+        """Remove the record."""
+        answer = await self._source.remove_host(self._state.settings.host)
+        if isinstance(answer, Failure):
+            log.warning('host_not_removed', reason=answer.reason)
 
     async def _publish(self) -> None:
         while not self._state.is_leaving:
--- a/cicadadoor/entry/membership.py
+++ b/cicadadoor/entry/membership.py
@@ -1,5 +1,6 @@
 """Hear other hosts, and tell them what this one knows."""
 
+import math
 import socket
 from collections.abc import Callable
 from contextlib import suppress
@@ -21,6 +22,7 @@
 log = logs.logger('membership')
 
 _MAX_DATAGRAM_BYTES = 60_000
+_LAST_BEAT_LIMIT_S = 0.5
 # A tick that comes so late means that the process stood still.
 _SUSPENDED_S = 1.0
 
@@ -42,6 +44,8 @@
     """Beat, and listen for the beats of others."""
 
     name = 'membership'
+    # Each step of leaving has a limit of its own.
+    leave_limit_s = math.inf
 
     def __init__(self) -> None:
         self._state: EntryState
@@ -135,8 +139,11 @@
     async def leave(self) -> None:
         """Tell all hosts, and go on serving callers that still know this one."""
         self._state.is_leaving = True
-        await self._beat()
-        await self._timer.sleep(self._state.settings.leave_s)
+        until_s = self._timer.now_s() + self._state.settings.leave_s
+        # A socket that stays full must not keep the host.
+        with anyio.move_on_after(_LAST_BEAT_LIMIT_S):
+            await self._beat()
+        await self._timer.sleep(max(0.0, until_s - self._timer.now_s()))
 
     async def stop(self, grace_s: float) -> None:
         """Close the socket."""
@@ -207,7 +214,11 @@
         host_ip, _, port = address.rpartition(':')
         try:
             await self._socket.sendto(encoded, host_ip, int(port))
-        except (OSError, anyio.ClosedResourceError) as error:
+        except (
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ) as error:
             log.warning('beat_not_sent', peer=address, error=error)
 
     async def _listen(self) -> None:
@@ -219,7 +230,7 @@
     def _hear(self, encoded: bytes) -> None:
         try:
             beat = self._decoder.decode(encoded)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             log.warning('beat_unreadable', error=error)
             return
         self.peers.take(beat, self._timer.now_s())
--- a/cicadadoor/gate/departure.py
+++ b/cicadadoor/gate/departure.py
@@ -15,6 +15,8 @@
 AGENT_SILENCE_S = 3.0
 # Peers drop a host that they have not heard for this long.
 PEERS_FORGET_S = 10.0
+# Time to report the departure to an agent that is slow.
+_TELL_LIMIT_S = 5.0
 
 
 class Departure(Service):
@@ -37,12 +39,21 @@
         self._receiver = kernel.find('config_receiver')
         self._directory = kernel.find('directory')
 
+    @property
+    def leave_limit_s(self) -> float:
+        """Return how long leaving may take, with peers that nobody has told."""
+        return self._serves_s + PEERS_FORGET_S + _TELL_LIMIT_S
+
+    @property
+    def _serves_s(self) -> float:
+        settings = self._state.settings
+        return settings.answer_ttl_ms / _MS_PER_S + settings.leave_margin_s
+
     async def leave(self) -> None:
         """Stop being named, and return when no cached look-up names this gate."""
         self._state.is_leaving = True
         self._lookup.remove_self()
-        settings = self._state.settings
-        serves_s = settings.answer_ttl_ms / _MS_PER_S + settings.leave_margin_s
+        serves_s = self._serves_s
         log.info('left_lookups', serves_s=serves_s)
         await self._receiver.report()
         await self._timer.sleep(serves_s)
--- a/cicadadoor/kernel.py
+++ b/cicadadoor/kernel.py
@@ -1,6 +1,7 @@
 """Register services by name, and start and stop them in order."""
 
 import abc
+import asyncio
 from collections.abc import Awaitable, Callable
 from enum import Enum, auto, unique
 from functools import partial
@@ -40,6 +41,10 @@
     GO_ON = auto()
 
 
+class StrayCancellationError(Exception):
+    """Tell of a task that was cancelled although nobody asked for its end."""
+
+
 class Service(abc.ABC):
     """Do one job in a daemon and be found by name."""
 
@@ -48,6 +53,9 @@
     async def start(self, kernel: 'Kernel') -> None:  # noqa: B027
         """Acquire resources; services registered earlier are running."""
 
+    # Longer than this a service may not take to leave.
+    leave_limit_s = 5.0
+
     async def leave(self) -> None:  # noqa: B027
         """Stop being offered new work; return when nobody will offer any."""
 
@@ -130,13 +138,20 @@
             log.exception('task_failed', task=work.__qualname__)
             metrics.TASK_FAILURES.labels(work.__qualname__).inc()
             return error
-        except BaseException:
-            # A task that fails ends the process, so the log has to tell which it was.
-            if self._tasks is not None and not self._tasks.cancel_scope.cancel_called:
-                log.exception('task_failed', task=work.__qualname__)
-            raise
+        except asyncio.CancelledError as error:
+            task = asyncio.current_task()
+            if self._is_ending or (task is not None and task.cancelling()):
+                raise
+            # A library's own cancellation would end all tasks of the group.
+            log.exception('task_failed', task=work.__qualname__)
+            metrics.TASK_FAILURES.labels(work.__qualname__).inc()
+            return StrayCancellationError(str(error))
         return None
 
+    @property
+    def _is_ending(self) -> bool:
+        return self._tasks is None or self._tasks.cancel_scope.cancel_called
+
     async def run(self, wait_for_signal: WaitForSignal, grace_s: float) -> str:
         """Run all services until the first signal, then stop them in phases.
 
@@ -188,12 +203,11 @@
     ) -> None:
         async with anyio.create_task_group() as phases:
             phases.start_soon(_cancel_on_signal, wait_for_signal, phases.cancel_scope)
-            async with anyio.create_task_group() as leaving:
-                for service in self._started:
-                    leaving.start_soon(_leave, service)
-            log.info('refusing_new_work')
-            for started in self._started:
-                started.refuse()
+            try:
+                await self._leave_all()
+            finally:
+                # Also when a second signal cuts the leaving short.
+                self._refuse_all()
             with anyio.move_on_after(grace_s):
                 await anyio.sleep(REFUSE_AT_LEAST_S)
                 while self._describe_work():
@@ -201,6 +215,16 @@
             await anyio.sleep(_SETTLE_S)
             phases.cancel_scope.cancel()
 
+    async def _leave_all(self) -> None:
+        async with anyio.create_task_group() as leaving:
+            for service in self._started:
+                leaving.start_soon(_leave, service)
+
+    def _refuse_all(self) -> None:
+        log.info('refusing_new_work')
+        for service in self._started:
+            service.refuse()
+
     def _describe_work(self) -> str:
         counts = {service.name: service.work_left() for service in self._started}
         return ' '.join(f'{name}={count}' for name, count in counts.items() if count)
@@ -218,9 +242,13 @@
 async def _leave(service: Service) -> None:
     # What a service fails to tell others must not end the work in flight.
     try:
-        await service.leave()
+        with anyio.move_on_after(service.leave_limit_s) as scope:
+            await service.leave()
     except Exception:
         log.exception('leave_failed', service=service.name)
+        return
+    if scope.cancelled_caught:
+        log.warning('leave_timed_out', service=service.name)
 
 
 async def _cancel_after(event: anyio.Event, scope: CancelScope) -> None:
