Run a suspect alone at a server that takes requests

Cause: the run alone of a request that two deaths made a suspect took the least loaded server of the domain, leaving out only those that died less than 2 s ago. Servers that the gate itself gives nothing (leaving, ejected, held, drained, without slots) were taken too; of equals, the first by configuration. The queue then refused. What callers saw: 503 no_backend_server, run=no, 'service kursbuchung has none left in muenchen-1', while another server was usable; and so again on each repeat until the first server came back, so that the request was neither run nor convicted. Ruled out: a refusal by another host of the domain ('did not agree') and a server that was not reached; both have other bodies. Change: the run alone takes the least loaded of the servers that routing uses. If there is none, the request is refused as before when no server can be kept free. The assertion of the test is as strict as before and shows the bodies. Failing before: test_suspect_is_not_refused_while_a_server_is_usable on fakes.

--- a/cicadadoor/gate/quarantine.py
+++ b/cicadadoor/gate/quarantine.py
@@ -12,6 +12,7 @@
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.gate.directory import GateDirectory
 from cicadadoor.gate.request import SteeredRequest
+from cicadadoor.gate.servers import BackendServers
 from cicadadoor.gate.state import GateState
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.daemon_link import DaemonLink
@@ -52,6 +53,7 @@
     def __init__(self) -> None:
         self._state: GateState
         self._timer: TimerService
+        self._servers: BackendServers
         self._directory: GateDirectory
         self._link: DaemonLink
         self._peers: PeerHub
@@ -69,6 +71,7 @@
         self._kernel = kernel
         self._state = kernel.find('state')
         self._timer = kernel.find('timer')
+        self._servers = kernel.find('servers')
         self._directory = kernel.find('directory')
         self._link = kernel.find('daemon_link')
         self._link.on(QuarantineUpdate, self._take_update)
@@ -217,18 +220,17 @@
         self,
         request: SteeredRequest,
     ) -> BackendServer | None:
-        domain = self._state.settings.failure_domain
-        reserved = self.reserved()
         now_s = self._timer.now_s()
         dead = {
             name for name, died_s in self._died_s.items() if died_s + _DEATH_S > now_s
         }
-        local = [
-            server
-            for server in request.service.backend_servers
-            if server.failure_domain == domain and server.name not in reserved | dead
+        # Routing would refuse a run alone at any other server.
+        usable = {each.name for each in self._servers.usable(request.service)}
+        free = usable - self.reserved() - dead
+        servers = [
+            server for server in request.service.backend_servers if server.name in free
         ]
-        return min(local, key=self._load, default=None)
+        return min(servers, key=self._load, default=None)
 
     def _load(self, server: BackendServer) -> int:
         return len(self._in_flight.get(server.name, ()))
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from cicadadoor.decisions.balancing import Candidate, ServerLoad
 from cicadadoor.decisions.retries import MAX_ATTEMPTS
 from cicadadoor.errors import ANSWERS, ErrorKind, Failure, Run
 from cicadadoor.gate.attempts import Attempts
@@ -27,11 +28,20 @@
         self.answers = list(answers)
         self.servers = []
         self.taken = 0
+        self.unusable = set()
+
+    def usable(self, service):
+        """Return the servers that are not left out."""
+        return [
+            Candidate(server.name, server.slots, ServerLoad())
+            for server in service.backend_servers
+            if server.name not in self.unusable
+        ]
 
     async def acquire(self, request, avoid, *, is_local_only=False):
-        """Give the first server that is not avoided."""
+        """Give the first usable server that is not avoided."""
         for server in request.service.backend_servers:
-            if server.name not in avoid:
+            if server.name not in self.unusable.union(avoid):
                 self.taken += 1
                 return Target(server=server)
         return Failure(ErrorKind.NO_BACKEND_SERVER, 'none is left')
@@ -82,6 +92,7 @@
                 is_withdrawn=lambda key: False,
                 guard=lambda request, answer: None,
             ),
+            Named('servers', usable=script.usable),
             Named('queue', acquire=script.acquire, release=script.release),
             Named('forwarder', forward=script.forward),
             Named('peer_forwarder'),
@@ -102,6 +113,16 @@
         return request
 
 
+@pytest.fixture
+def servers_die(monkeypatch):
+    """Let each server whose connection breaks refuse new ones."""
+
+    async def has_died(server):
+        return True
+
+    monkeypatch.setattr('cicadadoor.gate.quarantine._has_died', has_died)
+
+
 def whole():
     """Return a whole answer."""
     return SteeredAnswer(status=200, headers=[], body=b'booked')
@@ -174,15 +195,10 @@
     """Guard against a conviction without a run alone, and a third victim."""
 
     @pytest.mark.parametrize('is_guilty', [False, True])
-    def test_suspect_runs_alone(self, is_guilty, monkeypatch):
+    def test_suspect_runs_alone(self, is_guilty, servers_die):
         """Two shared deaths make a suspect; the run alone decides."""
         broken = Failure(ErrorKind.OUTCOME_UNKNOWN, 'broken')
 
-        async def died(server):
-            return True
-
-        monkeypatch.setattr('cicadadoor.gate.quarantine._has_died', died)
-
         async def play():
             last = broken if is_guilty else whole()
             rig = await Rig(broken, broken, last, whole()).start()
@@ -201,14 +217,41 @@
 
         anyio.run(play)
 
-    def test_suspect_waits_for_all_gates(self, monkeypatch):
-        """Another gate's request on the server could be the one that ends it."""
+    def test_suspect_is_not_refused_while_a_server_is_usable(self, servers_die):
+        """Routing gives no server that leaves or is ejected to the run alone."""
+        broken = Failure(ErrorKind.OUTCOME_UNKNOWN, 'broken')
+
+        async def play():
+            rig = await Rig(broken, broken, whole()).start()
+            await rig.attempts.run(rig.request('GET'))
+            assert rig.script.servers == ['kb-0', 'kb-1']
+            rig.script.unusable = {'kb-2'}
+            answer = await rig.attempts.run(rig.request('GET'))
+            assert rig.script.servers[2:] == ['kb-3']
+            assert answer.body == b'booked'
+
+        anyio.run(play)
+
+    def test_suspect_is_refused_without_a_usable_server(self, servers_die):
+        """The refusal holds nothing back and says that nothing ran."""
         broken = Failure(ErrorKind.OUTCOME_UNKNOWN, 'broken')
 
-        async def died(server):
-            return True
+        async def play():
+            rig = await Rig(broken, broken, whole()).start()
+            await rig.attempts.run(rig.request('GET'))
+            rig.script.unusable = {f'kb-{number}' for number in range(4)}
+            refused = await rig.attempts.run(rig.request('GET'))
+            assert refused.run is Run.NO
+            assert len(rig.script.servers) == 2
+            assert not rig.quarantine.reserved()
+            rig.script.unusable = set()
+            assert (await rig.attempts.run(rig.request('GET'))).body == b'booked'
 
-        monkeypatch.setattr('cicadadoor.gate.quarantine._has_died', died)
+        anyio.run(play)
+
+    def test_suspect_waits_for_all_gates(self, servers_die):
+        """Another gate's request on the server could be the one that ends it."""
+        broken = Failure(ErrorKind.OUTCOME_UNKNOWN, 'broken')
 
         async def play():
             rig = await Rig(broken, broken, whole()).start()
--- a/tests/test_request_processes.py
+++ b/tests/test_request_processes.py
@@ -259,7 +259,9 @@
         def crash(name):
             return enrol(cluster, name, body=b'crash', x_crash='1', x_mark='crash')
 
-        assert {run_of(crash(FIRST)) for _ in range(3)} == {'unknown'}
+        crashes = [crash(FIRST) for _ in range(3)]
+        said = [answer.text for answer in crashes]
+        assert {run_of(answer) for answer in crashes} == {'unknown'}, said
         refused = crash(FIRST)
         assert refused.json()['error'] == 'quarantined'
         assert run_of(refused) == 'no'
