Give nothing to a server that was seen dead until it answers again

Cause: the quarantine confirms a death by a refused connection, but did not tell routing. For 2 s it left the dead server out of runs alone by itself; after that, and before the next probe, the server counted as usable. Among the servers of the domain it also took the place of an ejected one that still ran, as only half of the servers may be ejected. Change: a confirmed death is evidence of REFUSED, as a refused request or probe is. The server is used again after its health was good, at the next probe; before, a request could reach a restarted server sooner if none had been refused in between. Failing before: test_suspect_is_not_sent_to_a_server_that_died (fakes). Because that test ends all servers, the fixture now waits until both gates use all of them again.

--- a/cicadadoor/gate/quarantine.py
+++ b/cicadadoor/gate/quarantine.py
@@ -9,6 +9,7 @@
 
 from cicadadoor.config.model import BackendServer
 from cicadadoor.decisions.crashes import CONVICTION_S, CrashLedger
+from cicadadoor.decisions.leaving import Evidence
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.gate.directory import GateDirectory
 from cicadadoor.gate.request import SteeredRequest
@@ -139,6 +140,7 @@
         self._died_s[server.name] = now_s
         fingerprints = {request.fingerprint for request in at_break}
         self._ledger.note_death(fingerprints, now_s)
+        self._servers.note_leaving(server.name, Evidence.REFUSED)
         log.warning(
             'backend_server_died',
             backend_server=server.name,
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -38,6 +38,10 @@
             if server.name not in self.unusable
         ]
 
+    def note_leaving(self, server, evidence):
+        """Leave the server out from now on."""
+        self.unusable.add(server)
+
     async def acquire(self, request, avoid, *, is_local_only=False):
         """Give the first usable server that is not avoided."""
         for server in request.service.backend_servers:
@@ -92,7 +96,11 @@
                 is_withdrawn=lambda key: False,
                 guard=lambda request, answer: None,
             ),
-            Named('servers', usable=script.usable),
+            Named(
+                'servers',
+                usable=script.usable,
+                note_leaving=script.note_leaving,
+            ),
             Named('queue', acquire=script.acquire, release=script.release),
             Named('forwarder', forward=script.forward),
             Named('peer_forwarder'),
@@ -225,13 +233,26 @@
             rig = await Rig(broken, broken, whole()).start()
             await rig.attempts.run(rig.request('GET'))
             assert rig.script.servers == ['kb-0', 'kb-1']
-            rig.script.unusable = {'kb-2'}
+            rig.script.unusable.add('kb-2')
             answer = await rig.attempts.run(rig.request('GET'))
             assert rig.script.servers[2:] == ['kb-3']
             assert answer.body == b'booked'
 
         anyio.run(play)
 
+    def test_suspect_is_not_sent_to_a_server_that_died(self, servers_die):
+        """A server that is dead for longer would refuse the run alone."""
+        broken = Failure(ErrorKind.OUTCOME_UNKNOWN, 'broken')
+
+        async def play():
+            rig = await Rig(broken, broken, whole()).start()
+            await rig.attempts.run(rig.request('GET'))
+            rig.timer.jump(3)
+            await rig.attempts.run(rig.request('GET'))
+            assert rig.script.servers == ['kb-0', 'kb-1', 'kb-2']
+
+        anyio.run(play)
+
     def test_suspect_is_refused_without_a_usable_server(self, servers_die):
         """The refusal holds nothing back and says that nothing ran."""
         broken = Failure(ErrorKind.OUTCOME_UNKNOWN, 'broken')
--- a/tests/test_request_processes.py
+++ b/tests/test_request_processes.py
@@ -56,6 +56,7 @@
         if not host.gate.is_running():
             host.gate.start()
         wait_until(host.is_ready, 'the gate is back')
+    wait_until(lambda: all_used(cluster), 'the gates use all backend servers')
     wait_until(lambda: all_serve(cluster), 'the gates serve')
 
 
@@ -66,6 +67,15 @@
     )
 
 
+def all_used(cluster):
+    """Tell whether no gate of the first domain leaves a backend server out."""
+    return not any(
+        has_left(cluster, name, backend)
+        for name in (FIRST, SECOND)
+        for backend in BACKENDS
+    )
+
+
 def answers(url):
     """Tell whether the stand-in answers."""
     try:
@@ -86,6 +96,14 @@
     return httpx.get(url, headers={'x-api-key': cluster.key}).status_code == 200
 
 
+def has_left(cluster, name, backend):
+    """Tell whether the gate logged that it gives the server nothing new."""
+    text = cluster.hosts[name].gate.log_text()
+    left_at = text.rfind(f'event=backend_server_leaving backend_server={backend} ')
+    returned_at = text.rfind(f'event=backend_server_returns backend_server={backend}\n')
+    return left_at > returned_at
+
+
 def look_up(cluster, name):
     """Return what the gate answers to a look-up."""
     url = f'{cluster.hosts[name].callers_url}/cicadadoor/v1/hosts'
@@ -279,6 +297,14 @@
             'other requests run at the backend server that is left',
         )
 
+    def test_suspect_is_not_refused_while_a_server_is_usable(self, cluster):
+        """The run alone is not given to a server that is known to be gone."""
+        cluster.backends['kb-1'].process.kill()
+        wait_until(lambda: has_left(cluster, FIRST, 'kb-1'), 'the gate leaves it out')
+        crashes = [enrol(cluster, FIRST, body=b'end', x_crash='1') for _ in range(3)]
+        said = [answer.text for answer in crashes]
+        assert {run_of(answer) for answer in crashes} == {'unknown'}, said
+
 
 class TestOpaqueKeys:
     """Guard against two gates that both dispatch under a caller's own key."""
