--- a/tests/test_request_processes.py
+++ b/tests/test_request_processes.py
@@ -56,6 +56,7 @@
         if not host.gate.is_running():
             host.gate.start()
         wait_until(host.is_ready, 'the gate is back')
+    wait_until(lambda: all_used(cluster), 'the gates use all backend servers')
     wait_until(lambda: all_serve(cluster), 'the gates serve')
 
 
@@ -66,6 +67,15 @@
     )
 
 
+def all_used(cluster):
+    """Tell whether no gate of the first domain leaves a backend server out."""
+    return not any(
+        has_left(cluster, name, backend)
+        for name in (FIRST, SECOND)
+        for backend in BACKENDS
+    )
+
+
 def answers(url):
     """Tell whether the stand-in answers."""
     try:
