--- a/cicadadoor/kernel.py
+++ b/cicadadoor/kernel.py
@@ -131,26 +131,32 @@
         try:
             await work(*arguments)
         except Exception as error:
-            if self._is_closing:
-                # It met a resource that its service had closed before it.
-                log.warning('task_cut_by_stop', task=work.__qualname__, error=error)
-                return None
-            log.exception('task_failed', task=work.__qualname__)
-            metrics.TASK_FAILURES.labels(work.__qualname__).inc()
-            return error
+            return self._judge(work, error)
         except asyncio.CancelledError as error:
-            task = asyncio.current_task()
-            if self._is_ending or (task is not None and task.cancelling()):
+            if self._is_cancelled:
                 raise
             # A library's own cancellation would end all tasks of the group.
-            log.exception('task_failed', task=work.__qualname__)
-            metrics.TASK_FAILURES.labels(work.__qualname__).inc()
-            return StrayCancellationError(str(error))
+            return self._judge(work, StrayCancellationError(str(error)))
         return None
 
+    def _judge(self, work: Work, error: Exception) -> Exception | None:
+        if self._is_closing:
+            # It met a resource that its service had closed before it.
+            log.warning('task_cut_by_stop', task=work.__qualname__, error=error)
+            return None
+        log.exception('task_failed', task=work.__qualname__)
+        metrics.TASK_FAILURES.labels(work.__qualname__).inc()
+        return error
+
     @property
-    def _is_ending(self) -> bool:
-        return self._tasks is None or self._tasks.cancel_scope.cancel_called
+    def _is_cancelled(self) -> bool:
+        """Tell whether the end of the present task was asked for."""
+        task = asyncio.current_task()
+        return (
+            self._tasks is None
+            or self._tasks.cancel_scope.cancel_called
+            or (task is not None and bool(task.cancelling()))
+        )
 
     async def run(self, wait_for_signal: WaitForSignal, grace_s: float) -> str:
         """Run all services until the first signal, then stop them in phases.
