Count the agent's open requests with the class that gate and entry host use

The agent counted them by hand beside OpenRequests.counted, which does the same. Behaviour stays. test_withdrawal_that_a_stop_of_the_agent_meets_is_confirmed and test_operators pass.

--- a/cicadadoor/agent/operator_api.py
+++ b/cicadadoor/agent/operator_api.py
@@ -16,6 +16,7 @@
 from cicadadoor.http_server import (
     JSON_HEADER,
     HttpServer,
+    OpenRequests,
     Receive,
     Scope,
     Send,
@@ -93,7 +94,7 @@
         self._withdrawals: Withdrawals
         self._records: WithdrawalRecords
         self._server: HttpServer
-        self._open_requests = 0
+        self._open = OpenRequests()
         self._is_stopping = False
         self._record_waits: set[anyio.CancelScope] = set()
 
@@ -117,7 +118,7 @@
 
     def work_left(self) -> int:
         """Return how many requests have no whole answer yet."""
-        return self._open_requests
+        return len(self._open)
 
     async def stop(self, grace_s: float) -> None:
         """Answer what is still open, stop listening and end the connections."""
@@ -133,11 +134,8 @@
         if scope['type'] == 'lifespan':
             await answer_lifespan(receive, send)
             return
-        self._open_requests += 1
-        try:
+        with self._open.counted():
             await self._answer(scope, receive, send)
-        finally:
-            self._open_requests -= 1
 
     async def _answer(self, scope: Scope, receive: Receive, send: Send) -> None:
         path = scope['path']
