--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -426,12 +426,7 @@
 
     def test_organisation_gets_its_rate_over_all_hosts_together(self):
         async def work(deployment):
-            spec = configuration(2)
-            spec['tenants']['rows'] = [['school', ['key-1'], 1, 10, 10]]
-            deployment.store.put('config', 'main', spec)
-            for number in range(2):
-                policy = deployment.find('policy', number)
-                await until(partial(_has_version, policy, 2))
+            await _limit(deployment, rate_per_s=10, burst=10)
             statuses = []
 
             async def send(number: int) -> None:
@@ -452,12 +447,7 @@
         """A store that falls silent at once leaves each host with a list of itself."""
 
         async def work(deployment):
-            spec = configuration(2)
-            spec['tenants']['rows'] = [['school', ['key-1'], 1, 10, 100]]
-            deployment.store.put('config', 'main', spec)
-            for number in range(3):
-                policy = deployment.find('policy', number)
-                await until(partial(_has_version, policy, 2))
+            await _limit(deployment, rate_per_s=10, burst=100)
             deployment.store.faults.deaf_watches = True
             for number in range(3):
                 peers = deployment.find('membership', number).peers
@@ -479,6 +469,16 @@
         run_deployed(work, workers=4, hosts=3)
 
 
+async def _limit(deployment, *, rate_per_s: int, burst: int) -> None:
+    """Limit the organisation, and wait until every host knows."""
+    spec = configuration(2)
+    spec['tenants']['rows'] = [['school', ['key-1'], 1, rate_per_s, burst]]
+    deployment.store.put('config', 'main', spec)
+    for number, _ in enumerate(deployment.hosts):
+        policy = deployment.find('policy', number)
+        await until(partial(_has_version, policy, 2))
+
+
 def _has_version(policy, version: int) -> bool:
     return policy.current.version == version
 
