--- a/cicadadoor/decisions/host_shares.py
+++ b/cicadadoor/decisions/host_shares.py
@@ -27,6 +27,15 @@
     return EVEN_FRACTION * even + (1 - EVEN_FRACTION) * own / total
 
 
+def initial_tokens(burst: float, rate_per_s: float, uptime_s: float) -> float:
+    """Return the tokens with which a host starts to use its share of a limit.
+
+    Its previous run may have used the burst just before, so only what has accrued since
+    the host started is available.
+    """
+    return min(burst, 1 + rate_per_s * uptime_s)
+
+
 class SlidingMinimum:
     """Return the smallest value within a sliding time window."""
 
@@ -93,9 +102,9 @@
 
     __slots__ = ('_tokens', '_updated_s', '_baseline_per_s', 'admitted_fraction')
 
-    def __init__(self, burst: float, now_s: float) -> None:
+    def __init__(self, tokens: float, now_s: float) -> None:
         self.admitted_fraction = 1.0
-        self._tokens = burst
+        self._tokens = tokens
         self._updated_s = now_s
         self._baseline_per_s = 0.0
 
--- a/cicadadoor/entry/admission.py
+++ b/cicadadoor/entry/admission.py
@@ -2,6 +2,7 @@
 
 import random
 
+from cicadadoor.entry.membership import Membership
 from cicadadoor.entry.messages import CallerRequest
 from cicadadoor.entry.model import RoutePolicy
 from cicadadoor.entry.policy import ActivePolicy
@@ -28,6 +29,7 @@
         self._state: EntryState
         self._policy: ActivePolicy
         self._quotas: Quotas
+        self._membership: Membership
         self._crashes: CrashWatch
         self._round_robins: dict[str, WeightedRoundRobin] = {}
 
@@ -36,6 +38,7 @@
         self._state = kernel.find('state')
         self._policy = kernel.find('policy')
         self._quotas = kernel.find('quotas')
+        self._membership = kernel.find('membership')
         self._crashes = kernel.find('quarantine')
 
     def admit(
@@ -90,8 +93,12 @@
                 'backend servers crashed while running identical requests',
                 int(_MS_PER_S * _NOT_READY_RETRY_S),
             )
-        if routed.organisation is None:
+        if routed.organisation is None or routed.organisation.rate_per_s <= 0:
             return routed
+        if not self._membership.is_listed:
+            return _not_ready(
+                'this host is not in the list of hosts that share the limit yet, retry'
+            )
         wait_s = self._quotas.take(routed.organisation)
         if wait_s is None:
             return routed
--- a/cicadadoor/entry/backend_table.py
+++ b/cicadadoor/entry/backend_table.py
@@ -7,8 +7,8 @@
 from cicadadoor.decisions.backend_health import BackendHealth
 from cicadadoor.decisions.host_shares import SendPacer
 from cicadadoor.decisions.placement import CacheState, Candidate
+from cicadadoor.entry.heartbeats import name_hash
 from cicadadoor.entry.model import BackendRecord
-from cicadadoor.entry.peers import name_hash
 from cicadadoor.telemetry import logs
 
 log = logs.logger('backends')
--- a/cicadadoor/entry/backends.py
+++ b/cicadadoor/entry/backends.py
@@ -5,10 +5,10 @@
 from cicadadoor.decisions.host_shares import cold_gap_s, cold_sender_count
 from cicadadoor.decisions.placement import WeightedServer, rank
 from cicadadoor.entry.backend_table import MISSING_ENTRY_GRACE_S, Backend, BackendTable
+from cicadadoor.entry.heartbeats import HostHeartbeat
 from cicadadoor.entry.membership import HeartbeatPart, Membership
 from cicadadoor.entry.mirror import Mirror
 from cicadadoor.entry.model import BackendRecord, Evacuation, ServicePolicy, Topic
-from cicadadoor.entry.peers import HostHeartbeat
 from cicadadoor.entry.policy import ActivePolicy
 from cicadadoor.entry.ranking import Ranking
 from cicadadoor.entry.state import EntryState
--- a/cicadadoor/entry/cache_reports.py
+++ b/cicadadoor/entry/cache_reports.py
@@ -4,8 +4,8 @@
 
 from cicadadoor.entry.backend_table import Backend
 from cicadadoor.entry.backends import Backends
+from cicadadoor.entry.heartbeats import HostHeartbeat, name_hash
 from cicadadoor.entry.membership import HeartbeatPart, Membership
-from cicadadoor.entry.peers import HostHeartbeat, name_hash
 from cicadadoor.kernel import Kernel
 from cicadadoor.timer import TimerService
 
--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -217,7 +217,9 @@
         is_invalid = fault is not None and fault.kind is ErrorKind.ANSWER_INVALID
         if is_invalid:
             metrics.INVALID_ANSWERS.labels(backend.record.service).inc()
-        if is_invalid or head.is_last:
+        # A faulty server may send a refusal once more. Without a request id, the copy
+        # would be taken for the answer to the next request on the connection.
+        if is_invalid or head.is_last or not head_check.is_attributable:
             connection.abort()
         else:
             self._release(backend, connection, head.idle_limit_s)
--- a/cicadadoor/entry/head_check.py
+++ b/cicadadoor/entry/head_check.py
@@ -27,6 +27,11 @@
         self.head: ResponseHead
         self.fault: Failure | None = None
 
+    @property
+    def is_attributable(self) -> bool:
+        """Tell whether the response names the request that it answers."""
+        return self.head.request_id == self._request.request_id
+
     def wants_body(self, status: int, headers: Headers) -> bool:
         """Tell whether the response will be passed on to the caller."""
         self.head = self._read_response(status, headers)
@@ -40,14 +45,14 @@
     backend: Backend,
 ) -> Failure | None:
     name = backend.record.instance_id
+    if head.request_id != request.request_id and (head.request_id or head.is_signed):
+        # The response to an earlier request on this connection.
+        return Failure(ErrorKind.ANSWER_INVALID, f'{name}: response to another request')
     if head.status == HTTPStatus.MISDIRECTED_REQUEST:
         return Failure(
             ErrorKind.BACKEND_MOVED,
             f'{name}: address now used by {head.instance_id or "another instance"}',
         )
-    if head.request_id != request.request_id and (head.request_id or head.is_signed):
-        # The response to an earlier request on this connection.
-        return Failure(ErrorKind.ANSWER_INVALID, f'{name}: response to another request')
     if head.is_not_run:
         return Failure(
             ErrorKind.BACKEND_SHED, f'{name}: request shed with status {head.status}'
--- /dev/null
+++ b/cicadadoor/entry/heartbeats.py
@@ -0,0 +1,83 @@
+"""Define the heartbeats of hosts and the summaries of failure domains."""
+
+import zlib
+from collections.abc import Sequence
+from functools import lru_cache
+
+import msgspec
+from msgspec import structs
+
+from cicadadoor.decisions.domain_summaries import (
+    smallest_ages,
+    sum_counts,
+    sum_rates,
+)
+from cicadadoor.entry.model import Topic
+
+TOPICS = tuple(Topic)
+_NAME_HASH_CACHE_SIZE = 16_384
+_RATE_DIGITS = 1
+
+
+class HostHeartbeat(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Report to other hosts that this one is alive, and its state.
+
+    `revisions` and `digests` are in the order of the topics. `demand` holds requests
+    per second by organisation. `in_flight` counts this host's requests at each backend
+    server. `unreachable` holds the seconds since each backend server last failed to
+    answer. `crashes` counts, by request fingerprint, the connections to backend servers
+    that broke while such a request ran. `learned` is a flat list of pairs: a backend
+    server and an object that it has just loaded; it is sent only within the region.
+    `is_served` is whether the store answers the sender. Names are sent as `name_hash`,
+    since traffic between regions is billed.
+
+    In the summary of a failure domain, `members` are the live hosts of the domain and
+    `leaving` those of them that are about to stop; `demand`, `in_flight`,
+    `unreachable`, `crashes` and `learned` concern all of them together.
+    """
+
+    host: str
+    instance: str
+    number: int
+    is_leaving: bool
+    revisions: tuple[int, ...]
+    digests: tuple[int, ...]
+    demand: dict[int, float] = {}
+    in_flight: dict[int, int] = {}
+    unreachable: dict[int, float] = {}
+    crashes: dict[int, int] = {}
+    is_served: bool = True
+    learned: tuple[int, ...] = ()
+    members: frozenset[int] = frozenset()
+    leaving: frozenset[int] = frozenset()
+
+    def revision(self, topic: Topic) -> int:
+        """Return the revision of the sender's copy of a topic."""
+        return self.revisions[TOPICS.index(topic)]
+
+    def digest(self, topic: Topic) -> int:
+        """Return the digest of the sender's copy of a topic."""
+        return self.digests[TOPICS.index(topic)]
+
+
+@lru_cache(_NAME_HASH_CACHE_SIZE)
+def name_hash(name: str) -> int:
+    """Return the number that replaces a name in heartbeats."""
+    return zlib.crc32(name.encode())
+
+
+def summarise(own: HostHeartbeat, others: Sequence[HostHeartbeat]) -> HostHeartbeat:
+    """Return the summary of a failure domain; `others` are its other live hosts."""
+    heartbeats = [own, *others]
+    return structs.replace(
+        own,
+        demand=sum_rates((each.demand for each in heartbeats), _RATE_DIGITS),
+        in_flight=sum_counts(each.in_flight for each in heartbeats),
+        unreachable=smallest_ages(each.unreachable for each in heartbeats),
+        crashes=sum_counts(each.crashes for each in heartbeats),
+        learned=tuple(hash_value for each in heartbeats for hash_value in each.learned),
+        members=frozenset(name_hash(each.host) for each in heartbeats),
+        leaving=frozenset(
+            name_hash(each.host) for each in heartbeats if each.is_leaving
+        ),
+    )
--- a/cicadadoor/entry/membership.py
+++ b/cicadadoor/entry/membership.py
@@ -8,17 +8,13 @@
 
 import anyio
 import msgspec
-from msgspec import structs
 
 from cicadadoor.decisions.readers import is_reader
+from cicadadoor.entry.heartbeat_sender import HeartbeatSender
+from cicadadoor.entry.heartbeats import TOPICS, HostHeartbeat
 from cicadadoor.entry.mirror import Mirror
 from cicadadoor.entry.model import HostRecord, Topic
-from cicadadoor.entry.peers import (
-    HEARTBEAT_INTERVAL_S,
-    TOPICS,
-    HostHeartbeat,
-    PeerTable,
-)
+from cicadadoor.entry.peers import HEARTBEAT_INTERVAL_S, PeerTable
 from cicadadoor.entry.state import EntryState
 from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.telemetry import logs
@@ -26,10 +22,12 @@
 
 log = logs.logger('membership')
 
-_MAX_DATAGRAM_BYTES = 60_000
 _LEAVING_HEARTBEAT_TIMEOUT_S = 0.5
 # A tick that is this late means that the process was suspended.
 _SUSPENSION_THRESHOLD_S = 1.0
+# Hosts that start together are not listed at first, so the list of hosts is reread at
+# most this often because of them.
+_REREAD_INTERVAL_S = 1.0
 
 
 class HeartbeatPart(Service):
@@ -57,16 +55,15 @@
         self._mirror: Mirror
         self._timer: TimerService
         self.peers: PeerTable
-        self._socket: anyio.abc.UDPSocket
+        self._sender: HeartbeatSender
         self._parts: list[HeartbeatPart] = []
         self._heartbeat_number = 0
         self._last_heartbeat_s = 0.0
-        self._last_far_heartbeat_s = 0.0
+        self._last_reread_s = -math.inf
         # Set when the copy has changed since the last heartbeat to hosts of the region.
         self._has_unsent_changes = False
-        # The socket allows one sender at a time.
-        self._send_lock = anyio.Lock()
-        self._encoder = msgspec.msgpack.Encoder()
+        # Set when a host is listed that may not know this one yet.
+        self._has_new_peers = False
         self._decoder = msgspec.msgpack.Decoder(HostHeartbeat)
 
     async def start(self, kernel: Kernel) -> None:
@@ -75,8 +72,11 @@
         self._mirror = kernel.find('mirror')
         self._timer = kernel.find('timer')
         settings = self._state.settings
-        self.peers = PeerTable(settings.region)
-        self._socket = await anyio.create_udp_socket(
+        self.peers = PeerTable(settings.region, settings.failure_domain)
+        self._sender = HeartbeatSender(
+            settings.host, settings.failure_domain, self.peers, self._timer
+        )
+        self._sender.socket = await anyio.create_udp_socket(
             family=socket.AF_INET,
             local_host=settings.peers.host_ip,
             local_port=settings.peers.port,
@@ -105,13 +105,26 @@
 
     @property
     def host_count(self) -> int:
-        """Return how many hosts share limits, including silent ones."""
-        return 1 + len(self.peers)
+        """Return how many hosts share limits, including silent and unlisted ones."""
+        listed_count = len(self._mirror.records(Topic.HOSTS))
+        return max(listed_count, 1 + len(self.peers) + len(self.peers.unlisted))
+
+    @property
+    def is_listed(self) -> bool:
+        """Return whether this host is in the list of hosts, as it has read it.
+
+        Hosts that publish their records later than this one then find it in the list,
+        and those that have published earlier are in it: the host count is complete. A
+        host that leaves has removed its record, but is still counted by the others.
+        """
+        return self._state.is_leaving or (
+            self._state.settings.host in self._mirror.records(Topic.HOSTS)
+        )
 
     @property
     def is_isolated(self) -> bool:
         """Return whether fewer than half of the other hosts are heard."""
-        return 2 * len(self.live_heartbeats()) < len(self.peers)
+        return 2 * len(self.peers.heard(self._timer.now_s())) < len(self.peers)
 
     @property
     def is_domain_reader(self) -> bool:
@@ -152,7 +165,7 @@
 
     async def stop(self, grace_s: float) -> None:
         """Close the socket."""
-        await self._socket.aclose()
+        await self._sender.socket.aclose()
 
     async def _tick(self) -> None:
         now_s = self._timer.now_s()
@@ -194,54 +207,40 @@
             is_leaving=self._state.is_leaving,
             **fields,
         )
+        is_urgent = self._state.is_leaving or self._has_new_peers
         self._has_unsent_changes = False
-        await self._send_to_all(heartbeat)
-
-    async def _send_to_all(self, heartbeat: HostHeartbeat) -> None:
-        near = self._encoder.encode(heartbeat)
-        far = self._encoder.encode(structs.replace(heartbeat, learned=()))
-        if len(near) > _MAX_DATAGRAM_BYTES:
-            log.warning('heartbeat_too_large', size_bytes=len(near))
-            return
-        now_s = self._timer.now_s()
-        is_far_due = (
-            now_s - self._last_far_heartbeat_s
-            > self.peers.far_heartbeat_interval_s - HEARTBEAT_INTERVAL_S / 2
-        )
-        sends_to_far_hosts = is_far_due or self._state.is_leaving
-        if sends_to_far_hosts:
-            self._last_far_heartbeat_s = now_s
-        async with self._send_lock:
-            for peer in self.peers.all():
-                if self.peers.is_near(peer):
-                    await self._send(near, peer.record.peers)
-                elif sends_to_far_hosts:
-                    await self._send(far, peer.record.peers)
-
-    async def _send(self, encoded: bytes, address: str) -> None:
-        host_ip, _, port = address.rpartition(':')
-        try:
-            await self._socket.sendto(encoded, host_ip, int(port))
-        except (
-            OSError,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-        ) as error:
-            log.warning('heartbeat_not_sent', peer=address, error=error)
+        self._has_new_peers = False
+        await self._sender.send(heartbeat, is_urgent=is_urgent)
 
     async def _listen(self) -> None:
         # The socket is closed when the process stops.
         with suppress(anyio.ClosedResourceError):
-            async for encoded, _ in self._socket:
-                self._receive(encoded)
+            async for encoded, address in self._sender.socket:
+                host_ip, port = address
+                if self._receive(encoded, f'{host_ip}:{port}'):
+                    await self._sender.forward(encoded)
 
-    def _receive(self, encoded: bytes) -> None:
+    def _receive(self, encoded: bytes, sender: str) -> bool:
+        """Record a heartbeat; return whether to pass it on within the domain."""
         try:
             heartbeat = self._decoder.decode(encoded)
         except (msgspec.MsgspecError, RecursionError) as error:
             log.warning('heartbeat_malformed', error=error)
+            return False
+        now_s = self._timer.now_s()
+        is_new = self.peers.record_heartbeat(heartbeat, now_s)
+        if self.peers.find(heartbeat.host) is None:
+            self._reread_hosts(heartbeat.host, now_s)
+        is_summary = is_new and bool(heartbeat.members)
+        # A summary from elsewhere has been passed on by the host that received it.
+        return is_summary and sender == self.peers.address(heartbeat.host)
+
+    def _reread_hosts(self, unlisted_host: str, now_s: float) -> None:
+        if now_s - self._last_reread_s < _REREAD_INTERVAL_S:
             return
-        self.peers.record_heartbeat(heartbeat, self._timer.now_s())
+        self._last_reread_s = now_s
+        log.info('unlisted_host_heard', host=unlisted_host)
+        self._mirror.reread(Topic.HOSTS)
 
     def _on_change(self, topic: Topic) -> None:
         self._has_unsent_changes = self._has_unsent_changes or self.is_domain_reader
@@ -252,7 +251,12 @@
             for name, record in self._mirror.records(topic).items()
             if isinstance(record, HostRecord) and name != self._state.settings.host
         }
+        known_count = len(self.peers)
         self.peers.update_records(others, self._timer.now_s())
+        if len(self.peers) > known_count:
+            # A host that has read an older list counts this one once it hears it.
+            self._has_new_peers = True
+            self._has_unsent_changes = True
 
 
 def _call_part(method: Callable[[Any], None], argument: Any) -> None:
--- a/cicadadoor/entry/mirror.py
+++ b/cicadadoor/entry/mirror.py
@@ -22,8 +22,8 @@
 # different times and exchange revisions in heartbeats, so a connection that went silent
 # is detected before its watch ends.
 _WATCH_WAIT_S = 10.0
-# For hosts that receive changes from the reader of their failure domain.
-_STALE_WATCH_WAIT_S = 25.0
+# For hosts that the reader of their failure domain tells of later revisions.
+_RELAYED_WATCH_WAIT_S = 29.0
 # With a stale configuration a host would refuse new keys and routes.
 _NEVER_STALE = frozenset((Topic.POLICY,))
 # After a failure, a short watch shows at once whether the store has recovered.
@@ -35,6 +35,9 @@
 # which they must take effect.
 _HOSTS_AT_BASE_DELAY = 16
 _MAX_BATCH_DELAY_S = 0.6
+# The list of hosts changes with each host that starts; heartbeats tell more quickly
+# whether a host lives.
+_MAX_HOSTS_BATCH_DELAY_S = 2.0
 # If another host has a later revision that the watch has not delivered within this
 # time, the watch is no longer served.
 WATCH_LAG_LIMIT_S = 0.4
@@ -119,6 +122,9 @@
         self._is_stopped = False
         # Whether another host is the reader of this failure domain.
         self.may_be_stale = False
+        # Whether that one is relied on for the configuration too. Calls that may be
+        # stale cost a tenth, and each change of it ends a watch of every host.
+        self.policy_may_be_stale = False
 
     async def start(self, kernel: Kernel) -> None:
         """Start to follow every topic."""
@@ -211,9 +217,10 @@
             return False
         if copy.behind_since_s is None:
             copy.behind_since_s = now_s
-        if now_s - copy.behind_since_s <= WATCH_LAG_LIMIT_S + _batch_delay_s(
-            len(self.records(Topic.HOSTS))
-        ):
+        lag_limit_s = WATCH_LAG_LIMIT_S + _batch_delay_s(
+            topic, len(self.records(Topic.HOSTS))
+        )
+        if now_s - copy.behind_since_s <= lag_limit_s:
             return False
         if copy.failing_since_s is None and not self._may_be_stale(topic):
             copy.behind_since_s = None
@@ -253,7 +260,7 @@
                     has_snapshot = True
                     # Batches changes in quick succession into one call.
                     await self._timer.sleep(
-                        _batch_delay_s(len(self.records(Topic.HOSTS)))
+                        _batch_delay_s(topic, len(self.records(Topic.HOSTS)))
                     )
                     continue
                 if answer is None or answer.kind is ErrorKind.STORE_COMPACTED:
@@ -265,7 +272,7 @@
                 backoff_s = min(_MAX_BACKOFF_S, 2 * backoff_s)
 
     async def _watch(self, topic: Topic) -> Changes | Failure:
-        wait_s = _STALE_WATCH_WAIT_S if self.may_be_stale else _WATCH_WAIT_S
+        wait_s = _RELAYED_WATCH_WAIT_S if self.may_be_stale else _WATCH_WAIT_S
         # A random part spreads the watches of hosts that started together.
         wait_s *= 0.5 + random.random() / 2
         if self.is_failing(topic):
@@ -278,7 +285,9 @@
         )
 
     def _may_be_stale(self, topic: Topic) -> bool:
-        return self.may_be_stale and topic not in _NEVER_STALE
+        return self.may_be_stale and (
+            self.policy_may_be_stale or topic not in _NEVER_STALE
+        )
 
     def _apply(self, topic: Topic, answer: Snapshot | Changes) -> None:
         copy = self._copies[topic]
@@ -319,10 +328,12 @@
         log.exception('change_not_taken', topic=topic.value)
 
 
-def _batch_delay_s(host_count: int) -> float:
-    return min(
-        _MAX_BATCH_DELAY_S, _BATCH_DELAY_S * max(1.0, host_count / _HOSTS_AT_BASE_DELAY)
-    )
+def _batch_delay_s(topic: Topic, host_count: int) -> float:
+    longest_s = _MAX_BATCH_DELAY_S
+    if topic is Topic.HOSTS:
+        longest_s = _MAX_HOSTS_BATCH_DELAY_S
+    scale = max(1.0, host_count / _HOSTS_AT_BASE_DELAY)
+    return min(longest_s, _BATCH_DELAY_S * scale)
 
 
 def _digest(records: dict[str, Record | None]) -> int:
--- a/cicadadoor/entry/peers.py
+++ b/cicadadoor/entry/peers.py
@@ -1,19 +1,18 @@
 """Track the other hosts: their records and their latest heartbeats."""
 
 import math
-import zlib
-from functools import lru_cache
+from collections.abc import Iterable
 
-import msgspec
-
-from cicadadoor.entry.model import HostRecord, Topic
+from cicadadoor.decisions.domain_summaries import uses_summaries
+from cicadadoor.entry.heartbeats import TOPICS, HostHeartbeat, name_hash
+from cicadadoor.entry.model import HostRecord
 from cicadadoor.telemetry import logs
 
 log = logs.logger('membership')
 
 # The number of heartbeats grows with the square of the number of hosts. Beyond these
-# numbers of hosts in the own region (near) and in other regions (far), the intervals
-# grow instead.
+# numbers of hosts in the own region (near; with summaries, in the own failure domain)
+# and in other regions (far), the intervals grow instead.
 HEARTBEAT_INTERVAL_S = 0.25
 _NEAR_HOSTS_AT_BASE_INTERVAL = 8
 _FAR_HEARTBEAT_INTERVAL_S = 1.0
@@ -27,58 +26,27 @@
 # A host that hears no other host assumes that it is itself isolated, and still returns
 # the others to callers for this time.
 _ISOLATED_TIMEOUT_S = 4.5
-TOPICS = tuple(Topic)
-_NAME_HASH_CACHE_SIZE = 16_384
-
-
-class HostHeartbeat(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Report to other hosts that this one is alive, and its state.
-
-    `revisions` and `digests` are in the order of the topics. `demand` holds requests
-    per second by organisation. `in_flight` counts this host's requests at each backend
-    server. `unreachable` holds the seconds since each backend server last failed to
-    answer. `crashes` counts, by request fingerprint, the connections to backend servers
-    that broke while such a request ran. `learned` is a flat list of pairs: a backend
-    server and an object that it has just loaded; it is sent only within the region.
-    `is_served` is whether the store answers the sender. Names are sent as `name_hash`,
-    since traffic between regions is billed.
-    """
-
-    host: str
-    instance: str
-    number: int
-    is_leaving: bool
-    revisions: tuple[int, ...]
-    digests: tuple[int, ...]
-    demand: dict[int, float] = {}
-    in_flight: dict[int, int] = {}
-    unreachable: dict[int, float] = {}
-    crashes: dict[int, int] = {}
-    is_served: bool = True
-    learned: tuple[int, ...] = ()
-
-    def revision(self, topic: Topic) -> int:
-        """Return the revision of the sender's copy of a topic."""
-        return self.revisions[TOPICS.index(topic)]
-
-    def digest(self, topic: Topic) -> int:
-        """Return the digest of the sender's copy of a topic."""
-        return self.digests[TOPICS.index(topic)]
-
-
-@lru_cache(_NAME_HASH_CACHE_SIZE)
-def name_hash(name: str) -> int:
-    """Return the number that replaces a name in heartbeats."""
-    return zlib.crc32(name.encode())
+# A host that is not listed shares the limits for this time after its last heartbeat.
+_UNLISTED_TIMEOUT_S = 10.0
+# A summary counts for this long; reporters send several in this time.
+_SUMMARY_TIMEOUT_S = 5.0
 
 
 class Peer:
     """Hold the state of another host; times are on the boot clock."""
 
-    __slots__ = ('heartbeat', 'heard_s', 'is_listed', 'first_listed_s', 'record')
+    __slots__ = (
+        'heartbeat',
+        'heard_s',
+        'is_listed',
+        'first_listed_s',
+        'name_hash',
+        'record',
+    )
 
     def __init__(self, record: HostRecord, now_s: float) -> None:
         self.record = record
+        self.name_hash = name_hash(record.host)
         self.is_listed = True
         self.first_listed_s = now_s
         self.heard_s = -math.inf
@@ -99,12 +67,83 @@
         )
 
 
+class UnlistedHosts:
+    """Count the hosts that send heartbeats and are not in the list of hosts."""
+
+    def __init__(self) -> None:
+        self._heard_s: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        """Return the number of these hosts."""
+        return len(self._heard_s)
+
+    def record_heartbeat(self, host: str, now_s: float) -> None:
+        """Record a heartbeat of a host that is not listed."""
+        self._heard_s[host] = now_s
+
+    def discard(self, hosts: Iterable[str]) -> None:
+        """Remove hosts that are listed now."""
+        for name in hosts:
+            self._heard_s.pop(name, None)
+
+    def prune(self, now_s: float) -> None:
+        """Remove hosts that have become silent."""
+        for name, heard_s in list(self._heard_s.items()):
+            if now_s - heard_s > _UNLISTED_TIMEOUT_S:
+                self._heard_s.pop(name)
+
+
+class _ReceivedSummary:
+    __slots__ = ('heard_s', 'summary')
+
+    def __init__(self, summary: HostHeartbeat, heard_s: float) -> None:
+        self.summary = summary
+        self.heard_s = heard_s
+
+
+class SummaryTable:
+    """Hold the latest summary of each reporter, by failure domain."""
+
+    def __init__(self) -> None:
+        self._by_domain: dict[str, dict[str, _ReceivedSummary]] = {}
+
+    def record(self, domain: str, summary: HostHeartbeat, now_s: float) -> None:
+        """Replace the summary of a reporter."""
+        received = self._by_domain.setdefault(domain, {})
+        received.pop(summary.host, None)
+        received[summary.host] = _ReceivedSummary(summary, now_s)
+
+    def fresh(self, domain: str, now_s: float) -> list[HostHeartbeat]:
+        """Return the recent summaries of a failure domain, the latest one last."""
+        return [
+            each.summary
+            for each in self._by_domain.get(domain, {}).values()
+            if now_s - each.heard_s <= _SUMMARY_TIMEOUT_S
+        ]
+
+    def fresh_domains(self, now_s: float) -> frozenset[str]:
+        """Return the failure domains with a recent summary."""
+        return frozenset(
+            domain for domain in self._by_domain if self.fresh(domain, now_s)
+        )
+
+    def latest(self, now_s: float) -> list[HostHeartbeat]:
+        """Return the latest summary of each failure domain, if it is recent."""
+        found = [self.fresh(domain, now_s)[-1:] for domain in self._by_domain]
+        return [each for summaries in found for each in summaries]
+
+
 class PeerTable:
     """Hold the listed hosts, and determine which of them are live."""
 
-    def __init__(self, region: str) -> None:
+    def __init__(self, region: str, failure_domain: str) -> None:
         self._region = region
+        self._failure_domain = failure_domain
         self._peers: dict[str, Peer] = {}
+        self._summaries = SummaryTable()
+        self.unlisted = UnlistedHosts()
+        # Whether domains exchange summaries instead of heartbeats.
+        self.uses_summaries = False
         # Time between heartbeats to hosts of the own region, and to those of others.
         self.heartbeat_interval_s = HEARTBEAT_INTERVAL_S
         self.far_heartbeat_interval_s = _FAR_HEARTBEAT_INTERVAL_S
@@ -127,6 +166,10 @@
         """Return whether the peer is in this host's region."""
         return peer.record.region == self._region
 
+    def is_in_own_domain(self, peer: Peer) -> bool:
+        """Return whether the peer is in this host's failure domain."""
+        return peer.record.failure_domain == self._failure_domain
+
     def all(self) -> list[Peer]:
         """Return all other hosts."""
         return list(self._peers.values())
@@ -136,35 +179,49 @@
         return self._peers.get(host)
 
     def is_heard(self, peer: Peer, now_s: float) -> bool:
-        """Return whether the last heartbeat of the host is recent enough."""
-        if self.is_near(peer):
-            timeout_s = min(
-                _MAX_TIMEOUT_S, _NEAR_TIMEOUT_INTERVALS * self.heartbeat_interval_s
-            )
-        else:
-            timeout_s = _FAR_TIMEOUT_INTERVALS * self.far_heartbeat_interval_s
-        return now_s - peer.heard_s <= timeout_s
+        """Return whether the host, or a reporter of its domain, shows that it lives."""
+        if not self.is_in_own_domain(peer):
+            summaries = self._summaries.fresh(peer.record.failure_domain, now_s)
+            if summaries:
+                return any(peer.name_hash in each.members for each in summaries)
+        return now_s - peer.heard_s <= self._timeout_s(peer)
+
+    def is_leaving(self, peer: Peer, now_s: float) -> bool:
+        """Return whether the host is about to stop, as far as is known."""
+        if not self.is_in_own_domain(peer):
+            summaries = self._summaries.fresh(peer.record.failure_domain, now_s)
+            if summaries:
+                return any(peer.name_hash in each.leaving for each in summaries)
+        return peer.is_leaving
 
     def latest_heartbeats(self, now_s: float) -> list[HostHeartbeat]:
-        """Return the latest heartbeat of each live host."""
-        return [
+        """Return the latest heartbeats of live hosts, or the summaries of domains."""
+        found = self._summaries.latest(now_s)
+        domains = self._summaries.fresh_domains(now_s)
+        found.extend(
             peer.heartbeat
             for peer in self._peers.values()
-            if peer.heartbeat is not None and self.is_heard(peer, now_s)
-        ]
+            if peer.heartbeat is not None
+            and peer.record.failure_domain not in domains
+            and self.is_heard(peer, now_s)
+        )
+        return found
+
+    def heard(self, now_s: float) -> list[Peer]:
+        """Return the live hosts."""
+        return [peer for peer in self._peers.values() if self.is_heard(peer, now_s)]
 
     def serving_records(self, now_s: float) -> list[HostRecord]:
         """Return the records of the other hosts that callers may use."""
-        is_any_heard = bool(self.latest_heartbeats(now_s))
-        return [
-            peer.record
-            for peer in self._peers.values()
-            if not peer.is_leaving
-            and (
-                self.is_heard(peer, now_s)
-                or (not is_any_heard and now_s - peer.heard_s <= _ISOLATED_TIMEOUT_S)
-            )
-        ]
+        heard = self.heard(now_s)
+        if not heard:
+            # This host is probably the one that is cut off.
+            heard = [
+                peer
+                for peer in self._peers.values()
+                if now_s - peer.heard_s <= _ISOLATED_TIMEOUT_S
+            ]
+        return [peer.record for peer in heard if not self.is_leaving(peer, now_s)]
 
     def silent_hosts(self, silent_s: float, now_s: float) -> list[str]:
         """Return the names of the hosts that have not been heard for this long."""
@@ -187,32 +244,57 @@
             peer.is_listed = True
         for name, peer in self._peers.items():
             peer.is_listed = name in records
+        self.unlisted.discard(records)
         self._update_intervals()
 
     def prune(self, now_s: float) -> None:
         """Remove hosts that are neither listed nor heard."""
+        self.unlisted.prune(now_s)
         for name, peer in list(self._peers.items()):
             if not peer.is_listed and not self.is_heard(peer, now_s):
                 self.forget(name)
                 log.info('host_gone', host=name)
 
-    def record_heartbeat(self, heartbeat: HostHeartbeat, now_s: float) -> None:
-        """Record a heartbeat; ignore it if it is outdated or its host is not listed."""
+    def record_heartbeat(self, heartbeat: HostHeartbeat, now_s: float) -> bool:
+        """Record a heartbeat, or ignore it if it is outdated; return which of them.
+
+        A host that is not listed is only counted among those that share limits.
+        """
+        if len(heartbeat.revisions) != len(TOPICS):
+            return False
         peer = self._peers.get(heartbeat.host)
-        if peer is None or len(heartbeat.revisions) != len(TOPICS):
-            return
+        if peer is None:
+            self.unlisted.record_heartbeat(heartbeat.host, now_s)
+            return False
         previous = peer.heartbeat
         is_same_run = previous is not None and previous.instance == heartbeat.instance
         if is_same_run and heartbeat.number <= previous.number:
-            return
+            return False
         if not is_same_run or not self.is_heard(peer, now_s):
             log.info('host_heard', host=heartbeat.host, instance=heartbeat.instance)
         peer.heard_s = now_s
         peer.heartbeat = heartbeat
+        if heartbeat.members and not self.is_in_own_domain(peer):
+            self._summaries.record(peer.record.failure_domain, heartbeat, now_s)
+            for member in self._peers.values():
+                if member.name_hash in heartbeat.members:
+                    member.heard_s = now_s
+        return True
+
+    def _timeout_s(self, peer: Peer) -> float:
+        if self.uses_summaries and not self.is_in_own_domain(peer):
+            return _SUMMARY_TIMEOUT_S
+        if self.is_near(peer):
+            return min(
+                _MAX_TIMEOUT_S, _NEAR_TIMEOUT_INTERVALS * self.heartbeat_interval_s
+            )
+        return _FAR_TIMEOUT_INTERVALS * self.far_heartbeat_interval_s
 
     def _update_intervals(self) -> None:
-        near = sum(1 for peer in self._peers.values() if self.is_near(peer))
-        far = len(self._peers) - near
+        self.uses_summaries = uses_summaries(1 + len(self._peers))
+        is_near = self.is_in_own_domain if self.uses_summaries else self.is_near
+        near = sum(1 for peer in self._peers.values() if is_near(peer))
+        far = 0 if self.uses_summaries else len(self._peers) - near
         self.heartbeat_interval_s = HEARTBEAT_INTERVAL_S * max(
             1.0, near / _NEAR_HOSTS_AT_BASE_INTERVAL
         )
--- a/cicadadoor/entry/quarantine.py
+++ b/cicadadoor/entry/quarantine.py
@@ -3,9 +3,9 @@
 import math
 from hashlib import blake2b
 
+from cicadadoor.entry.heartbeats import HostHeartbeat
 from cicadadoor.entry.membership import HeartbeatPart, Membership
 from cicadadoor.entry.messages import CallerRequest
-from cicadadoor.entry.peers import HostHeartbeat
 from cicadadoor.kernel import Kernel
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
--- a/cicadadoor/entry/quotas.py
+++ b/cicadadoor/entry/quotas.py
@@ -7,11 +7,12 @@
     Demand,
     ProbabilisticLimiter,
     SlidingMinimum,
+    initial_tokens,
     wanted_share,
 )
+from cicadadoor.entry.heartbeats import HostHeartbeat, name_hash
 from cicadadoor.entry.membership import HeartbeatPart, Membership
 from cicadadoor.entry.model import OrganisationPolicy
-from cicadadoor.entry.peers import HostHeartbeat, name_hash
 from cicadadoor.entry.state import EntryState
 from cicadadoor.kernel import Kernel
 from cicadadoor.timer import TimerService
@@ -48,13 +49,17 @@
         'name_hash',
     )
 
-    def __init__(self, organisation: OrganisationPolicy, now_s: float) -> None:
+    def __init__(
+        self, organisation: OrganisationPolicy, now_s: float, uptime_s: float
+    ) -> None:
         self.bucket = TokenBucket(0, 0, now_s)
         self.organisation = organisation
         self.name_hash = name_hash(organisation.name)
         self.demand = Demand(now_s)
         self.share_minimum = SlidingMinimum(_GROWTH_DELAY_S)
-        self.limiter = ProbabilisticLimiter(organisation.burst, now_s)
+        self.limiter = ProbabilisticLimiter(
+            initial_tokens(organisation.burst, organisation.rate_per_s, uptime_s), now_s
+        )
 
 
 class Quotas(HeartbeatPart):
@@ -66,6 +71,7 @@
         self._state: EntryState
         self._timer: TimerService
         self._membership: Membership
+        self._started_s = 0.0
         self._accounts: dict[str, _Account] = {}
         self._latest_heartbeats: list[HostHeartbeat] = []
 
@@ -75,6 +81,7 @@
         self._timer = kernel.find('timer')
         self._membership = kernel.find('membership')
         self._membership.add_part(self)
+        self._started_s = self._timer.now_s()
 
     def take(self, organisation: OrganisationPolicy) -> float | None:
         """Take a token, or return the seconds until one may be available."""
@@ -83,11 +90,7 @@
         now_s = self._timer.now_s()
         account = self._accounts.get(organisation.name)
         if account is None:
-            account = _Account(organisation, now_s)
-            self._accounts[organisation.name] = account
-            self._update_share(account, now_s)
-            # Start full: no request has used this host's share yet.
-            account.bucket.tokens = account.bucket.burst
+            account = self._open_account(organisation, now_s)
         account.demand.add()
         if account.organisation is not organisation:
             account.organisation = organisation
@@ -101,6 +104,15 @@
         wait_s = missing / max(account.bucket.rate_per_s, _MIN_DEMAND_PER_S)
         return min(_MAX_WAIT_S, max(_MIN_WAIT_S, wait_s))
 
+    def _open_account(self, organisation: OrganisationPolicy, now_s: float) -> _Account:
+        uptime_s = now_s - self._started_s
+        account = _Account(organisation, now_s, uptime_s)
+        self._accounts[organisation.name] = account
+        self._update_share(account, now_s)
+        bucket = account.bucket
+        bucket.tokens = initial_tokens(bucket.burst, bucket.rate_per_s, uptime_s)
+        return account
+
     def add_fields(self, fields: dict[str, object]) -> None:
         """Add this host's demand to the heartbeat."""
         fields['demand'] = {
@@ -133,8 +145,10 @@
             for heartbeat in heartbeats
             if not peers.is_near_host(heartbeat.host)
         ]
-        heard_count = 1 + len(heartbeats)
         now_s = self._timer.now_s()
+        heard = peers.heard(now_s)
+        heard_count = 1 + len(heard)
+        near_count = 1 + sum(1 for peer in heard if peers.is_near(peer))
         for account in self._accounts.values():
             if not self._has_small_rate(account.organisation):
                 continue
@@ -150,7 +164,7 @@
                 far_per_s=sum(
                     heartbeat.demand.get(name, 0) for heartbeat in far_heartbeats
                 ),
-                near_fraction=(1 + len(near_heartbeats)) / heard_count,
+                near_fraction=near_count / heard_count,
             )
 
     def _update_limiter(
--- a/cicadadoor/entry/registration.py
+++ b/cicadadoor/entry/registration.py
@@ -13,6 +13,10 @@
 log = logs.logger('listing')
 
 _PUBLISH_RETRY_S = 0.5
+# Until its own record is in the list of hosts, a host refuses limited organisations.
+_LISTING_WAIT_S = 0.3
+# Longer than a read of the list takes from a slow store.
+_LISTING_RETRY_S = 1.0
 # A killed host restarts within seconds. A host that stays silent for longer, while most
 # others send heartbeats, is gone.
 _GONE_TIMEOUT_S = 20.0
@@ -63,10 +67,22 @@
             answer = await self._source.publish_host(self._membership.own_record)
             if not isinstance(answer, Failure):
                 self._is_published = True
+                await self._await_listing()
                 return
             log.warning('host_not_published', reason=answer.reason)
             await self._timer.sleep(_PUBLISH_RETRY_S)
 
+    async def _await_listing(self) -> None:
+        """Reread the list of hosts until it contains this host.
+
+        The watch delivers the new record unless its connection is silent.
+        """
+        await self._timer.sleep(_LISTING_WAIT_S)
+        while not self._membership.is_listed:
+            log.info('own_record_not_read')
+            self._mirror.reread(Topic.HOSTS)
+            await self._timer.sleep(_LISTING_RETRY_S)
+
     def _on_change(self, topic: Topic) -> None:
         if topic is not Topic.HOSTS or not self._is_published:
             return
--- a/cicadadoor/entry/snapshot_exchange.py
+++ b/cicadadoor/entry/snapshot_exchange.py
@@ -3,10 +3,10 @@
 import random
 from functools import partial
 
+from cicadadoor.entry.heartbeats import HostHeartbeat
 from cicadadoor.entry.membership import HeartbeatPart, Membership
 from cicadadoor.entry.mirror import Mirror
 from cicadadoor.entry.model import Snapshot, Topic
-from cicadadoor.entry.peers import HostHeartbeat
 from cicadadoor.errors import Failure
 from cicadadoor.kernel import Kernel, OnFault
 from cicadadoor.links.messages import Message
@@ -55,6 +55,7 @@
     def on_tick(self, heartbeats: list[HostHeartbeat]) -> None:
         """Fetch topics whose store calls fail, or whose watch is behind other hosts."""
         self._mirror.may_be_stale = not self._membership.is_domain_reader
+        self._mirror.policy_may_be_stale = self._membership.peers.uses_summaries
         for topic in Topic:
             latest = max(
                 heartbeats,
@@ -70,14 +71,29 @@
             is_different = digest != self._mirror.digest(topic)
             is_needed = is_behind or self._mirror.is_failing(topic)
             if is_later and is_different and is_needed:
-                self._request_snapshot(
-                    topic,
-                    [
-                        heartbeat
-                        for heartbeat in heartbeats
-                        if heartbeat.revision(topic) == revision
-                    ],
-                )
+                self._request_snapshot(topic, self._sources(topic, heartbeats))
+
+    def _sources(
+        self, topic: Topic, heartbeats: list[HostHeartbeat]
+    ) -> list[HostHeartbeat]:
+        """Return the hosts with later records, of the own domain if there are any."""
+        peers = self._membership.peers
+        later = [
+            heartbeat
+            for heartbeat in heartbeats
+            if heartbeat.revision(topic) > self._mirror.revision(topic)
+        ]
+        own_domain = [
+            heartbeat
+            for heartbeat in later
+            if (peer := peers.find(heartbeat.host)) and peers.is_in_own_domain(peer)
+        ]
+        latest = max(heartbeat.revision(topic) for heartbeat in own_domain or later)
+        return [
+            heartbeat
+            for heartbeat in own_domain or later
+            if heartbeat.revision(topic) == latest
+        ]
 
     def _request_snapshot(self, topic: Topic, candidates: list[HostHeartbeat]) -> None:
         if topic in self._pending_topics:
--- a/cicadadoor/platform/source.py
+++ b/cicadadoor/platform/source.py
@@ -89,9 +89,10 @@
             metadata=Metadata(name=record.host),
             spec=msgspec.Raw(msgspec.json.encode(record)),
         )
-        answer = await self._client.replace(_HOST_KIND, new_object)
-        if isinstance(answer, Failure) and answer.kind is ErrorKind.STORE_NOT_FOUND:
-            answer = await self._client.create(_HOST_KIND, new_object)
+        answer = await self._client.create(_HOST_KIND, new_object)
+        if isinstance(answer, Failure) and answer.kind is ErrorKind.STORE_CONFLICT:
+            # The record of an earlier run of this host.
+            answer = await self._client.replace(_HOST_KIND, new_object)
         return answer if isinstance(answer, Failure) else None
 
     async def remove_host(self, host: str) -> None | Failure:
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -29,7 +29,7 @@
 
 @pytest.fixture
 def table() -> PeerTable:
-    peers = PeerTable('muenchen')
+    peers = PeerTable('muenchen', 'muc-a')
     peers.update_records({name: record_of(name) for name in ('b', 'c')}, 100.0)
     return peers
 
@@ -63,7 +63,7 @@
         assert serving_names(table, 100.1) == ['c']
 
     def test_host_of_another_region_may_be_silent_for_longer(self):
-        peers = PeerTable('muenchen')
+        peers = PeerTable('muenchen', 'muc-a')
         peers.update_records(
             {'b': record_of('b', 'nuernberg'), 'c': record_of('c')}, 100.0
         )
@@ -89,6 +89,15 @@
         table.record_heartbeat(heartbeat_of('x'), 100.0)
         assert table.find('x') is None
 
+    def test_unlisted_host_is_counted_until_it_is_listed_or_silent(self, table):
+        table.record_heartbeat(heartbeat_of('x'), 100.0)
+        table.record_heartbeat(heartbeat_of('y'), 100.0)
+        assert len(table.unlisted) == 2
+        table.update_records({'x': record_of('x')}, 100.1)
+        assert len(table.unlisted) == 1
+        table.prune(111.0)
+        assert len(table.unlisted) == 0
+
 
 class TestPruning:
     """Check hosts whose records were removed, and hosts that are silent."""
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -1,15 +1,20 @@
 """Test requests that an entry host forwards from callers to workers."""
 
+from collections import Counter
 from functools import partial
 
 import anyio
 import pytest
 from prometheus_client import REGISTRY
 
+from cicadadoor.entry.backend_table import Backend
+from cicadadoor.entry.head_check import HeadCheck
 from cicadadoor.entry.model import Topic
-from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.errors import ErrorKind, Executed, Failure
+from cicadadoor.platform.headers import read_request, read_response
+from tests.test_entry_backends import record_of
 from tests.utils.entry_hosts import run_deployed
-from tests.utils.metadata_store import configuration, worker_entry
+from tests.utils.metadata_store import StoreFaults, configuration, worker_entry
 from tests.utils.waiting import until
 
 
@@ -206,6 +211,72 @@
     return REGISTRY.get_sample_value('cicadadoor_invalid_answers_total', labels) or 0
 
 
+class TestRepeatedRefusals:
+    """Check workers that send an earlier refusal again, before the next answer."""
+
+    @pytest.mark.parametrize('refusal', ('shed', 'shed_with_id'))
+    def test_request_that_ran_is_neither_called_not_run_nor_run_again(self, refusal):
+        async def work(deployment):
+            await _set_rate_limit(deployment, rate_per_s=1000, burst=1000)
+            for worker in deployment.workers.values():
+                worker.script = [refusal]
+                worker.repeats_refusals = True
+            answers = {}
+            while deployment.runs < 4:
+                attempt = f'unsafe-{len(answers)}'
+                answers[attempt] = await deployment.call(
+                    '/book/1', method='POST', Attempt_Id=attempt
+                )
+            runs = Counter(
+                run.headers['attempt-id']
+                for worker in deployment.workers.values()
+                for run in worker.runs
+            )
+            assert max(runs.values()) == 1
+            refused = {
+                attempt
+                for attempt, answer in answers.items()
+                if answer.status_code == 503
+            }
+            assert not refused & set(runs)
+
+        run_deployed(work, workers=2)
+
+    @pytest.mark.parametrize('status', (421, 503))
+    def test_refusal_of_another_request_does_not_state_that_this_one_has_not_run(
+        self, status
+    ):
+        head_check = HeadCheck(
+            read_request('POST', b'/', [(b'Attempt-Id', b'second')]),
+            Backend(record_of('i-0'), 'muenchen'),
+            read_response,
+        )
+        head_check.wants_body(
+            status, [(b'Attempt-Id', b'first'), (b'Not-Executed', b'1')]
+        )
+        assert head_check.fault.kind is ErrorKind.ANSWER_INVALID
+        assert head_check.fault.run is Executed.UNKNOWN
+
+
+# At least the length of the head of a worker's answer.
+_HEAD_BYTES = 150
+
+
+class TestCutHeads:
+    """Check workers that close the connection within the head of an answer."""
+
+    def test_caller_gets_no_success(self):
+        async def work(deployment):
+            await _set_rate_limit(deployment, rate_per_s=1000, burst=1000)
+            worker = deployment.workers['i-0']
+            worker.script = [f'head_cut_at_{size}' for size in range(1, _HEAD_BYTES)]
+            while worker.script:
+                answer = await deployment.call('/look/1')
+                assert answer.status_code >= 500
+
+        run_deployed(work)
+
+
 class TestHealth:
     """Check how invalid responses affect the health of a server."""
 
@@ -478,6 +549,52 @@
 
         run_deployed(work, workers=4, hosts=3)
 
+    def test_host_that_does_not_find_itself_in_the_list_admits_no_limited_requests(
+        self,
+    ):
+        """Hosts that all read the list before any of them was in it know no others."""
+
+        async def work(deployment):
+            await _set_rate_limit(deployment, rate_per_s=10, burst=100)
+            for number in range(3):
+                answer = await deployment.call('/look/1', host=number)
+                assert answer.status_code == 503
+                assert answer.headers['Retry-After']
+            assert deployment.runs == 0
+            deployment.store.faults.hidden_kinds = frozenset()
+            hosts = [deployment.find('membership', number) for number in range(3)]
+            await until(lambda: all(host.is_listed for host in hosts))
+            assert [host.host_count for host in hosts] == [3, 3, 3]
+            assert (await deployment.call('/look/1')).status_code == 200
+
+        run_deployed(
+            work,
+            workers=2,
+            hosts=3,
+            faults=StoreFaults(hidden_kinds=frozenset(('cicadadoor-hosts',))),
+        )
+
+    def test_heartbeat_of_an_unlisted_host_makes_its_receiver_read_the_list(self):
+        """The watch that would deliver the record of the new host may be silent."""
+
+        async def work(deployment):
+            deployment.store.faults.hanging_watches = True
+            membership = deployment.find('membership')
+            membership.peers.forget('host-1')
+            deployment.store.calls.clear()
+            await until(lambda: len(membership.peers.unlisted) == 1)
+            assert membership.host_count == 2
+            await until(
+                lambda: 'GET /v1/objects/cicadadoor-hosts' in _reads(deployment)
+            )
+
+        run_deployed(work, hosts=2)
+
+
+def _reads(deployment) -> list[str]:
+    """Return the calls to the store that are not watches."""
+    return [call for call in deployment.store.calls if 'watch=' not in call]
+
 
 async def _set_rate_limit(deployment, *, rate_per_s: int, burst: int) -> None:
     """Set the organisation's rate limit, and wait until every host has applied it."""
--- a/tests/test_host_shares.py
+++ b/tests/test_host_shares.py
@@ -12,6 +12,7 @@
     SlidingMinimum,
     cold_gap_s,
     cold_sender_count,
+    initial_tokens,
     wanted_share,
 )
 
@@ -198,6 +199,17 @@
             assert total <= 1.05
 
 
+class TestInitialTokens:
+    """The tokens of a host that has just started."""
+
+    def test_restarted_host_does_not_get_its_share_of_the_burst_again(self):
+        assert initial_tokens(burst=30, rate_per_s=10, uptime_s=0) == 1
+        assert initial_tokens(burst=30, rate_per_s=10, uptime_s=2) == 21
+
+    def test_tokens_do_not_exceed_the_burst(self):
+        assert initial_tokens(burst=30, rate_per_s=10, uptime_s=60) == 30
+
+
 class TestDemand:
     """The average of requests per second."""
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -158,6 +158,8 @@
     def test_record_is_written_and_read(self):
         async def work(store, source):
             assert await source.publish_host(HOST) is None
+            # Hundreds of hosts write their records at the first start.
+            assert len(store.calls) == 1
             snapshot = await source.read(Topic.HOSTS)
             assert snapshot.records == {'host-1': HOST}
 
@@ -369,6 +371,19 @@
 
         run_mirror(work)
 
+    def test_stale_reads_are_allowed_for_the_policy_in_a_large_fleet(self):
+        async def work(store, mirror):
+            mirror.may_be_stale = True
+            mirror.policy_may_be_stale = True
+            store.put('config', 'main', configuration(3))
+            await until(lambda: mirror.records(Topic.POLICY))
+            store.calls.clear()
+            store.cut_watches()
+            await until(lambda: len(store.calls) >= 4)
+            assert all('allow_stale=1' in call for call in store.calls)
+
+        run_mirror(work)
+
     def test_recovery_of_the_store_causes_no_full_read(self):
         """A full read of many backend servers takes several calls per host."""
 
--- a/tests/utils/entry_hosts.py
+++ b/tests/utils/entry_hosts.py
@@ -10,7 +10,12 @@
 from cicadadoor.entry.model import Topic
 from cicadadoor.entry.settings import EntrySettings, check
 from cicadadoor.errors import Failure
-from tests.utils.metadata_store import MetadataStore, configuration, worker_entry
+from tests.utils.metadata_store import (
+    MetadataStore,
+    StoreFaults,
+    configuration,
+    worker_entry,
+)
 from tests.utils.processes import Ports
 from tests.utils.raw_server import RawConnection, RawRequest, serving
 from tests.utils.waiting import until
@@ -31,6 +36,14 @@
 }
 
 
+# Refusals that state that the request has not run; the attempt id is filled in.
+_HEAD_CUT = 'head_cut_at_'
+_REFUSALS = {
+    'shed': {'Not-Executed': '1'},
+    'shed_with_id': {'Not-Executed': '1', 'Attempt-Id': ''},
+}
+
+
 class Worker:
     """Stand in for a worker of the platform, with faults."""
 
@@ -39,11 +52,16 @@
         self.runs: list[RawRequest] = []
         self.arrivals = 0
         # Faults for the next requests, in order; later requests are answered normally.
-        # 'shed', 'reset', 'silent' (no answer), 'fail' (signed 500), 'foreign' (the
-        # attempt id of another request), 'unsigned', or a key of _MALFORMED_ANSWERS.
+        # A key of _REFUSALS or _MALFORMED_ANSWERS, 'head_cut_at_' and a byte count,
+        # 'reset', 'silent' (no answer), 'fail' (signed 500), 'foreign' (the attempt id
+        # of another request) or 'unsigned'.
         self.script: list[str] = []
         self.work_s = 0.0
         self.cancelled = 0
+        # Whether the worker sends an earlier refusal on a connection once more before
+        # it answers the next request.
+        self.repeats_refusals = False
+        self._refusals: dict[RawConnection, dict[str, str]] = {}
 
     async def handle(self, request: RawRequest, connection: RawConnection) -> None:
         """Handle one request."""
@@ -52,10 +70,16 @@
             await connection.answer(421, {'Instance-Id': self.instance_id})
             return
         fault = self.script.pop(0) if self.script else ''
-        if fault == 'shed':
-            await connection.answer(503, {'Not-Executed': '1'})
+        if fault in _REFUSALS:
+            headers = _REFUSALS[fault]
+            if 'Attempt-Id' in headers:
+                headers = {**headers, 'Attempt-Id': request.headers['attempt-id']}
+            self._refusals[connection] = headers
+            await connection.answer(503, headers)
             return
         self.runs.append(request)
+        if self.repeats_refusals and connection in self._refusals:
+            await connection.answer(503, self._refusals[connection])
         if fault == 'reset':
             connection.reset()
         elif fault == 'silent':
@@ -79,8 +103,9 @@
             await connection.answer(200, {**head, 'Attempt-Id': 'another'}, body)
         elif fault == 'unsigned':
             await connection.answer(200, {}, body)
-        elif fault in _MALFORMED_ANSWERS:
-            await connection.write(_MALFORMED_ANSWERS[fault])
+        elif fault in _MALFORMED_ANSWERS or fault.startswith(_HEAD_CUT):
+            cut = _cut_head(head, body, fault)
+            await connection.write(_MALFORMED_ANSWERS.get(fault, cut))
             if fault.endswith('_open'):
                 await connection.closed()
             connection.close()
@@ -88,6 +113,15 @@
             await connection.answer(200, head, body)
 
 
+def _cut_head(head: dict[str, str], body: bytes, fault: str) -> bytes:
+    lines = ['HTTP/1.1 200 OK']
+    lines.extend(f'{name}: {text}' for name, text in head.items())
+    lines.append(f'Content-Length: {len(body)}')
+    encoded = '\r\n'.join(lines).encode() + b'\r\n\r\n'
+    _, _, size = fault.partition(_HEAD_CUT)
+    return encoded[: int(size or 0)]
+
+
 class Deployment:
     """Hold the running hosts and workers, and call them as clients do."""
 
@@ -171,10 +205,21 @@
 
 
 @asynccontextmanager
-async def deployed(workers: int = 1, hosts: int = 1):
-    """Run hosts and workers while the context is open."""
+async def deployed(
+    workers: int = 1,
+    hosts: int = 1,
+    faults: StoreFaults | None = None,
+    domains: tuple[str, ...] = ('muc-a',),
+):
+    """Run hosts and workers while the context is open.
+
+    The store has the given faults from the start. The hosts are spread over the failure
+    domains in turn.
+    """
     async with AsyncExitStack() as stack:
         store = MetadataStore()
+        store.faults = faults or StoreFaults()
+        listed = 0 if store.faults.hidden_kinds else hosts
         server = await stack.enter_async_context(serving(store.handle))
         deployment = Deployment(store)
         stack.push_async_callback(deployment.close)
@@ -190,13 +235,14 @@
         stopping = deployment.stopping
         stack.callback(stopping.set)
         for number in range(hosts):
-            settings = host_settings(f'host-{number}', server.address)
+            domain = domains[number % len(domains)]
+            settings = host_settings(f'host-{number}', server.address, domain)
             kernel = build(settings)
             deployment.hosts.append(settings)
             deployment.kernels.append(kernel)
             tasks.start_soon(kernel.run, stopping.wait, 0)
         for kernel in deployment.kernels:
-            await until(partial(_has_synced, kernel.find('mirror'), workers, hosts))
+            await until(partial(_has_synced, kernel.find('mirror'), workers, listed))
         await until_listening(deployment)
         yield deployment
 
@@ -224,12 +270,12 @@
     return True
 
 
-def run_deployed(work, *, workers: int = 1, hosts: int = 1) -> None:
+def run_deployed(work, **options) -> None:
     """Run a coroutine function with a new deployment."""
 
     async def main() -> None:
         with anyio.fail_after(60):
-            async with deployed(workers, hosts) as deployment:
+            async with deployed(**options) as deployment:
                 await work(deployment)
 
     anyio.run(main)
--- a/tests/utils/metadata_store.py
+++ b/tests/utils/metadata_store.py
@@ -22,6 +22,9 @@
     lose_answers: int = 0
     # Watches hang without an answer, as on a connection that is silently lost.
     hanging_watches: bool = False
+    # Kinds whose lists are returned without objects, as before the first was created,
+    # and whose watches hang.
+    hidden_kinds: frozenset[str] = frozenset()
     # Extra delay of watches that allow stale answers.
     stale_s: float = 0
 
@@ -122,6 +125,8 @@
                 kind, int(query['watch']), int(query['wait_ms']) / 1000
             )
         objects = self._objects.get(kind, {})
+        if kind in self.faults.hidden_kinds:
+            return 200, {'items': [], 'more': False, 'at': self.revision}
         if name:
             found = objects.get(name)
             return (200, found) if found else (404, {})
@@ -134,7 +139,7 @@
         }
 
     async def _watch(self, kind: str, since: int, wait_s: float):
-        if self.faults.hanging_watches:
+        if self.faults.hanging_watches or kind in self.faults.hidden_kinds:
             await asyncio.sleep(wait_s + 60)
         if since < self._oldest_revision:
             return 410, {}
