--- a/cicadadoor/entry/mirror.py
+++ b/cicadadoor/entry/mirror.py
@@ -53,6 +53,7 @@
         'digest',
         'failing_since_s',
         'confirmed_s',
+        'is_current',
         'records',
         'read_scope',
         'recovered_s',
@@ -64,6 +65,8 @@
         self.records: dict[str, Record | None] = {}
         # When the store last answered, or the copy of another host was adopted.
         self.confirmed_s = -math.inf
+        # Whether a read or watch that may not be stale has been answered.
+        self.is_current = False
         self.failing_since_s: float | None = None
         self.recovered_s = -math.inf
         self.behind_since_s: float | None = None
@@ -239,7 +242,7 @@
         backoff_s = _MIN_BACKOFF_S
         has_snapshot = False
         # The first read may be stale: the watch from its revision delivers what it
-        # misses.
+        # misses, such as backend servers that have left. So that watch is not stale.
         may_read_stale = topic not in _NEVER_STALE
         with copy.recording_faults(topic, self._timer.now_s):
             while not self._is_stopped:
@@ -257,11 +260,13 @@
                     backoff_s = _MIN_BACKOFF_S
                     copy.record_answer(topic, self._timer.now_s())
                     self._apply(topic, answer)
+                    copy.is_current = has_snapshot or not may_read_stale
                     has_snapshot = True
-                    # Batches changes in quick succession into one call.
-                    await self._timer.sleep(
-                        _batch_delay_s(topic, len(self.records(Topic.HOSTS)))
-                    )
+                    if copy.is_current:
+                        # Batches changes in quick succession into one call.
+                        await self._timer.sleep(
+                            _batch_delay_s(topic, len(self.records(Topic.HOSTS)))
+                        )
                     continue
                 if answer is None or answer.kind is ErrorKind.STORE_COMPACTED:
                     has_snapshot = False
@@ -281,7 +286,7 @@
             topic,
             self._copies[topic].revision,
             wait_s,
-            may_be_stale=self._may_be_stale(topic),
+            may_be_stale=self._copies[topic].is_current and self._may_be_stale(topic),
         )
 
     def _may_be_stale(self, topic: Topic) -> bool:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -18,6 +18,7 @@
 VIEW = view_of(small_deployment({'muenchen-1': ('muenchen', 1)}))
 STATUS_LINE = b'HTTP/1.1 200 OK\r\n'
 COMPLETE_ANSWER = STATUS_LINE + b'content-length: 4\r\n\r\nbook'
+SHED_ANSWER = b'HTTP/1.1 503 Shed\r\nx-shed: not-run\r\ncontent-length: 0\r\n\r\n'
 LONG_BYTES = 1_500_000
 LONG_HEADERS = b'content-length: 1500000\r\n\r\n'
 
@@ -144,10 +145,7 @@
                 ErrorKind.ANSWER_TRUNCATED,
             ),
             (STATUS_LINE + b'\r\nbook', ErrorKind.ANSWER_TRUNCATED),
-            (
-                b'HTTP/1.1 503 Shed\r\nx-shed: not-run\r\ncontent-length: 0\r\n\r\n',
-                ErrorKind.BACKEND_SHED,
-            ),
+            (SHED_ANSWER, ErrorKind.BACKEND_SHED),
         ],
     )
     def test_incomplete_and_shed_answers(self, sent, kind):
@@ -260,6 +258,29 @@
 class TestAnswers:
     """Guard against bytes of one response that end up in another."""
 
+    def test_connection_is_not_kept_after_a_refusal(self):
+        """A copy of the refusal would state that the next request has not run."""
+        server = RawServer(SHED_ANSWER, COMPLETE_ANSWER)
+
+        async def use(forward):
+            assert (await forward(make_request())).kind is ErrorKind.BACKEND_SHED
+            assert (await forward(make_request())).body == b'book'
+            assert server.connections == 2
+
+        run_exchange(server, use)
+
+    def test_late_copy_of_an_answer_is_not_returned_as_the_next_answer(self):
+        """The copy arrives when the connection is in use again."""
+        own_answer = COMPLETE_ANSWER.replace(b'book', b'page')
+        server = RawServer(COMPLETE_ANSWER, COMPLETE_ANSWER + own_answer, own_answer)
+
+        async def use(forward):
+            assert (await forward(make_request())).body == b'book'
+            answer = await forward(make_request())
+            assert isinstance(answer, Failure) or answer.body == b'page'
+
+        run_exchange(server, use)
+
     def test_surplus_bytes_are_not_returned_as_the_next_answer(self):
         """A second response to a request must not be sent to another caller."""
         second_answer = COMPLETE_ANSWER.replace(b'book', b'evil')
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -237,11 +237,14 @@
 
 
 @asynccontextmanager
-async def running_mirror():
-    """Run a mirror of a new store."""
+async def running_mirror(prepare=None, *, may_be_stale: bool = False):
+    """Run a mirror of a new store, which `prepare` may fill before."""
     async with running_source() as (store, source):
+        if prepare:
+            prepare(store)
         kernel = Kernel()
         mirror = Mirror()
+        mirror.may_be_stale = may_be_stale
         for service in (BootTimer(), source, mirror):
             kernel.register(service)
         stopping = anyio.Event()
@@ -259,12 +262,12 @@
     return len(kinds) == len(Topic) and any(from_copy in call for call in watches)
 
 
-def run_mirror(work) -> None:
+def run_mirror(work, prepare=None, **options) -> None:
     """Run a coroutine function with a new store and its mirror."""
 
     async def main() -> None:
         with anyio.fail_after(40):
-            async with running_mirror() as (store, mirror):
+            async with running_mirror(prepare, **options) as (store, mirror):
                 await work(store, mirror)
 
     anyio.run(main)
@@ -356,6 +359,21 @@
 
         run_mirror(work)
 
+    def test_server_that_has_left_is_not_used_again_after_a_restart(self):
+        """The first list may be stale, and so may watches while another host reads."""
+
+        def prepare(store):
+            store.put('servers', 'i-1', worker_entry('127.0.0.1:9000'))
+            store.put('servers', 'i-2', worker_entry('127.0.0.1:9001'))
+            store.freeze_stale_lists()
+            store.remove('servers', 'i-1')
+            store.faults.stale_s = 60
+
+        async def work(store, mirror):
+            await until(lambda: mirror.records(Topic.BACKENDS).keys() == {'i-2'}, 20)
+
+        run_mirror(work, prepare, may_be_stale=True)
+
     def test_stale_reads_are_allowed_for_all_topics_but_the_policy(self):
         async def work(store, mirror):
             mirror.may_be_stale = True
--- a/tests/utils/metadata_store.py
+++ b/tests/utils/metadata_store.py
@@ -41,6 +41,13 @@
         self._oldest_revision = 0
         self._watch_cuts = 0
         self._changed = asyncio.Event()
+        # Revision and objects that lists return if they may be stale.
+        self._stale: tuple[int, dict[str, dict[str, dict]]] | None = None
+
+    def freeze_stale_lists(self) -> None:
+        """Return the present objects in lists that may be stale from now on."""
+        kinds = {kind: dict(objects) for kind, objects in self._objects.items()}
+        self._stale = (self.revision, kinds)
 
     def put(self, kind: str, name: str, spec: object) -> dict:
         """Write an object directly, as an operator or a backend server would."""
@@ -131,11 +138,15 @@
             found = objects.get(name)
             return (200, found) if found else (404, {})
         after = query.get('after', '')
+        revision = self.revision
+        if self._stale and 'allow_stale' in query:
+            revision, kinds = self._stale
+            objects = kinds.get(kind, {})
         later = [each for key, each in sorted(objects.items()) if key > after]
         return 200, {
             'items': later[:_PAGE_SIZE],
             'more': len(later) > _PAGE_SIZE,
-            'at': self.revision,
+            'at': revision,
         }
 
     async def _watch(self, kind: str, since: int, wait_s: float):
