Determine the live hosts of all domains in one pass

- Cause: with summaries, each host was looked up in the summaries of its domain by itself, once more for each organisation with a share.
- Change: one set of live members for each domain; isolation is determined once a heartbeat.

--- a/cicadadoor/entry/peers.py
+++ b/cicadadoor/entry/peers.py
@@ -127,6 +127,15 @@
             domain for domain in self._by_domain if self.fresh(domain, now_s)
         )
 
+    def members(self, now_s: float) -> dict[str, frozenset[int]]:
+        """Return the live hosts of each failure domain with a recent summary."""
+        return {
+            domain: frozenset().union(
+                *(summary.members for summary in self.fresh(domain, now_s))
+            )
+            for domain in self.fresh_domains(now_s)
+        }
+
     def latest(self, now_s: float) -> list[HostHeartbeat]:
         """Return the latest summary of each failure domain, if it is recent."""
         found = [self.fresh(domain, now_s)[-1:] for domain in self._by_domain]
@@ -209,7 +218,18 @@
 
     def heard(self, now_s: float) -> list[Peer]:
         """Return the live hosts."""
-        return [peer for peer in self._peers.values() if self.is_heard(peer, now_s)]
+        members_of = self._summaries.members(now_s)
+        members_of.pop(self._failure_domain, None)
+        found = []
+        for peer in self._peers.values():
+            members = members_of.get(peer.record.failure_domain)
+            if members is None:
+                is_heard = now_s - peer.heard_s <= self._timeout_s(peer)
+            else:
+                is_heard = peer.name_hash in members
+            if is_heard:
+                found.append(peer)
+        return found
 
     def serving_records(self, now_s: float) -> list[HostRecord]:
         """Return the records of the other hosts that callers may use."""
--- a/cicadadoor/entry/quotas.py
+++ b/cicadadoor/entry/quotas.py
@@ -74,6 +74,7 @@
         self._started_s = 0.0
         self._accounts: dict[str, _Account] = {}
         self._latest_heartbeats: list[HostHeartbeat] = []
+        self._is_isolated = False
 
     async def start(self, kernel: Kernel) -> None:
         """Register for heartbeats."""
@@ -125,6 +126,7 @@
         """Update this host's shares from the demand of all hosts."""
         now_s = self._timer.now_s()
         self._latest_heartbeats = heartbeats
+        self._is_isolated = self._membership.is_isolated
         for account in self._accounts.values():
             if not self._has_small_rate(account.organisation):
                 account.demand.update(now_s, _DEMAND_SMOOTHING_S)
@@ -195,7 +197,7 @@
             for heartbeat in self._latest_heartbeats
         }
         wanted = wanted_share(account.demand.rate_per_s, others, host_count)
-        if self._membership.is_isolated:
+        if self._is_isolated:
             wanted = min(wanted, 1 / host_count)
         share = account.share_minimum.update(wanted, now_s)
         bucket = account.bucket
