Notice silent watches at all hosts, before changes have to arrive again

The store fell silent, the watches of all hosts hung for up to 10 s, and no heartbeat showed a later revision. - Change: the reader of a failure domain watches the policy for 2 s at most; when that fails, it renews its other watches without reading whole lists.

--- a/cicadadoor/entry/mirror.py
+++ b/cicadadoor/entry/mirror.py
@@ -22,6 +22,10 @@
 # different times and exchange revisions in heartbeats, so a connection that went silent
 # is detected before its watch ends.
 _WATCH_WAIT_S = 10.0
+# All connections of all hosts may go silent at once, so that no heartbeat shows it. The
+# reader of a failure domain notices it by this watch, in less than the time after which
+# the users expect changes to arrive again (4 s).
+_READER_POLICY_WAIT_S = 2.0
 # For hosts that the reader of their failure domain tells of later revisions.
 _RELAYED_WATCH_WAIT_S = 29.0
 # With a stale configuration a host would refuse new keys and routes.
@@ -52,21 +56,30 @@
         'behind_since_s',
         'digest',
         'failing_since_s',
+        'has_snapshot',
+        'may_read_stale',
         'confirmed_s',
         'is_current',
+        'is_renewed',
         'records',
         'read_scope',
         'recovered_s',
         'revision',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, *, may_read_stale: bool) -> None:
         self.revision = 0
         self.records: dict[str, Record | None] = {}
         # When the store last answered, or the copy of another host was adopted.
         self.confirmed_s = -math.inf
+        self.has_snapshot = False
+        # The first read may be stale: the watch from its revision delivers what it
+        # misses, such as backend servers that have left. So that watch is not stale.
+        self.may_read_stale = may_read_stale
         # Whether a read or watch that may not be stale has been answered.
         self.is_current = False
+        # Set while the watch is cancelled to be started again.
+        self.is_renewed = False
         self.failing_since_s: float | None = None
         self.recovered_s = -math.inf
         self.behind_since_s: float | None = None
@@ -75,6 +88,9 @@
 
     def record_answer(self, topic: Topic, now_s: float) -> None:
         """Record that the store answered, and log the end of a failure."""
+        self.is_renewed = False
+        self.is_current = self.has_snapshot or not self.may_read_stale
+        self.has_snapshot = True
         if self.failing_since_s is None:
             return
         log.info(
@@ -96,6 +112,19 @@
                 reason=failure.reason,
             )
 
+    def renew_watch(self) -> None:
+        """Start the watch again, on a new connection."""
+        if self.read_scope is not None:
+            self.is_renewed = True
+            self.read_scope.cancel()
+
+    def prepare_next_call(self) -> None:
+        """Read the whole topic next, unless its watch was cancelled to be renewed."""
+        if not self.is_renewed:
+            self.has_snapshot = False
+            self.may_read_stale = False
+        self.is_renewed = False
+
     @contextmanager
     def recording_faults(
         self, topic: Topic, now_s: Callable[[], float]
@@ -120,7 +149,10 @@
     def __init__(self) -> None:
         self._source: RecordSource
         self._timer: TimerService
-        self._copies = {topic: _TopicCopy() for topic in Topic}
+        self._copies = {
+            topic: _TopicCopy(may_read_stale=topic not in _NEVER_STALE)
+            for topic in Topic
+        }
         self._subscribers: list[OnChange] = []
         self._is_stopped = False
         # Whether another host is the reader of this failure domain.
@@ -225,7 +257,7 @@
         )
         if now_s - copy.behind_since_s <= lag_limit_s:
             return False
-        if copy.failing_since_s is None and not self._may_be_stale(topic):
+        if copy.failing_since_s is None and not _may_be_stale(self, topic):
             copy.behind_since_s = None
             log.info('watch_behind', topic=topic.value, had=copy.revision)
             self.reread(topic)
@@ -240,59 +272,56 @@
     async def _follow(self, topic: Topic) -> None:
         copy = self._copies[topic]
         backoff_s = _MIN_BACKOFF_S
-        has_snapshot = False
-        # The first read may be stale: the watch from its revision delivers what it
-        # misses, such as backend servers that have left. So that watch is not stale.
-        may_read_stale = topic not in _NEVER_STALE
         with copy.recording_faults(topic, self._timer.now_s):
             while not self._is_stopped:
-                answer: Snapshot | Changes | Failure | None = None
-                with anyio.CancelScope() as scope:
-                    copy.read_scope = scope
-                    if has_snapshot:
-                        answer = await self._watch(topic)
-                    else:
-                        answer = await self._source.read(
-                            topic, may_be_stale=may_read_stale
-                        )
-                copy.read_scope = None
+                answer = await self._call(topic)
                 if isinstance(answer, Snapshot | Changes):
                     backoff_s = _MIN_BACKOFF_S
                     copy.record_answer(topic, self._timer.now_s())
                     self._apply(topic, answer)
-                    copy.is_current = has_snapshot or not may_read_stale
-                    has_snapshot = True
                     if copy.is_current:
                         # Batches changes in quick succession into one call.
                         await self._timer.sleep(
                             _batch_delay_s(topic, len(self.records(Topic.HOSTS)))
                         )
-                    continue
-                if answer is None or answer.kind is ErrorKind.STORE_COMPACTED:
-                    has_snapshot = False
-                    may_read_stale = False
-                    continue
-                copy.record_failure(topic, answer, self._timer.now_s())
-                await self._timer.sleep(backoff_s * (0.5 + random.random()))
-                backoff_s = min(_MAX_BACKOFF_S, 2 * backoff_s)
-
-    async def _watch(self, topic: Topic) -> Changes | Failure:
-        wait_s = _RELAYED_WATCH_WAIT_S if self.may_be_stale else _WATCH_WAIT_S
-        # A random part spreads the watches of hosts that started together.
-        wait_s *= 0.5 + random.random() / 2
-        if self.is_failing(topic):
-            wait_s = _PROBE_WAIT_S
-        return await self._source.watch(
-            topic,
-            self._copies[topic].revision,
-            wait_s,
-            may_be_stale=self._copies[topic].is_current and self._may_be_stale(topic),
-        )
-
-    def _may_be_stale(self, topic: Topic) -> bool:
-        return self.may_be_stale and (
-            self.policy_may_be_stale or topic not in _NEVER_STALE
-        )
+                elif answer is None or answer.kind is ErrorKind.STORE_COMPACTED:
+                    copy.prepare_next_call()
+                else:
+                    self._record_failure(topic, answer)
+                    await self._timer.sleep(backoff_s * (0.5 + random.random()))
+                    backoff_s = min(_MAX_BACKOFF_S, 2 * backoff_s)
+
+    async def _call(self, topic: Topic) -> Snapshot | Changes | Failure | None:
+        """Read or watch a topic; return None if that was cancelled."""
+        copy = self._copies[topic]
+        answer: Snapshot | Changes | Failure | None = None
+        with anyio.CancelScope() as scope:
+            copy.read_scope = scope
+            if copy.has_snapshot:
+                answer = await self._source.watch(
+                    topic,
+                    copy.revision,
+                    _watch_wait_s(
+                        topic,
+                        is_failing=self.is_failing(topic),
+                        is_reader=not self.may_be_stale,
+                    ),
+                    may_be_stale=copy.is_current and _may_be_stale(self, topic),
+                )
+            else:
+                answer = await self._source.read(
+                    topic, may_be_stale=copy.may_read_stale
+                )
+        copy.read_scope = None
+        return answer
+
+    def _record_failure(self, topic: Topic, failure: Failure) -> None:
+        copy = self._copies[topic]
+        if topic is Topic.POLICY and copy.failing_since_s is None:
+            # The connections of the other watches may be silent as well.
+            for other in self._copies.values():
+                other.renew_watch()
+        copy.record_failure(topic, failure, self._timer.now_s())
 
     def _apply(self, topic: Topic, answer: Snapshot | Changes) -> None:
         copy = self._copies[topic]
@@ -333,6 +362,22 @@
         log.exception('change_not_taken', topic=topic.value)
 
 
+def _may_be_stale(mirror: Mirror, topic: Topic) -> bool:
+    return mirror.may_be_stale and (
+        mirror.policy_may_be_stale or topic not in _NEVER_STALE
+    )
+
+
+def _watch_wait_s(topic: Topic, *, is_failing: bool, is_reader: bool) -> float:
+    if is_failing:
+        return _PROBE_WAIT_S
+    wait_s = _WATCH_WAIT_S if is_reader else _RELAYED_WATCH_WAIT_S
+    if topic is Topic.POLICY and is_reader:
+        wait_s = _READER_POLICY_WAIT_S
+    # A random part spreads the watches of hosts that started together.
+    return wait_s * (0.5 + random.random() / 2)
+
+
 def _batch_delay_s(topic: Topic, host_count: int) -> float:
     longest_s = _MAX_BATCH_DELAY_S
     if topic is Topic.HOSTS:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -359,6 +359,25 @@
 
         run_mirror(work)
 
+    def test_watches_of_all_topics_are_renewed_if_all_hosts_connections_are_silent(
+        self, monkeypatch
+    ):
+        """No other host then shows later records; found by soak seed 908."""
+        monkeypatch.setattr('cicadadoor.entry.mirror._WATCH_WAIT_S', 300.0)
+
+        async def work(store, mirror):
+            store.put('config', 'main', configuration(3))
+            await until(lambda: _are_all_watched(store, mirror))
+            store.faults.hanging_watches = True
+            store.calls.clear()
+            store.cut_watches()
+            await until(lambda: len(store.calls) >= len(Topic))
+            store.faults.hanging_watches = False
+            store.put('servers', 'i-9', worker_entry('127.0.0.1:9000'))
+            await until(lambda: 'i-9' in mirror.records(Topic.BACKENDS), 20)
+
+        run_mirror(work)
+
     def test_server_that_has_left_is_not_used_again_after_a_restart(self):
         """The first list may be stale, and so may watches while another host reads."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,8 @@
 # Seeds that once failed stay in this list. 106 hung: it waited for the end of a stopped
 # host that another fault had restarted. 305 exceeded the organisation's limit: the
 # store stopped answering before the hosts had read each other's records.
-_SEEDS = (1, 8, 106, 305)
+# 908 accepted a withdrawn key: the watches of all hosts were on silent connections.
+_SEEDS = (1, 8, 106, 305, 908)
 
 
 def _run(attempt: str, method: str = 'POST', **headers: str) -> Run:
