--- a/cicadadoor/entry/backends.py
+++ b/cicadadoor/entry/backends.py
@@ -1,7 +1,6 @@
 """Provide the backend servers that a request may use, in order of preference."""
 
-from collections import Counter
-
+from cicadadoor.decisions.domain_summaries import smallest_ages, sum_counts
 from cicadadoor.decisions.host_shares import cold_gap_s, cold_sender_count
 from cicadadoor.decisions.placement import WeightedServer, rank
 from cicadadoor.entry.backend_table import MISSING_ENTRY_GRACE_S, Backend, BackendTable
@@ -151,15 +150,10 @@
         now_s = self._timer.now_s()
         if self._table.expire(now_s):
             self._ranking.clear()
-        in_flight: Counter[int] = Counter()
-        unreachable: dict[int, float] = {}
-        for heartbeat in heartbeats:
-            for server_hash, count in heartbeat.in_flight.items():
-                in_flight[server_hash] += count
-            for failed, age_s in heartbeat.unreachable.items():
-                unreachable[failed] = min(age_s, unreachable.get(failed, age_s))
+        in_flight = sum_counts(heartbeat.in_flight for heartbeat in heartbeats)
+        unreachable = smallest_ages(heartbeat.unreachable for heartbeat in heartbeats)
         for backend in self._table.known.values():
-            backend.peers_in_flight = in_flight[backend.name_hash]
+            backend.peers_in_flight = in_flight.get(backend.name_hash, 0)
             heard_age_s = unreachable.get(backend.name_hash)
             if heard_age_s is not None:
                 backend.health.note_reported_unreachable(now_s, heard_age_s)
--- a/cicadadoor/entry/peers.py
+++ b/cicadadoor/entry/peers.py
@@ -1,11 +1,15 @@
 """Track the other hosts: their records and their latest heartbeats."""
 
 import math
-from collections.abc import Iterable
 
 from cicadadoor.decisions.domain_summaries import uses_summaries
 from cicadadoor.entry.heartbeats import TOPICS, HostHeartbeat, name_hash
 from cicadadoor.entry.model import HostRecord
+from cicadadoor.entry.reported_hosts import (
+    SUMMARY_TIMEOUT_S,
+    SummaryTable,
+    UnlistedHosts,
+)
 from cicadadoor.telemetry import logs
 
 log = logs.logger('membership')
@@ -26,10 +30,6 @@
 # A host that hears no other host assumes that it is itself isolated, and still returns
 # the others to callers for this time.
 _ISOLATED_TIMEOUT_S = 4.5
-# A host that is not listed shares the limits for this time after its last heartbeat.
-_UNLISTED_TIMEOUT_S = 10.0
-# A summary counts for this long; reporters send several in this time.
-_SUMMARY_TIMEOUT_S = 5.0
 
 
 class Peer:
@@ -67,81 +67,6 @@
         )
 
 
-class UnlistedHosts:
-    """Count the hosts that send heartbeats and are not in the list of hosts."""
-
-    def __init__(self) -> None:
-        self._heard_s: dict[str, float] = {}
-
-    def __len__(self) -> int:
-        """Return the number of these hosts."""
-        return len(self._heard_s)
-
-    def record_heartbeat(self, host: str, now_s: float) -> None:
-        """Record a heartbeat of a host that is not listed."""
-        self._heard_s[host] = now_s
-
-    def discard(self, hosts: Iterable[str]) -> None:
-        """Remove hosts that are listed now."""
-        for name in hosts:
-            self._heard_s.pop(name, None)
-
-    def prune(self, now_s: float) -> None:
-        """Remove hosts that have become silent."""
-        for name, heard_s in list(self._heard_s.items()):
-            if now_s - heard_s > _UNLISTED_TIMEOUT_S:
-                self._heard_s.pop(name)
-
-
-class _ReceivedSummary:
-    __slots__ = ('heard_s', 'summary')
-
-    def __init__(self, summary: HostHeartbeat, heard_s: float) -> None:
-        self.summary = summary
-        self.heard_s = heard_s
-
-
-class SummaryTable:
-    """Hold the latest summary of each reporter, by failure domain."""
-
-    def __init__(self) -> None:
-        self._by_domain: dict[str, dict[str, _ReceivedSummary]] = {}
-
-    def record(self, domain: str, summary: HostHeartbeat, now_s: float) -> None:
-        """Replace the summary of a reporter."""
-        received = self._by_domain.setdefault(domain, {})
-        received.pop(summary.host, None)
-        received[summary.host] = _ReceivedSummary(summary, now_s)
-
-    def fresh(self, domain: str, now_s: float) -> list[HostHeartbeat]:
-        """Return the recent summaries of a failure domain, the latest one last."""
-        return [
-            each.summary
-            for each in self._by_domain.get(domain, {}).values()
-            if now_s - each.heard_s <= _SUMMARY_TIMEOUT_S
-        ]
-
-    def fresh_domains(self, now_s: float) -> frozenset[str]:
-        """Return the failure domains with a recent summary."""
-        return frozenset(
-            domain for domain in self._by_domain if self.fresh(domain, now_s)
-        )
-
-    def members(self, now_s: float) -> dict[str, frozenset[int]]:
-        """Return the live hosts of each failure domain with a recent summary."""
-        return {
-            domain: frozenset().union(
-                *(summary.members for summary in self.fresh(domain, now_s))
-            )
-            for domain in self.fresh_domains(now_s)
-        }
-
-    def latest(self, now_s: float) -> list[HostHeartbeat]:
-        """Return the latest summary of each failure domain, if it is recent."""
-        found = [self.fresh(domain, now_s)[-1:] for domain in self._by_domain]
-        return [each for summaries in found for each in summaries]
-
-
 class PeerTable:
     """Hold the listed hosts, and determine which of them are live."""
 
@@ -303,7 +228,7 @@
 
     def _timeout_s(self, peer: Peer) -> float:
         if self.uses_summaries and not self.is_in_own_domain(peer):
-            return _SUMMARY_TIMEOUT_S
+            return SUMMARY_TIMEOUT_S
         if self.is_near(peer):
             return min(
                 _MAX_TIMEOUT_S, _NEAR_TIMEOUT_INTERVALS * self.heartbeat_interval_s
--- a/tests/test_domain_summaries.py
+++ b/tests/test_domain_summaries.py
@@ -13,10 +13,11 @@
     sum_rates,
     uses_summaries,
 )
-from cicadadoor.entry.heartbeats import HostHeartbeat, name_hash, summarise
+from cicadadoor.entry.heartbeats import name_hash, summarise
 from cicadadoor.entry.model import HostRecord
 from cicadadoor.entry.peers import PeerTable
 from tests.utils.entry_hosts import run_deployed
+from tests.utils.heartbeats import heartbeat_of
 from tests.utils.metadata_store import configuration
 from tests.utils.waiting import until
 
@@ -41,16 +42,6 @@
     )
 
 
-def heartbeat_of(host: str, number: int = 1, **fields: object) -> HostHeartbeat:
-    defaults = {
-        'instance': f'{host}-1',
-        'is_leaving': False,
-        'revisions': (1, 1, 1, 1),
-        'digests': (0, 0, 0, 0),
-    }
-    return HostHeartbeat(host=host, number=number, **{**defaults, **fields})
-
-
 def summary_of(domain: str, members: range, *, reporter: int = 0, **fields: object):
     """Return the summary of a reporter that hears some of its domain's hosts."""
     own = heartbeat_of(host_name(domain, reporter), **fields)
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -3,7 +3,8 @@
 import pytest
 
 from cicadadoor.entry.model import HostRecord
-from cicadadoor.entry.peers import HostHeartbeat, PeerTable
+from cicadadoor.entry.peers import PeerTable
+from tests.utils.heartbeats import heartbeat_of
 
 
 def record_of(host: str, region: str = 'muenchen') -> HostRecord:
@@ -17,16 +18,6 @@
     )
 
 
-def heartbeat_of(host: str, number: int = 1, **fields: object) -> HostHeartbeat:
-    defaults = {
-        'instance': f'{host}-1',
-        'is_leaving': False,
-        'revisions': (1, 1, 1, 1),
-        'digests': (0, 0, 0, 0),
-    }
-    return HostHeartbeat(host=host, number=number, **{**defaults, **fields})
-
-
 @pytest.fixture
 def table() -> PeerTable:
     peers = PeerTable('muenchen', 'muc-a')
