--- a/cicadadoor/telemetry/metrics.py
+++ b/cicadadoor/telemetry/metrics.py
@@ -38,6 +38,11 @@
     ('service',),
     buckets=(0.05, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 2.5, 4, 6, 10),
 )
+EVENT_LOOP_DELAY_SECONDS = Histogram(
+    'cicadadoor_event_loop_delay_seconds',
+    'Time by which timer callbacks ran late, as the event loop was busy or suspended.',
+    buckets=(0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 5),
+)
 GENERATION = Gauge('cicadadoor_generation', 'Configuration generation in use.')
 TASK_FAILURES = Counter(
     'cicadadoor_task_failures_total',
--- a/cicadadoor/timer.py
+++ b/cicadadoor/timer.py
@@ -7,10 +7,15 @@
 import anyio
 
 from cicadadoor.kernel import Kernel, Service
-from cicadadoor.telemetry import logs
+from cicadadoor.telemetry import logs, metrics
 
 log = logs.logger('timer')
 
+# A request passes the event loop several times before it is sent on, so that its
+# caller's disconnect may be noticed several times as late.
+_LATE_S = 0.1
+_MS_PER_S = 1000
+
 Callback = Callable[[], Awaitable[None]]
 
 
@@ -94,12 +99,22 @@
         callback: Callback,
         repeats: bool,
     ) -> None:
-        await anyio.sleep(delay_s)
+        await self._wait(name, delay_s)
         await _call(name, callback)
         while repeats:
-            await anyio.sleep(delay_s)
+            await self._wait(name, delay_s)
             await _call(name, callback)
 
+    async def _wait(self, name: str, delay_s: float) -> None:
+        due_s = self.now_s() + delay_s
+        await anyio.sleep(delay_s)
+        late_s = self.now_s() - due_s
+        metrics.EVENT_LOOP_DELAY_SECONDS.observe(late_s)
+        if late_s > _LATE_S:
+            log.warning(
+                'event_loop_late', callback=name, late_ms=int(late_s * _MS_PER_S)
+            )
+
 
 async def _call(name: str, callback: Callback) -> None:
     # An exception in one callback must not end the process or the other callbacks.
