--- a/tests/utils/raw_server.py
+++ b/tests/utils/raw_server.py
@@ -88,8 +88,11 @@
         try:
             await self._serve(reader, writer)
         except (ConnectionError, h11.RemoteProtocolError):
-            writer.close()
+            return
         finally:
+            # Also after a cancellation: a writer that is freed after its event loop has
+            # ended raises an error wherever the garbage collector runs.
+            writer.close()
             self._tasks.discard(task)
 
     async def _serve(self, reader, writer) -> None:
