--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -14,6 +14,7 @@
 from cicadadoor.entry.policy import ActivePolicy
 from cicadadoor.entry.routed_request import RoutedRequest
 from cicadadoor.entry.state import EntryState
+from cicadadoor.entry.turns import TurnQueue
 from cicadadoor.errors import ERROR_RESPONSES, ErrorKind, Executed, Failure
 from cicadadoor.http_server import (
     JSON_HEADER,
@@ -41,6 +42,8 @@
 # Hypercorn itself rejects a request head above its limit, which is the operator's
 # header limit plus this allowance for the request line.
 _HEAD_MARGIN_BYTES = 8192
+# Sending a request on takes about 2 ms of processor time.
+_TURNS_PER_PASS = 8
 _encoder = msgspec.json.Encoder()
 
 
@@ -72,6 +75,7 @@
         self._http: HttpServer
         self._callers_port = 0
         self._open = OpenRequests()
+        self._turns = TurnQueue(_TURNS_PER_PASS)
 
     async def start(self, kernel: Kernel) -> None:
         """Listen on all addresses."""
@@ -174,6 +178,8 @@
             return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(cancel_on_disconnect, receive, tasks.cancel_scope)
+            with self._open.cancellable():
+                await self._turns.wait()
             await self._respond(request, body, received_s, send, tasks.cancel_scope)
             tasks.cancel_scope.cancel()
 
