--- a/cicadadoor/platform/decoding.py
+++ b/cicadadoor/platform/decoding.py
@@ -2,7 +2,7 @@
 
 import re
 from collections.abc import Callable
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -24,6 +24,10 @@
 
 _VERSION = re.compile(r'r(\d+)')
 _LOWEST_PRIORITY = 9
+# Larger numbers are not exact in every JSON reader, and some do not fit into the
+# messages between hosts.
+_MAX_INTEGER = 9_007_199_254_740_992
+_MAX_SLOTS = 1_000_000
 _WORKER_STATES = frozenset(('ready', 'draining'))
 
 
@@ -95,19 +99,19 @@
 class _WorkerInfo(msgspec.Struct, kw_only=True):
     service: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(gt=0, le=_MAX_SLOTS)]
 
 
 class _WorkerStatus(msgspec.Struct, kw_only=True):
     state: str
-    cold_remaining_ms: int | float = 0
+    cold_remaining_ms: Annotated[float, msgspec.Meta(le=_MAX_INTEGER)] = 0
 
 
 class _Worker(msgspec.Struct, kw_only=True):
     address: str
     info: _WorkerInfo
     status: _WorkerStatus | None = None
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)] = 0
 
 
 def decode(topic: Topic, stored: StoreObject) -> Record:
@@ -198,8 +202,7 @@
         status = msgspec.json.decode(stored.status, type=_WorkerStatus)
     if status is None or status.state not in _WORKER_STATES:
         raise ValueError(f'status {status!r} must have the state ready or draining')
-    if decoded.info.slots <= 0:
-        raise ValueError(f'slots must be above 0, got {decoded.info.slots}')
+    _check_address(decoded.address)
     return BackendRecord(
         instance_id=stored.metadata.name,
         service=decoded.info.service,
@@ -219,14 +222,18 @@
 def _host(stored: StoreObject) -> HostRecord:
     record = msgspec.json.decode(stored.spec, type=HostRecord)
     for address in (record.callers, record.peers):
-        if parse_address(address) is None:
-            raise ValueError(
-                f'address {address!r} must be an IP address and a port, '
-                'such as 127.0.0.1:8080'
-            )
+        _check_address(address)
     return record
 
 
+def _check_address(address: str) -> None:
+    if parse_address(address) is None:
+        raise ValueError(
+            f'address {address!r} must be an IP address and a port, '
+            'such as 127.0.0.1:8080'
+        )
+
+
 _DECODERS: dict[Topic, Callable[[StoreObject], Record]] = {
     Topic.POLICY: _policy,
     Topic.BACKENDS: _backend,
--- a/cicadadoor/platform/store_client.py
+++ b/cicadadoor/platform/store_client.py
@@ -8,6 +8,7 @@
 
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.http_client import fetch
+from cicadadoor.platform.nesting import limit_nesting
 from cicadadoor.sockets import KEEP_ALIVE_OPTIONS
 
 # A healthy store answers in 4 ms. Calls time out after this, so that a silent
@@ -21,6 +22,9 @@
 _MAX_ANSWER_BYTES = 16_777_216
 # Such a read costs a tenth of a consistent one, and may return data seconds old.
 _ALLOW_STALE = 'allow_stale=1'
+# Deeper than in any object that the platform or this host writes, and far below what
+# the decoder can read.
+_MAX_NESTING = 64
 
 _FAILURE_KINDS: dict[int, ErrorKind] = {
     HTTPStatus.NOT_FOUND: ErrorKind.STORE_NOT_FOUND,
@@ -200,9 +204,17 @@
     if isinstance(body, Failure):
         return body
     try:
-        return msgspec.json.decode(body, type=expected)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        return _decode_nested(body, expected)
+    except msgspec.MsgspecError as error:
         return Failure(
             ErrorKind.STORE_UNAVAILABLE,
             f'malformed answer from the store: {error}',
         )
+
+
+def _decode_nested(body: bytes, expected: type) -> Page:
+    try:
+        return msgspec.json.decode(body, type=expected)
+    except RecursionError:
+        # One object of another writer must not hide the others in the list.
+        return msgspec.json.decode(limit_nesting(body, _MAX_NESTING), type=expected)
