--- a/cicadadoor/entry/settings.py
+++ b/cicadadoor/entry/settings.py
@@ -9,6 +9,9 @@
 # Reserved at the end for responses to aborted requests and for closing connections.
 _SHUTDOWN_RESERVE_S = 0.65
 _LEAVE_FRACTION = 0.56
+# However long the stop may take: requests that are taken later may last longer than the
+# rest of it, and would be cut while a backend server runs them.
+_MAX_LEAVE_S = 2.95
 
 
 class EntrySettings:
@@ -49,7 +52,8 @@
 
         Clients cache a directory answer for up to three times its `ttl_s`.
         """
-        return (self.kill_after_s - _SHUTDOWN_RESERVE_S) * _LEAVE_FRACTION
+        serving_s = self.kill_after_s - _SHUTDOWN_RESERVE_S
+        return min(_MAX_LEAVE_S, serving_s * _LEAVE_FRACTION)
 
     @property
     def grace_s(self) -> float:
--- a/tests/test_entry_cut.py
+++ b/tests/test_entry_cut.py
@@ -51,7 +51,7 @@
 class TestStopDuration:
     """Check that a stop takes less time than the platform allows."""
 
-    @pytest.mark.parametrize('kill_after_s', [1, 2, 4, 6])
+    @pytest.mark.parametrize('kill_after_s', [1, 2, 4, 6, 12, 60])
     def test_stop_ends_before_the_process_is_killed(self, kill_after_s):
         """The time-outs for cancelled requests and connections are fixed."""
         settings = host_settings('host-0', '127.0.0.1:1')
@@ -64,3 +64,11 @@
             + server._CLOSE_TIMEOUT_S
         )
         assert stop_s < kill_after_s
+
+    @pytest.mark.parametrize('kill_after_s', [1, 6, 12, 60])
+    def test_no_request_is_taken_late_in_a_long_stop(self, kill_after_s):
+        """A request taken in the last seconds would be cut while it runs."""
+        settings = host_settings('host-0', '127.0.0.1:1')
+        settings.kill_after_s = kill_after_s
+        assert settings.leave_s <= 3
+        assert settings.grace_s > 0.4 * (settings.leave_s + settings.grace_s)
