--- a/cicadadoor/decisions/backend_health.py
+++ b/cicadadoor/decisions/backend_health.py
@@ -9,6 +9,10 @@
 
 _MIN_PAUSE_S = 0.5
 _MAX_PAUSE_S = 4.0
+# A failure counts at other hosts for this long, counted from the failure itself.
+_REPORT_TTL_S = 3.0
+# Many hosts receive a report, and their trial requests add up.
+_REPORTED_PAUSE_S = 1.0
 _GAIN = 0.15
 _UNRELIABLE_RATIO = 0.25
 # An unreliable server gets no requests that could improve its ratio, so the ratio
@@ -26,6 +30,7 @@
         'last_response_s',
         'pause_s',
         'paused_until_s',
+        'reported_failed_s',
         'trial_until_s',
         'was_refused',
     )
@@ -38,6 +43,8 @@
         self.pause_s = 0.0
         self.paused_until_s = -math.inf
         self.trial_until_s = -math.inf
+        # The latest failure at another host.
+        self.reported_failed_s = -math.inf
         # Nothing listened at the address, so the server returns as a new process.
         self.was_refused = False
 
@@ -71,31 +78,55 @@
         self.trial_until_s = -math.inf
 
     def note_reported_unreachable(self, now_s: float, failed_age_s: float) -> None:
-        """Apply a failure that another host saw, unless a response came since."""
-        failed_s = now_s - failed_age_s
-        if failed_s > self.last_response_s and not self.is_paused:
-            self.note_unreachable(now_s, failed_s)
+        """Record a failure that another host saw; a later response outweighs it."""
+        self.reported_failed_s = max(self.reported_failed_s, now_s - failed_age_s)
+
+    def reported_age_s(self, now_s: float) -> float | None:
+        """Return the age of a failure to report to other hosts, or None.
+
+        Failures that other hosts reported are not passed on: hosts that repeat each
+        other's reports would keep a failure alive.
+        """
+        age_s = now_s - self.failed_s
+        if self.failed_s <= self.last_response_s or age_s >= _REPORT_TTL_S:
+            return None
+        return age_s
 
     @property
     def is_paused(self) -> bool:
-        """Return whether the server has sent no response since it failed."""
+        """Return whether the server has sent no response since it failed here."""
         return self.pause_s > 0
 
+    def is_suspect(self, now_s: float) -> bool:
+        """Return whether the server failed here, or recently at another host."""
+        return self.is_paused or self._is_reported(now_s)
+
     def is_unreliable(self, now_s: float) -> bool:
         """Return whether many of the server's recent responses were failures."""
         return self._decayed_bad_ratio(now_s) > _UNRELIABLE_RATIO
 
     def may_try(self, now_s: float) -> bool:
         """Return whether a request may be sent now."""
-        if not self.is_paused:
+        if not self.is_suspect(now_s):
             return True
-        return now_s >= self.paused_until_s and now_s >= self.trial_until_s
+        paused_until_s = self.paused_until_s
+        if self._is_reported(now_s):
+            paused_until_s = max(
+                paused_until_s, self.reported_failed_s + _REPORTED_PAUSE_S
+            )
+        return now_s >= paused_until_s and now_s >= self.trial_until_s
 
     def begin(self, now_s: float, limit_s: float) -> None:
-        """Record that a request is sent; on a paused server it is the only trial."""
-        if self.is_paused:
+        """Record that a request is sent; on a suspect server it is the only trial."""
+        if self.is_suspect(now_s):
             self.trial_until_s = now_s + limit_s
 
+    def _is_reported(self, now_s: float) -> bool:
+        return (
+            self.reported_failed_s > self.last_response_s
+            and now_s - self.reported_failed_s < _REPORT_TTL_S
+        )
+
     def _update_bad_ratio(self, now_s: float, *, is_bad: bool) -> None:
         ratio = self._decayed_bad_ratio(now_s)
         self._bad_ratio = ratio + _GAIN * (int(is_bad) - ratio)
--- a/cicadadoor/entry/backends.py
+++ b/cicadadoor/entry/backends.py
@@ -17,9 +17,6 @@
 
 log = logs.logger('backends')
 
-# Failures are included in heartbeats for this long.
-_REPORT_FAILURE_S = 3.0
-
 
 class Backends(HeartbeatPart):
     """Combine server entries, evacuations and the load and failures that hosts see."""
@@ -35,6 +32,8 @@
         self._table = BackendTable()
         self._evacuated: frozenset[str] = frozenset()
         self._ranking: Ranking
+        # Heartbeats whose failures have been applied, by host.
+        self._applied: dict[str, tuple[str, int]] = {}
 
     async def start(self, kernel: Kernel) -> None:
         """Subscribe to the mirror and to the heartbeats of other hosts."""
@@ -75,8 +74,8 @@
     ) -> dict[str, Backend]:
         """Return the backend servers that may be sent a request now, by instance id.
 
-        A request that is not repeatable is not sent to a server that has failed and has
-        not answered since.
+        A request that is not repeatable is not sent to a server that has failed here
+        and has not answered since, or has failed recently at another host.
         """
         return {
             backend.record.instance_id: backend
@@ -95,7 +94,7 @@
         now_s = self._timer.now_s()
         if home_regions and backend.region not in home_regions:
             return False
-        if backend.health.is_paused and not is_repeatable:
+        if backend.health.is_suspect(now_s) and not is_repeatable:
             return False
         return self._may_send(backend, now_s) and self._may_send_if_cold(backend, now_s)
 
@@ -139,10 +138,9 @@
             if backend.in_flight
         }
         fields['unreachable'] = {
-            backend.name_hash: round(now_s - backend.health.failed_s, 3)
+            backend.name_hash: round(age_s, 3)
             for backend in known
-            if backend.health.is_paused
-            and now_s - backend.health.failed_s < _REPORT_FAILURE_S
+            if (age_s := backend.health.reported_age_s(now_s)) is not None
         }
 
     def on_heartbeats(self, heartbeats: list[HostHeartbeat]) -> None:
@@ -151,7 +149,13 @@
         if self._table.expire(now_s):
             self._ranking.clear()
         in_flight = sum_counts(heartbeat.in_flight for heartbeat in heartbeats)
-        unreachable = smallest_ages(heartbeat.unreachable for heartbeat in heartbeats)
+        # The ages were right when the heartbeat was sent, so each is applied only once.
+        unreachable = smallest_ages(
+            heartbeat.unreachable
+            for heartbeat in heartbeats
+            if self._applied.get(heartbeat.host) != _heartbeat_id(heartbeat)
+        )
+        self._applied = {each.host: _heartbeat_id(each) for each in heartbeats}
         for backend in self._table.known.values():
             backend.peers_in_flight = in_flight.get(backend.name_hash, 0)
             heard_age_s = unreachable.get(backend.name_hash)
@@ -229,6 +233,10 @@
         self._ranking.clear()
 
 
+def _heartbeat_id(heartbeat: HostHeartbeat) -> tuple[str, int]:
+    return heartbeat.instance, heartbeat.number
+
+
 def _is_open(backend: Backend, evacuated: frozenset[str]) -> bool:
     record = backend.record
     return not record.is_draining and record.failure_domain not in evacuated
--- a/tests/test_backend_health.py
+++ b/tests/test_backend_health.py
@@ -58,9 +58,32 @@
     def test_repeated_report_does_not_prolong_the_pause(self):
         health = BackendHealth()
         health.note_reported_unreachable(10.0, failed_age_s=0.1)
-        until_s = health.paused_until_s
-        health.note_reported_unreachable(10.25, failed_age_s=0.35)
-        assert health.paused_until_s == until_s
+        for number in range(1, 13):
+            age_s = 0.25 * number
+            health.note_reported_unreachable(10.0 + age_s, failed_age_s=0.1 + age_s)
+        assert health.may_try(12.0)
+        assert not health.is_suspect(13.0)
+
+    def test_reports_of_one_failure_end_although_no_host_sends_a_request(self):
+        hosts = [BackendHealth() for _ in range(5)]
+        hosts[0].note_unreachable(10.0, sent_s=9.7)
+        for step in range(60):
+            now_s = 10.0 + 0.25 * step
+            ages_s = [health.reported_age_s(now_s) for health in hosts]
+            for health in hosts:
+                for age_s in ages_s:
+                    if age_s is not None:
+                        health.note_reported_unreachable(now_s, age_s)
+        assert not any(health.is_suspect(now_s) for health in hosts[1:])
+        assert not any(health.reported_age_s(now_s) for health in hosts)
+
+    def test_failure_is_not_reported_back_to_a_host_that_has_got_an_answer_since(self):
+        first, second = BackendHealth(), BackendHealth()
+        first.note_unreachable(10.0, sent_s=9.7)
+        second.note_reported_unreachable(10.3, first.reported_age_s(10.3))
+        first.note_response(10.2, is_bad=False)
+        assert second.reported_age_s(10.4) is None
+        assert first.may_try(10.4)
 
 
 class TestUnreliable:
