--- a/cicadadoor/decisions/backend_health.py
+++ b/cicadadoor/decisions/backend_health.py
@@ -26,7 +26,7 @@
     __slots__ = (
         '_bad_ratio',
         '_bad_ratio_updated_s',
-        'failed_s',
+        'connect_failed_s',
         'last_response_s',
         'pause_s',
         'paused_until_s',
@@ -39,7 +39,7 @@
         self._bad_ratio = 0.0
         self._bad_ratio_updated_s = -math.inf
         self.last_response_s = -math.inf
-        self.failed_s = -math.inf
+        self.connect_failed_s = -math.inf
         self.pause_s = 0.0
         self.paused_until_s = -math.inf
         self.trial_until_s = -math.inf
@@ -59,9 +59,14 @@
 
     def note_refused(self, now_s: float) -> None:
         """Record a refused connection."""
-        self.note_unreachable(now_s, now_s)
+        self.note_connect_failure(now_s, now_s)
         self.was_refused = True
 
+    def note_connect_failure(self, now_s: float, sent_s: float) -> None:
+        """Record a connection that could not be opened."""
+        self.note_unreachable(now_s, sent_s)
+        self.connect_failed_s = now_s
+
     def note_unreachable(self, now_s: float, sent_s: float) -> None:
         """Record a request without a response.
 
@@ -72,7 +77,6 @@
             return
         if now_s < self.paused_until_s:
             return
-        self.failed_s = now_s
         self.pause_s = min(_MAX_PAUSE_S, max(_MIN_PAUSE_S, 2 * self.pause_s))
         self.paused_until_s = now_s + self.pause_s
         self.trial_until_s = -math.inf
@@ -84,11 +88,12 @@
     def reported_age_s(self, now_s: float) -> float | None:
         """Return the age of a failure to report to other hosts, or None.
 
-        Failures that other hosts reported are not passed on: hosts that repeat each
-        other's reports would keep a failure alive.
+        Only failed connects are reported. A request that timed out may have waited at a
+        busy server that answers other hosts. Failures that other hosts reported are not
+        passed on: hosts that repeat each other's reports would keep a failure alive.
         """
-        age_s = now_s - self.failed_s
-        if self.failed_s <= self.last_response_s or age_s >= _REPORT_TTL_S:
+        age_s = now_s - self.connect_failed_s
+        if self.connect_failed_s <= self.last_response_s or age_s >= _REPORT_TTL_S:
             return None
         return age_s
 
--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -197,7 +197,7 @@
         if isinstance(error, ConnectionRefusedError):
             backend.health.note_refused(now_s)
         else:
-            backend.health.note_unreachable(now_s, sent_s)
+            backend.health.note_connect_failure(now_s, sent_s)
         if not was_paused and backend.health.is_paused:
             log.info(
                 'backend_paused',
--- a/tests/test_backend_health.py
+++ b/tests/test_backend_health.py
@@ -66,7 +66,7 @@
 
     def test_reports_of_one_failure_end_although_no_host_sends_a_request(self):
         hosts = [BackendHealth() for _ in range(5)]
-        hosts[0].note_unreachable(10.0, sent_s=9.7)
+        hosts[0].note_connect_failure(10.0, sent_s=9.7)
         for step in range(60):
             now_s = 10.0 + 0.25 * step
             ages_s = [health.reported_age_s(now_s) for health in hosts]
@@ -79,12 +79,18 @@
 
     def test_failure_is_not_reported_back_to_a_host_that_has_got_an_answer_since(self):
         first, second = BackendHealth(), BackendHealth()
-        first.note_unreachable(10.0, sent_s=9.7)
+        first.note_connect_failure(10.0, sent_s=9.7)
         second.note_reported_unreachable(10.3, first.reported_age_s(10.3))
         first.note_response(10.2, is_bad=False)
         assert second.reported_age_s(10.4) is None
         assert first.may_try(10.4)
 
+    def test_request_that_timed_out_is_not_reported(self):
+        health = BackendHealth()
+        health.note_unreachable(10.0, sent_s=9.0)
+        assert health.is_suspect(10.1)
+        assert health.reported_age_s(10.1) is None
+
 
 class TestUnreliable:
     """Check servers whose responses are often failures."""
