--- a/tests/utils/entry_hosts.py
+++ b/tests/utils/entry_hosts.py
@@ -1,5 +1,6 @@
 """Run entry hosts, a metadata store and workers in one event loop."""
 
+import time
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
 
@@ -57,6 +58,9 @@
         # of another request) or 'unsigned'.
         self.script: list[str] = []
         self.work_s = 0.0
+        # Added to each answer, refusals included.
+        self.extra_headers: dict[str, str] = {}
+        self.arrived_s: list[float] = []
         self.cancelled = 0
         # Whether the worker sends an earlier refusal on a connection once more before
         # it answers the next request.
@@ -66,6 +70,7 @@
     async def handle(self, request: RawRequest, connection: RawConnection) -> None:
         """Handle one request."""
         self.arrivals += 1
+        self.arrived_s.append(time.monotonic())
         if request.headers.get('target-instance') != self.instance_id:
             await connection.answer(421, {'Instance-Id': self.instance_id})
             return
@@ -74,6 +79,7 @@
             headers = _REFUSALS[fault]
             if 'Attempt-Id' in headers:
                 headers = {**headers, 'Attempt-Id': request.headers['attempt-id']}
+            headers = {**headers, **self.extra_headers}
             self._refusals[connection] = headers
             await connection.answer(503, headers)
             return
@@ -95,6 +101,7 @@
             'Attempt-Id': request.headers.get('attempt-id', ''),
             'Response-Signature': 'signed',
             'Server-Load': '1,0,8',
+            **self.extra_headers,
         }
         body = self.instance_id.encode()
         if fault == 'fail':
