--- a/cicadadoor/decisions/domain_summaries.py
+++ b/cicadadoor/decisions/domain_summaries.py
@@ -15,6 +15,8 @@
 # Up to this number of hosts, each one sends heartbeats to all others.
 MAX_DIRECT_HOSTS = 24
 _REPORTER_COUNT = 2
+# Requests per second, or None if the limit has ended, and the seconds since then.
+ReportedLimit = tuple[float | None, float]
 
 
 def uses_summaries(host_count: int) -> bool:
@@ -65,3 +67,15 @@
         for name, age_s in each.items():
             smallest[name] = min(age_s, smallest.get(name, age_s))
     return smallest
+
+
+def youngest_limits(
+    limits: Iterable[Mapping[int, ReportedLimit]],
+) -> dict[int, ReportedLimit]:
+    """Return the limit with the smallest age by name hash."""
+    youngest: dict[int, ReportedLimit] = {}
+    for each in limits:
+        for name, (rate_per_s, age_s) in each.items():
+            if name not in youngest or age_s < youngest[name][1]:
+                youngest[name] = (rate_per_s, age_s)
+    return youngest
--- a/cicadadoor/entry/backend_table.py
+++ b/cicadadoor/entry/backend_table.py
@@ -5,6 +5,7 @@
 import anyio
 
 from cicadadoor.decisions.backend_health import BackendHealth
+from cicadadoor.decisions.backpressure import Backpressure
 from cicadadoor.decisions.host_shares import SendPacer
 from cicadadoor.decisions.placement import CacheState, Candidate
 from cicadadoor.entry.heartbeats import name_hash
@@ -90,6 +91,7 @@
     """Hold the state of one run of a backend server; times are on the boot clock."""
 
     __slots__ = (
+        'backpressure',
         'cold_until_s',
         'health',
         'in_flight',
@@ -110,6 +112,7 @@
         self.region = region
         self.name_hash = name_hash(record.instance_id)
         self.health = BackendHealth()
+        self.backpressure = Backpressure()
         self.pacer = SendPacer()
         self.cached_objects = CachedObjects()
         self.cold_until_s = -math.inf
--- a/cicadadoor/entry/backends.py
+++ b/cicadadoor/entry/backends.py
@@ -2,9 +2,14 @@
 
 from cicadadoor.decisions.domain_summaries import smallest_ages, sum_counts
 from cicadadoor.decisions.host_shares import cold_gap_s, cold_sender_count
-from cicadadoor.decisions.placement import WeightedServer, rank
 from cicadadoor.entry.backend_table import MISSING_ENTRY_GRACE_S, Backend, BackendTable
 from cicadadoor.entry.heartbeats import HostHeartbeat
+from cicadadoor.entry.limit_sharing import (
+    LimitSharing,
+    apply_reported_limits,
+    is_sender,
+    reported_limits,
+)
 from cicadadoor.entry.membership import HeartbeatPart, Membership
 from cicadadoor.entry.mirror import Mirror
 from cicadadoor.entry.model import BackendRecord, Evacuation, ServicePolicy, Topic
@@ -32,6 +37,7 @@
         self._table = BackendTable()
         self._evacuated: frozenset[str] = frozenset()
         self._ranking: Ranking
+        self._limits: LimitSharing
         # Heartbeats whose failures have been applied, by host.
         self._applied: dict[str, tuple[str, int]] = {}
 
@@ -44,6 +50,7 @@
         self._membership = kernel.find('membership')
         self._membership.add_part(self)
         settings = self._state.settings
+        self._limits = LimitSharing(settings.host, self._membership)
         self._ranking = Ranking(settings.region, settings.region_of_domain)
         self._mirror.subscribe(self._on_change)
 
@@ -96,7 +103,11 @@
             return False
         if backend.health.is_suspect(now_s) and not is_repeatable:
             return False
-        return self._may_send(backend, now_s) and self._may_send_if_cold(backend, now_s)
+        return (
+            self._may_send(backend, now_s)
+            and self._may_send_if_cold(backend, now_s)
+            and self._limits.may_send(backend, now_s)
+        )
 
     def find(self, instance_id: str) -> Backend | None:
         """Return the backend server with an instance id, or None if it is gone."""
@@ -116,6 +127,7 @@
             policy = self._policy.find_service(backend.record.service)
             senders = self._cold_senders(policy)
             backend.pacer.send(now_s, cold_gap_s(_cold_rate(policy), senders))
+        self._limits.begin(backend, now_s)
 
     def end(self, backend: Backend) -> None:
         """Count the end of a request."""
@@ -142,6 +154,7 @@
             for backend in known
             if (age_s := backend.health.reported_age_s(now_s)) is not None
         }
+        fields['limits'] = reported_limits(list(known), now_s)
 
     def on_heartbeats(self, heartbeats: list[HostHeartbeat]) -> None:
         """Apply the requests in flight and failures that other hosts report."""
@@ -149,18 +162,20 @@
         if self._table.expire(now_s):
             self._ranking.clear()
         in_flight = sum_counts(heartbeat.in_flight for heartbeat in heartbeats)
-        # The ages were right when the heartbeat was sent, so each is applied only once.
-        unreachable = smallest_ages(
-            heartbeat.unreachable
-            for heartbeat in heartbeats
-            if self._applied.get(heartbeat.host) != _heartbeat_id(heartbeat)
-        )
+        # Ages were right when the heartbeat was sent, so each one is applied only once.
+        unseen = [
+            each
+            for each in heartbeats
+            if self._applied.get(each.host) != _heartbeat_id(each)
+        ]
         self._applied = {each.host: _heartbeat_id(each) for each in heartbeats}
+        unreachable = smallest_ages(heartbeat.unreachable for heartbeat in unseen)
         for backend in self._table.known.values():
             backend.peers_in_flight = in_flight.get(backend.name_hash, 0)
             heard_age_s = unreachable.get(backend.name_hash)
             if heard_age_s is not None:
                 backend.health.note_reported_unreachable(now_s, heard_age_s)
+        apply_reported_limits(list(self._table.known.values()), unseen, now_s)
 
     def _may_send(self, backend: Backend, now_s: float) -> bool:
         if not _is_open(backend, self._evacuated) or not backend.health.may_try(now_s):
@@ -174,12 +189,8 @@
             return False
         policy = self._policy.find_service(backend.record.service)
         senders = self._cold_senders(policy)
-        names = self._membership.host_names()
-        if senders >= len(names):
-            return True
-        hosts = [WeightedServer(name, 1) for name in names]
-        order = rank(hosts, backend.record.instance_id)
-        return self._state.settings.host in order[:senders]
+        hosts = self._membership.host_names()
+        return is_sender(self._state.settings.host, hosts, senders, backend)
 
     def _cold_senders(self, policy: ServicePolicy | None) -> int:
         settings = self._state.settings
--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -11,6 +11,7 @@
 from cicadadoor.entry.connection_pool import ConnectionPool
 from cicadadoor.entry.connections import BackendConnection, RawResponse, connect
 from cicadadoor.entry.head_check import HeadCheck, ReadResponse
+from cicadadoor.entry.limit_sharing import note_limit
 from cicadadoor.entry.messages import BackendResponse, CallerRequest, Headers
 from cicadadoor.entry.response_reader import (
     MAX_INCOMPLETE_BYTES,
@@ -137,7 +138,7 @@
                 self._record_response(backend, is_bad=True)
                 metrics.INVALID_ANSWERS.labels(backend.record.service).inc()
             return raw
-        return self._process_response(head_check, connection, raw)
+        return self._process_response(head_check, connection, raw, sent_s)
 
     async def _open(self, backend: Backend, timeout_s: float) -> BackendConnection:
         kept = self._pool.acquire(backend.pool_key, self._timer.now_s())
@@ -211,6 +212,7 @@
         head_check: HeadCheck,
         connection: BackendConnection,
         raw: RawResponse,
+        sent_s: float,
     ) -> BackendResponse | Failure:
         now_s = self._timer.now_s()
         backend, head, fault = head_check.backend, head_check.head, head_check.fault
@@ -230,7 +232,9 @@
             backend,
             is_bad=is_invalid or raw.status in _SERVER_FAULTS,
         )
-        backend.note_load(head.load, now_s)
+        backend.note_load(head.flow_control.load, now_s)
+        if not is_invalid:
+            note_limit(backend, now_s, sent_s, head.flow_control.rate_limit_per_s)
         return fault or BackendResponse(head, raw.body)
 
     def _record_response(self, backend: Backend, *, is_bad: bool) -> None:
--- a/cicadadoor/entry/heartbeats.py
+++ b/cicadadoor/entry/heartbeats.py
@@ -8,9 +8,11 @@
 from msgspec import structs
 
 from cicadadoor.decisions.domain_summaries import (
+    ReportedLimit,
     smallest_ages,
     sum_counts,
     sum_rates,
+    youngest_limits,
 )
 from cicadadoor.entry.model import Topic
 
@@ -28,12 +30,14 @@
     answer. `crashes` counts, by request fingerprint, the connections to backend servers
     that broke while such a request ran. `learned` is a flat list of pairs: a backend
     server and an object that it has just loaded; it is sent only within the region.
-    `is_served` is whether the store answers the sender. Names are sent as `name_hash`,
-    since traffic between regions is billed.
+    `limits` holds, by backend server, the requests per second that it has told the
+    sender to take from all hosts together (None if that has ended), and the seconds
+    since then. `is_served` is whether the store answers the sender. Names are sent as
+    `name_hash`, since traffic between regions is billed.
 
     In the summary of a failure domain, `members` are the live hosts of the domain and
     `leaving` those of them that are about to stop; `demand`, `in_flight`,
-    `unreachable`, `crashes` and `learned` concern all of them together.
+    `unreachable`, `crashes`, `limits` and `learned` concern all of them together.
     """
 
     host: str
@@ -50,6 +54,7 @@
     learned: tuple[int, ...] = ()
     members: frozenset[int] = frozenset()
     leaving: frozenset[int] = frozenset()
+    limits: dict[int, ReportedLimit] = {}
 
     def revision(self, topic: Topic) -> int:
         """Return the revision of the sender's copy of a topic."""
@@ -75,6 +80,7 @@
         in_flight=sum_counts(each.in_flight for each in heartbeats),
         unreachable=smallest_ages(each.unreachable for each in heartbeats),
         crashes=sum_counts(each.crashes for each in heartbeats),
+        limits=youngest_limits(each.limits for each in heartbeats),
         learned=tuple(hash_value for each in heartbeats for hash_value in each.learned),
         members=frozenset(name_hash(each.host) for each in heartbeats),
         leaving=frozenset(
--- a/cicadadoor/entry/messages.py
+++ b/cicadadoor/entry/messages.py
@@ -47,11 +47,29 @@
         return self.target.partition(b'?')[0].decode('latin-1')
 
 
+class FlowControl:
+    """Hold what a server says of its load and asks of its callers in a response.
+
+    `load` holds the numbers of running requests, queued requests and slots. The server
+    takes `rate_limit_per_s` requests per second from all hosts together.
+    """
+
+    __slots__ = ('load', 'rate_limit_per_s')
+
+    def __init__(
+        self,
+        *,
+        load: tuple[int, int, int] | None = None,
+        rate_limit_per_s: float | None = None,
+    ) -> None:
+        self.load = load
+        self.rate_limit_per_s = rate_limit_per_s
+
+
 class ResponseHead:
     """Hold the head of a backend server's response.
 
-    `load` holds the numbers of running requests, queued requests and slots. `is_last`
-    means that the server closes the connection after this response.
+    `is_last` means that the server closes the connection after this response.
     """
 
     __slots__ = (
@@ -62,7 +80,7 @@
         'is_last',
         'is_not_run',
         'is_signed',
-        'load',
+        'flow_control',
         'request_id',
         'status',
     )
@@ -76,7 +94,7 @@
         is_not_run: bool,
         is_encoded: bool,
         instance_id: str,
-        load: tuple[int, int, int] | None,
+        flow_control: FlowControl,
         idle_limit_s: float | None,
         is_last: bool,
         headers: Headers,
@@ -87,7 +105,7 @@
         self.is_not_run = is_not_run
         self.is_encoded = is_encoded
         self.instance_id = instance_id
-        self.load = load
+        self.flow_control = flow_control
         self.idle_limit_s = idle_limit_s
         self.is_last = is_last
         self.headers = headers
--- a/cicadadoor/platform/headers.py
+++ b/cicadadoor/platform/headers.py
@@ -1,9 +1,10 @@
 """Convert between the platform's HTTP headers and the entry host's messages."""
 
+import re
 from collections.abc import Sequence
 from http.cookies import CookieError, SimpleCookie
 
-from cicadadoor.entry.messages import CallerRequest, ResponseHead
+from cicadadoor.entry.messages import CallerRequest, FlowControl, ResponseHead
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -11,6 +12,8 @@
 _AFFINITY_COOKIE = 'Affinity-Key'
 _BEARER = b'bearer '
 _LOAD_FIELDS = 3
+_DECIMAL = re.compile(rb'[0-9]+(\.[0-9]*)?|\.[0-9]+')
+_MAX_DECIMAL_BYTES = 32
 # Hop-by-hop headers, the API key, and headers that this host sets itself.
 _NOT_FORWARDED = frozenset(
     (
@@ -96,7 +99,10 @@
         is_not_run=b'not-executed' in fields,
         is_encoded=fields.get(b'content-encoding', b'identity') != b'identity',
         instance_id=fields.get(b'instance-id', b'').decode('latin-1'),
-        load=_parse_load(fields.get(b'server-load', b'')),
+        flow_control=FlowControl(
+            load=_parse_load(fields.get(b'server-load', b'')),
+            rate_limit_per_s=_parse_decimal(fields.get(b'server-limit', b'')),
+        ),
         idle_limit_s=_parse_idle_limit_s(fields.get(b'keep-alive', b'')),
         is_last=b'close' in hop_by_hop,
         headers=[
@@ -141,6 +147,12 @@
     return int(text) if text.isdigit() else None
 
 
+def _parse_decimal(text: bytes) -> float | None:
+    if len(text) > _MAX_DECIMAL_BYTES or not _DECIMAL.fullmatch(text.strip()):
+        return None
+    return float(text)
+
+
 def _parse_load(text: bytes) -> tuple[int, int, int] | None:
     parts = text.split(b',')
     if len(parts) != _LOAD_FIELDS or not all(part.strip().isdigit() for part in parts):
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -89,12 +89,12 @@
 
     def test_load_and_idle_limit_are_decoded(self):
         head = self.read(('Server-Load', '3,1,8'), ('Keep-Alive', 'max=5, timeout=10'))
-        assert head.load == (3, 1, 8)
+        assert head.flow_control.load == (3, 1, 8)
         assert head.idle_limit_s == 10
 
     @pytest.mark.parametrize('text', ('', '3,0', 'a,b,c', '1,2,3,4'))
     def test_malformed_load_is_none(self, text):
-        assert self.read(('Server-Load', text)).load is None
+        assert self.read(('Server-Load', text)).flow_control.load is None
 
     def test_refusal_of_the_server_is_distinguished_from_other_failures(self):
         assert self.read(('Not-Executed', '1'), status=503).is_not_run
@@ -113,3 +113,17 @@
         assert head.is_signed
         assert head.is_last
         assert head.headers == [(b'Response-Signature', b'abc')]
+
+    @pytest.mark.parametrize(
+        ('text', 'limit'),
+        (('1.4', 1.4), ('6', 6.0), ('0', 0.0), ('.5', 0.5), (' 2. ', 2.0)),
+    )
+    def test_limit_is_decoded(self, text, limit):
+        assert self.read(('Server-Limit', text)).flow_control.rate_limit_per_s == limit
+
+    @pytest.mark.parametrize(
+        'text', ('', '-1', 'inf', 'nan', '1e9', '1,4', 'none', '9' * 400)
+    )
+    def test_malformed_limit_is_none(self, text):
+        head = self.read(('Server-Limit', text))
+        assert head.flow_control.rate_limit_per_s is None
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -77,7 +77,7 @@
             worker.extra_headers = {}
             await _press(deployment, 6)
             before = worker.arrivals
-            await _press(deployment, 2)
+            await _press(deployment, WINDOW_S)
             assert worker.arrivals - before > OVERRUN * 1.4 * WINDOW_S + SLACK
 
         _run(work)
