--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -11,7 +11,7 @@
 from cicadadoor.entry.connection_pool import ConnectionPool
 from cicadadoor.entry.connections import BackendConnection, RawResponse, connect
 from cicadadoor.entry.head_check import HeadCheck, ReadResponse
-from cicadadoor.entry.limit_sharing import note_limit
+from cicadadoor.entry.limit_sharing import note_response
 from cicadadoor.entry.messages import BackendResponse, CallerRequest, Headers
 from cicadadoor.entry.response_reader import (
     MAX_INCOMPLETE_BYTES,
@@ -234,7 +234,7 @@
         )
         backend.note_load(head.flow_control.load, now_s)
         if not is_invalid:
-            note_limit(backend, now_s, sent_s, head.flow_control.rate_limit_per_s)
+            note_response(backend, head, sent_s, now_s)
         return fault or BackendResponse(head, raw.body)
 
     def _record_response(self, backend: Backend, *, is_bad: bool) -> None:
--- a/cicadadoor/entry/limit_sharing.py
+++ b/cicadadoor/entry/limit_sharing.py
@@ -6,6 +6,7 @@
 from cicadadoor.entry.backend_table import Backend
 from cicadadoor.entry.heartbeats import HostHeartbeat
 from cicadadoor.entry.membership import Membership
+from cicadadoor.entry.messages import ResponseHead
 from cicadadoor.telemetry import logs
 
 log = logs.logger('backends')
@@ -58,19 +59,23 @@
     return host in order[:senders]
 
 
-def note_limit(
-    backend: Backend, now_s: float, sent_s: float, rate_limit_per_s: float | None
+def note_response(
+    backend: Backend, head: ResponseHead, sent_s: float, now_s: float
 ) -> None:
-    """Record the limit that a server names in a response, or its absence."""
-    backpressure = backend.backpressure
-    known = backpressure.rate_limit_per_s
-    backpressure.note_limit(now_s, sent_s, rate_limit_per_s)
-    if backpressure.rate_limit_per_s != known:
+    """Record what a server asks for in a response to a request sent at `sent_s`."""
+    name = backend.record.instance_id
+    backpressure, asked = backend.backpressure, head.flow_control
+    known_limit_per_s = backpressure.rate_limit_per_s
+    backpressure.note_limit(now_s, sent_s, asked.rate_limit_per_s)
+    if backpressure.rate_limit_per_s != known_limit_per_s:
         log.info(
             'backend_limit',
-            backend_server=backend.record.instance_id,
+            backend_server=name,
             rate_per_s=backpressure.rate_limit_per_s,
         )
+    if asked.is_leaving and not backpressure.is_leaving:
+        backpressure.is_leaving = True
+        log.info('backend_leaving', backend_server=name)
 
 
 def reported_limits(backends: list[Backend], now_s: float) -> dict[int, ReportedLimit]:
--- a/cicadadoor/entry/messages.py
+++ b/cicadadoor/entry/messages.py
@@ -51,17 +51,20 @@
     """Hold what a server says of its load and asks of its callers in a response.
 
     `load` holds the numbers of running requests, queued requests and slots. The server
-    takes `rate_limit_per_s` requests per second from all hosts together.
+    takes `rate_limit_per_s` requests per second from all hosts together. `is_leaving`
+    means that it is about to stop.
     """
 
-    __slots__ = ('load', 'rate_limit_per_s')
+    __slots__ = ('is_leaving', 'load', 'rate_limit_per_s')
 
     def __init__(
         self,
         *,
         load: tuple[int, int, int] | None = None,
         rate_limit_per_s: float | None = None,
+        is_leaving: bool = False,
     ) -> None:
+        self.is_leaving = is_leaving
         self.load = load
         self.rate_limit_per_s = rate_limit_per_s
 
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -1,10 +1,13 @@
 """Test limits that a worker names in its answers, over entry hosts."""
 
+import itertools
 from collections.abc import Awaitable, Callable
 
 import anyio
+import pytest
 
 from tests.utils.entry_hosts import Deployment, Worker, run_deployed
+from tests.utils.metadata_store import worker_entry
 
 # As the users define them: the time until a named limit binds, the window in which
 # requests are counted, and what may reach the worker in it.
@@ -23,15 +26,15 @@
     )
 
 
-async def _press(deployment: Deployment, for_s: float) -> list[int]:
+async def _press(
+    deployment: Deployment, for_s: float, objects: str = 'object'
+) -> list[int]:
     """Call all hosts without a pause, for objects that prefer any of the workers."""
     statuses: list[int] = []
 
     async def call(host: int) -> None:
-        number = 0
-        while True:
-            number += 1
-            cookie = {'Cookie': f'Affinity-Key={number % 40}'}
+        for number in itertools.cycle(range(40)):
+            cookie = {'Cookie': f'Affinity-Key={objects}-{number}'}
             method = 'POST' if number % 3 == 0 else 'GET'
             answer = await deployment.call(
                 '/look/1', host=host, method=method, **cookie
@@ -41,7 +44,7 @@
 
     with anyio.move_on_after(for_s):
         async with anyio.create_task_group() as tasks:
-            for host in range(HOSTS):
+            for host in range(len(deployment.hosts)):
                 tasks.start_soon(call, host)
     return statuses
 
@@ -81,3 +84,40 @@
             assert worker.arrivals - before > OVERRUN * 1.4 * WINDOW_S + SLACK
 
         _run(work)
+
+
+class TestLeavingServer:
+    """Check a worker that says in its answers that it leaves."""
+
+    @pytest.mark.parametrize('script', ([], ['shed'], ['fail']))
+    def test_worker_gets_nothing_after_an_answer_that_says_so(self, script):
+        """Its entry in the store may say that it is ready for long."""
+
+        async def work(deployment):
+            worker = deployment.workers['i-0']
+            worker.script = script
+            worker.extra_headers = {'Server-Leaving': '1'}
+            deadline_s = anyio.current_time() + 20
+            while not worker.arrivals:
+                assert anyio.current_time() < deadline_s
+                await _press(deployment, 0.2)
+            await anyio.sleep(0.5)
+            arrivals = worker.arrivals
+            assert set(await _press(deployment, 2)) == {200}
+            assert worker.arrivals == arrivals
+
+        run_deployed(work, workers=3, hosts=1)
+
+    def test_new_run_of_the_worker_is_used(self):
+        async def work(deployment):
+            worker = deployment.workers['i-0']
+            worker.extra_headers = {'Server-Leaving': '1'}
+            await _press(deployment, 1)
+            worker.extra_headers = {}
+            address = deployment.find('backends').find('i-0').record.address
+            deployment.store.put('servers', 'i-0', worker_entry(address, born=2))
+            with anyio.fail_after(20):
+                while 200 not in await _press(deployment, 0.2):
+                    await anyio.sleep(0.1)
+
+        run_deployed(work, workers=1)
