--- a/cicadadoor/entry/limit_sharing.py
+++ b/cicadadoor/entry/limit_sharing.py
@@ -1,5 +1,7 @@
 """Share the limits that backend servers name among the hosts that send to them."""
 
+from http import HTTPStatus
+
 from cicadadoor.decisions.backpressure import limit_sender_count
 from cicadadoor.decisions.domain_summaries import ReportedLimit, youngest_limits
 from cicadadoor.decisions.placement import WeightedServer, rank
@@ -76,6 +78,10 @@
     if asked.is_leaving and not backpressure.is_leaving:
         backpressure.is_leaving = True
         log.info('backend_leaving', backend_server=name)
+    is_turned_away = head.status == HTTPStatus.SERVICE_UNAVAILABLE
+    if is_turned_away and asked.retry_after_s is not None:
+        backpressure.note_retry_after(now_s, asked.retry_after_s)
+        log.info('backend_held', backend_server=name, hold_s=asked.retry_after_s)
 
 
 def reported_limits(backends: list[Backend], now_s: float) -> dict[int, ReportedLimit]:
--- a/cicadadoor/entry/messages.py
+++ b/cicadadoor/entry/messages.py
@@ -51,20 +51,22 @@
     """Hold what a server says of its load and asks of its callers in a response.
 
     `load` holds the numbers of running requests, queued requests and slots. The server
-    takes `rate_limit_per_s` requests per second from all hosts together. `is_leaving`
-    means that it is about to stop.
+    takes `rate_limit_per_s` requests per second from all hosts together, and none from
+    this host for `retry_after_s`. `is_leaving` means that it is about to stop.
     """
 
-    __slots__ = ('is_leaving', 'load', 'rate_limit_per_s')
+    __slots__ = ('is_leaving', 'load', 'rate_limit_per_s', 'retry_after_s')
 
     def __init__(
         self,
         *,
         load: tuple[int, int, int] | None = None,
         rate_limit_per_s: float | None = None,
+        retry_after_s: float | None = None,
         is_leaving: bool = False,
     ) -> None:
         self.is_leaving = is_leaving
+        self.retry_after_s = retry_after_s
         self.load = load
         self.rate_limit_per_s = rate_limit_per_s
 
--- a/cicadadoor/platform/headers.py
+++ b/cicadadoor/platform/headers.py
@@ -102,6 +102,7 @@
         flow_control=FlowControl(
             load=_parse_load(fields.get(b'server-load', b'')),
             rate_limit_per_s=_parse_decimal(fields.get(b'server-limit', b'')),
+            retry_after_s=_parse_decimal(fields.get(b'retry-after', b'')),
             is_leaving=fields.get(b'server-leaving', b'').strip() == b'1',
         ),
         idle_limit_s=_parse_idle_limit_s(fields.get(b'keep-alive', b'')),
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -83,3 +83,24 @@
         host = Backpressure()
         host.note_reported_limit(10.0, 0.1, 1.4)
         assert host.limit_age_s(10.1) is None
+
+
+class TestRetryAfter:
+    """Check the time for which a server wants no requests from this host."""
+
+    def test_nothing_is_sent_until_the_time_has_passed(self):
+        host = Backpressure()
+        host.note_retry_after(10.0, 3.0)
+        assert not host.may_send(12.9, is_sender=True)
+        assert host.may_send(13.0, is_sender=True)
+
+    def test_shorter_time_in_a_later_answer_does_not_end_it_early(self):
+        host = Backpressure()
+        host.note_retry_after(10.0, 3.0)
+        host.note_retry_after(10.1, 0.5)
+        assert not host.may_send(12.9, is_sender=True)
+
+    def test_time_has_an_upper_bound(self):
+        host = Backpressure()
+        host.note_retry_after(10.0, 1e9)
+        assert host.may_send(10.0 + 3600, is_sender=True)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -121,3 +121,28 @@
                     await anyio.sleep(0.1)
 
         run_deployed(work, workers=1)
+
+
+class TestRetryAfter:
+    """Check a worker that turns a request away and names a time."""
+
+    def test_worker_gets_nothing_until_the_time_has_passed(self):
+        async def work(deployment):
+            worker = deployment.workers['i-0']
+            worker.script = ['shed']
+            worker.extra_headers = {'Retry-After': '3'}
+            while not worker.arrivals:
+                await _press(deployment, 0.2)
+            worker.extra_headers = {}
+            shed_s = worker.arrived_s[0]
+            await _press(deployment, 4)
+            await _press(deployment, 2, objects='later')
+            held = [
+                moment_s
+                for moment_s in worker.arrived_s
+                if shed_s + 0.5 < moment_s < shed_s + 3
+            ]
+            assert len(held) <= 2
+            assert worker.arrived_s[-1] > shed_s + 3
+
+        run_deployed(work, workers=3, hosts=1)
