--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -44,7 +44,7 @@
 
     with anyio.move_on_after(for_s):
         async with anyio.create_task_group() as tasks:
-            for host in range(len(deployment.hosts)):
+            for host, _ in enumerate(deployment.hosts):
                 tasks.start_soon(call, host)
     return statuses
 
