--- a/cicadadoor/decisions/backpressure.py
+++ b/cicadadoor/decisions/backpressure.py
@@ -8,7 +8,7 @@
 import math
 
 # Hosts whose first requests may come at once in addition to the rate.
-_EXTRA_SENDERS = 3
+_EXTRA_SENDERS = 2
 # A server that takes almost nothing is still asked now and then: only its responses
 # tell that the limit has ended.
 _MIN_RATE_PER_S = 0.2
