--- a/cicadadoor/entry/dispatch.py
+++ b/cicadadoor/entry/dispatch.py
@@ -220,10 +220,7 @@
         else:
             routed.attempts += 1
             if answer.kind is ErrorKind.OUTCOME_UNKNOWN:
-                self._crashes.note_crash(
-                    routed.fingerprint,
-                    backend.record.instance_id,
-                )
+                self._crashes.note_crash(routed.fingerprint, backend)
 
     def _may_retry(
         self,
--- a/cicadadoor/entry/heartbeats.py
+++ b/cicadadoor/entry/heartbeats.py
@@ -12,6 +12,7 @@
     smallest_ages,
     sum_counts,
     sum_rates,
+    union_by_key,
     youngest_limits,
 )
 from cicadadoor.entry.model import Topic
@@ -27,11 +28,11 @@
     `revisions` and `digests` are in the order of the topics. `demand` holds requests
     per second by organisation. `in_flight` counts this host's requests at each backend
     server. `unreachable` holds the seconds since each backend server last failed to
-    answer. `crashes` counts, by request fingerprint, the connections to backend servers
-    that broke while such a request ran. `learned` is a flat list of pairs: a backend
-    server and an object that it has just loaded; it is sent only within the region.
-    `limits` holds, by backend server, the requests per second that it has told the
-    sender to take from all hosts together (None if that has ended), and the seconds
+    answer. `crashes` holds, by request fingerprint, the runs of backend servers whose
+    connections broke while such a request ran. `learned` is a flat list of pairs: a
+    backend server and an object that it has just loaded; it is sent only within the
+    region. `limits` holds, by backend server, the requests per second that it has told
+    the sender to take from all hosts together (None if that has ended), and the seconds
     since then. `is_served` is whether the store answers the sender. Names are sent as
     `name_hash`, since traffic between regions is billed.
 
@@ -49,7 +50,7 @@
     demand: dict[int, float] = {}
     in_flight: dict[int, int] = {}
     unreachable: dict[int, float] = {}
-    crashes: dict[int, int] = {}
+    crashes: dict[int, frozenset[int]] = {}
     is_served: bool = True
     learned: tuple[int, ...] = ()
     members: frozenset[int] = frozenset()
@@ -79,7 +80,7 @@
         demand=sum_rates((each.demand for each in heartbeats), _RATE_DIGITS),
         in_flight=sum_counts(each.in_flight for each in heartbeats),
         unreachable=smallest_ages(each.unreachable for each in heartbeats),
-        crashes=sum_counts(each.crashes for each in heartbeats),
+        crashes=union_by_key(each.crashes for each in heartbeats),
         limits=youngest_limits(each.limits for each in heartbeats),
         learned=tuple(hash_value for each in heartbeats for hash_value in each.learned),
         members=frozenset(name_hash(each.host) for each in heartbeats),
