--- a/cicadadoor/entry/backends.py
+++ b/cicadadoor/entry/backends.py
@@ -7,8 +7,8 @@
 from cicadadoor.entry.limit_sharing import (
     LimitSharing,
     apply_reported_limits,
-    is_sender,
     reported_limits,
+    select_senders,
 )
 from cicadadoor.entry.membership import HeartbeatPart, Membership
 from cicadadoor.entry.mirror import Mirror
@@ -50,7 +50,7 @@
         self._membership = kernel.find('membership')
         self._membership.add_part(self)
         settings = self._state.settings
-        self._limits = LimitSharing(settings.host, self._membership)
+        self._limits = LimitSharing(self._membership.own_record)
         self._ranking = Ranking(settings.region, settings.region_of_domain)
         self._mirror.subscribe(self._on_change)
 
@@ -161,6 +161,8 @@
         now_s = self._timer.now_s()
         if self._table.expire(now_s):
             self._ranking.clear()
+        live = self._membership.peers.heard(now_s)
+        self._limits.update_hosts([peer.record for peer in live])
         in_flight = sum_counts(heartbeat.in_flight for heartbeat in heartbeats)
         # Ages were right when the heartbeat was sent, so each one is applied only once.
         unseen = [
@@ -189,8 +191,9 @@
             return False
         policy = self._policy.find_service(backend.record.service)
         senders = self._cold_senders(policy)
-        hosts = self._membership.host_names()
-        return is_sender(self._state.settings.host, hosts, senders, backend)
+        hosts = tuple(self._membership.host_names())
+        names = select_senders(backend.record.instance_id, hosts, senders)
+        return self._state.settings.host in names
 
     def _cold_senders(self, policy: ServicePolicy | None) -> int:
         settings = self._state.settings
--- a/cicadadoor/entry/limit_sharing.py
+++ b/cicadadoor/entry/limit_sharing.py
@@ -1,5 +1,6 @@
 """Share the limits that backend servers name among the hosts that send to them."""
 
+from functools import lru_cache
 from http import HTTPStatus
 
 from cicadadoor.decisions.backpressure import limit_sender_count
@@ -7,58 +8,63 @@
 from cicadadoor.decisions.placement import WeightedServer, rank
 from cicadadoor.entry.backend_table import Backend
 from cicadadoor.entry.heartbeats import HostHeartbeat
-from cicadadoor.entry.membership import Membership
 from cicadadoor.entry.messages import ResponseHead
+from cicadadoor.entry.model import HostRecord
 from cicadadoor.telemetry import logs
 
 log = logs.logger('backends')
 
 _AGE_DIGITS = 3
+_SELECTION_CACHE_SIZE = 1024
 
 
 class LimitSharing:
     """Decide when this host sends to a server that limits all hosts together."""
 
-    def __init__(self, host: str, membership: Membership) -> None:
-        self._host = host
-        self._membership = membership
+    def __init__(self, own: HostRecord) -> None:
+        self._own = own
+        self._live = [own]
+
+    def update_hosts(self, others: list[HostRecord]) -> None:
+        """Store the other live hosts."""
+        self._live = [self._own, *others]
 
     def may_send(self, backend: Backend, now_s: float) -> bool:
         """Tell whether what the server has asked for allows a request now."""
-        backpressure = backend.backpressure
-        if backpressure.rate_limit_per_s is None:
-            return backpressure.may_send(now_s, is_sender=True)
-        hosts = self._near_hosts(backend, now_s)
-        senders = limit_sender_count(backpressure.rate_limit_per_s, len(hosts))
-        return backpressure.may_send(
-            now_s, is_sender=is_sender(self._host, hosts, senders, backend)
-        )
+        if backend.backpressure.rate_limit_per_s is None:
+            return backend.backpressure.may_send(now_s, is_sender=True)
+        is_chosen = self._own.host in self._senders(backend)
+        return backend.backpressure.may_send(now_s, is_sender=is_chosen)
 
     def begin(self, backend: Backend, now_s: float) -> None:
         """Count a request that is about to be sent."""
-        rate_limit_per_s = backend.backpressure.rate_limit_per_s
-        if rate_limit_per_s is not None:
-            hosts = self._near_hosts(backend, now_s)
-            backend.backpressure.begin(
-                now_s, limit_sender_count(rate_limit_per_s, len(hosts))
-            )
-
-    def _near_hosts(self, backend: Backend, now_s: float) -> list[str]:
-        """Return the live hosts of the server's region, or all if it has none."""
-        own = self._membership.own_record
-        live = [own, *(peer.record for peer in self._membership.peers.heard(now_s))]
-        near = [record.host for record in live if record.region == backend.region]
-        return near or [record.host for record in live]
-
-
-def is_sender(host: str, hosts: list[str], senders: int, backend: Backend) -> bool:
-    """Tell whether a host is among the few that send to a server."""
-    if senders >= len(hosts):
-        return host in hosts
-    order = rank(
-        [WeightedServer(name, 1) for name in hosts], backend.record.instance_id
-    )
-    return host in order[:senders]
+        if backend.backpressure.rate_limit_per_s is not None:
+            backend.backpressure.begin(now_s, len(self._senders(backend)))
+
+    def _senders(self, backend: Backend) -> frozenset[str]:
+        """Return the hosts that send to a limited server.
+
+        They are live hosts of its region, or of all regions if it has none.
+        """
+        near = [each.host for each in self._live if each.region == backend.region]
+        hosts = near or [each.host for each in self._live]
+        limit_per_s = backend.backpressure.rate_limit_per_s or 0
+        return select_senders(
+            backend.record.instance_id,
+            tuple(hosts),
+            limit_sender_count(limit_per_s, len(hosts)),
+        )
+
+
+@lru_cache(_SELECTION_CACHE_SIZE)
+def select_senders(
+    instance_id: str, hosts: tuple[str, ...], count: int
+) -> frozenset[str]:
+    """Return the few hosts that send to a server, the same ones on all hosts."""
+    if count >= len(hosts):
+        return frozenset(hosts)
+    order = rank([WeightedServer(name, 1) for name in hosts], instance_id)
+    return frozenset(order[:count])
 
 
 def note_response(
--- a/cicadadoor/platform/decoding.py
+++ b/cicadadoor/platform/decoding.py
@@ -104,7 +104,7 @@
 
 class _WorkerStatus(msgspec.Struct, kw_only=True):
     state: str
-    cold_remaining_ms: Annotated[float, msgspec.Meta(le=_MAX_INTEGER)] = 0
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=_MAX_INTEGER)] = 0
 
 
 class _Worker(msgspec.Struct, kw_only=True):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -34,6 +34,8 @@
     worker_entry(ADDRESS, info=_info(10**400)),
     worker_entry(ADDRESS, status=_status(10**30)),
     worker_entry(ADDRESS, status=_status(1e308)),
+    worker_entry(ADDRESS, status=_status(-1e308)),
+    worker_entry(ADDRESS, info=_info(0)),
     worker_entry('127.0.0.1:99999'),
     worker_entry('127.0.0.1:0'),
     worker_entry('127.0.0.1'),
