--- a/cicadadoor/entry/heartbeats.py
+++ b/cicadadoor/entry/heartbeats.py
@@ -31,10 +31,10 @@
     answer. `crashes` holds, by request fingerprint, the runs of backend servers whose
     connections broke while such a request ran. `learned` is a flat list of pairs: a
     backend server and an object that it has just loaded; it is sent only within the
-    region. `limits` holds, by backend server, the requests per second that it has told
-    the sender to take from all hosts together (None if that has ended), and the seconds
-    since then. `is_served` is whether the store answers the sender. Names are sent as
-    `name_hash`, since traffic between regions is billed.
+    region. `limits` holds, by backend server, the requests per second that it takes
+    from all hosts together, as it told the sender (None if the limit has ended), and
+    the seconds since then. `is_served` is whether the store answers the sender. Names
+    are sent as `name_hash`, since traffic between regions is billed.
 
     In the summary of a failure domain, `members` are the live hosts of the domain and
     `leaving` those of them that are about to stop; `demand`, `in_flight`,
--- a/cicadadoor/entry/limit_sharing.py
+++ b/cicadadoor/entry/limit_sharing.py
@@ -1,4 +1,8 @@
-"""Share the limits that backend servers name among the hosts that send to them."""
+"""Apply what backend servers ask for in their responses, here and at other hosts.
+
+A limit that a server names applies to all hosts together: heartbeats tell of it, and a
+few hosts share it.
+"""
 
 from functools import lru_cache
 from http import HTTPStatus
--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -42,7 +42,7 @@
 # Hypercorn itself rejects a request head above its limit, which is the operator's
 # header limit plus this allowance for the request line.
 _HEAD_MARGIN_BYTES = 8192
-# Sending a request on takes about 2 ms of processor time.
+# A request takes about 3 ms of processor time on the users' hosts.
 _TURNS_PER_PASS = 8
 _encoder = msgspec.json.Encoder()
 
