--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -50,6 +50,8 @@
     'cold_slack': 5,
     'ttl_max_s': 5,
 }
+# Front, ready and directory, as in DEPLOY.md; each machine has an address of its own.
+PORTS = (8388, 8384, 8383)
 HOST_NAME = 'ficu95.example'
 KEY = 'xd9dnn2ctnfzs989anu6'
 
@@ -218,12 +220,10 @@
         self.record = record
         self._temporary = tempfile.TemporaryDirectory(prefix='review-')
         folder = Path(self._temporary.name)
-        net = random.randrange(2, 250)
+        addresses = _free_addresses(len(machines))
         self.hosts = []
-        for number, (name, zone) in enumerate(machines, start=1):
-            ip = f'127.{net}.{number}.1'
-            ports = _free_ports(ip, 3)
-            self.hosts.append(Host(name, zone, ip, ports, store.address, folder))
+        for (name, zone), ip in zip(machines, addresses, strict=True):
+            self.hosts.append(Host(name, zone, ip, PORTS, store.address, folder))
         self._directory = {}
         self._count = 0
         # Attempt id to a dictionary of what is known of it.
@@ -238,8 +238,9 @@
         ends_s = time.monotonic() + within_s
         for host in self.hosts:
             while not await host.is_ready():
-                if time.monotonic() > ends_s:
-                    raise CannotRunError(f'{host.name} is not ready')
+                if time.monotonic() > ends_s or not host.is_running:
+                    last = host.log_text()[-400:]
+                    raise CannotRunError(f'{host.name} is not ready: {last}')
                 await asyncio.sleep(0.05)
 
     async def close(self):
@@ -247,7 +248,7 @@
             await host.end()
         self._temporary.cleanup()
 
-    async def _front_addresses(self, zone):
+    async def front_addresses(self, zone):
         known = self._directory.get(zone)
         now_s = time.monotonic()
         if known and now_s < known[0]:
@@ -270,7 +271,7 @@
 
     async def request(self, zone, path, method='GET', body=b'', deadline_ms=4000, key=KEY):
         """Send one request to a front address that the directory names."""
-        addresses = await self._front_addresses(zone)
+        addresses = await self.front_addresses(zone)
         self._count += 1
         attempt = f'{self._count:016x}'
         facts = {'sent_s': time.monotonic(), 'method': method, 'path': path}
@@ -323,14 +324,24 @@
     return len(good) / max(1, len(facts))
 
 
-def _free_ports(ip, count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((ip, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+def _free_addresses(count):
+    """Return loopback addresses on which the machines' ports are free."""
+    for _ in range(50):
+        net = random.randrange(2, 250)
+        found = [f'127.{net}.{number}.1' for number in range(1, count + 1)]
+        if all(_is_free(ip, port) for ip in found for port in (*PORTS, 7560, 7561)):
+            return found
+    raise CannotRunError('no free loopback addresses')
+
+
+def _is_free(ip, port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as tried:
+            try:
+                tried.bind((ip, port))
+            except OSError:
+                return False
+    return True
 
 
 def run_case(case, folder, within_s=110.0):
