--- a/cicadadoor/platform/decoding.py
+++ b/cicadadoor/platform/decoding.py
@@ -19,7 +19,7 @@
     ServiceShare,
     Topic,
 )
-from cicadadoor.platform.store_client import StoreObject
+from cicadadoor.platform.answers import StoreObject
 from cicadadoor.settings import parse_address
 
 _VERSION = re.compile(r'r(\d+)')
--- a/cicadadoor/platform/source.py
+++ b/cicadadoor/platform/source.py
@@ -5,8 +5,14 @@
 from cicadadoor.entry.model import Changes, HostRecord, Record, Snapshot, Topic
 from cicadadoor.entry.source import RecordSource
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.platform.answers import (
+    Metadata,
+    StoreObject,
+    decode_object,
+    object_name,
+)
 from cicadadoor.platform.decoding import MalformedObjectError, decode
-from cicadadoor.platform.store_client import Metadata, StoreClient, StoreObject
+from cicadadoor.platform.store_client import StoreClient
 from cicadadoor.telemetry import logs
 
 log = logs.logger('platform')
@@ -114,13 +120,14 @@
 ) -> str:
     name = ''
     try:
-        stored = msgspec.json.decode(encoded, type=StoreObject)
+        stored = decode_object(encoded)
         name = stored.metadata.name
         if topic is Topic.POLICY and name != _POLICY_NAME:
             return name
         records[name] = decode(topic, stored)
     except (msgspec.MsgspecError, MalformedObjectError, RecursionError) as error:
+        name = name or object_name(encoded)
         log.warning('object_unreadable', topic=topic.value, name=name, error=error)
-        if name:
+        if name and (topic is not Topic.POLICY or name == _POLICY_NAME):
             records[name] = None
     return name
--- a/cicadadoor/platform/store_client.py
+++ b/cicadadoor/platform/store_client.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform's metadata store."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from urllib.parse import quote
 
@@ -8,7 +9,15 @@
 
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.http_client import fetch
-from cicadadoor.platform.nesting import limit_nesting
+from cicadadoor.platform.answers import (
+    Answer,
+    Events,
+    Page,
+    StoreObject,
+    decode_events,
+    decode_object,
+    decode_page,
+)
 from cicadadoor.sockets import KEEP_ALIVE_OPTIONS
 
 # A healthy store answers in 4 ms. Calls time out after this, so that a silent
@@ -22,9 +31,6 @@
 _MAX_ANSWER_BYTES = 16_777_216
 # Such a read costs a tenth of a consistent one, and may return data seconds old.
 _ALLOW_STALE = 'allow_stale=1'
-# Deeper than in any object that the platform or this host writes, and far below what
-# the decoder can read.
-_MAX_NESTING = 64
 
 _FAILURE_KINDS: dict[int, ErrorKind] = {
     HTTPStatus.NOT_FOUND: ErrorKind.STORE_NOT_FOUND,
@@ -35,50 +41,6 @@
 _NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
-class Metadata(msgspec.Struct, kw_only=True, omit_defaults=True):
-    """Hold the name of an object and the revision of its last change.
-
-    A write with a revision succeeds only if it is the current one; a write without one
-    replaces any.
-    """
-
-    name: str
-    revision: int = 0
-    created: int = 0
-    finalizers: list[str] = []
-    deleting: bool = False
-
-
-class StoreObject(msgspec.Struct, kw_only=True):
-    """Hold one object; `spec` and `status` are encoded as JSON."""
-
-    metadata: Metadata
-    spec: msgspec.Raw = msgspec.Raw(b'null')
-    status: msgspec.Raw = msgspec.Raw(b'null')
-
-
-class Page(msgspec.Struct, kw_only=True):
-    """Hold one page of the objects of a kind, each encoded as JSON."""
-
-    items: list[msgspec.Raw]
-    more: bool = False
-    at: int
-
-
-class Event(msgspec.Struct, kw_only=True):
-    """Describe a change of one object."""
-
-    object: msgspec.Raw
-    deleted: bool = False
-
-
-class Events(msgspec.Struct, kw_only=True):
-    """Hold the changes up to the revision `at`."""
-
-    events: list[Event]
-    at: int
-
-
 class StoreClient:
     """Send one HTTP request per method call; callers retry."""
 
@@ -106,7 +68,7 @@
         if allow_stale:
             query.append(_ALLOW_STALE)
         path = f'{kind}?{"&".join(query)}' if query else kind
-        return _decode(await self._call('GET', path), Page)
+        return _decode(await self._call('GET', path), decode_page)
 
     async def watch(
         self,
@@ -123,16 +85,16 @@
         answer = await self._call(
             'GET', path, read_timeout_s=wait_s + _WATCH_TIMEOUT_MARGIN_S
         )
-        return _decode(answer, Events)
+        return _decode(answer, decode_events)
 
     async def get(self, kind: str, name: str) -> StoreObject | Failure:
         """Return one object."""
-        return _decode(await self._call('GET', _path(kind, name)), StoreObject)
+        return _decode(await self._call('GET', _path(kind, name)), decode_object)
 
     async def create(self, kind: str, new_object: StoreObject) -> StoreObject | Failure:
         """Create an object; it must not exist yet."""
         body = await self._call('POST', kind, msgspec.json.encode(new_object))
-        return _decode(body, StoreObject)
+        return _decode(body, decode_object)
 
     async def replace(
         self, kind: str, new_object: StoreObject
@@ -140,7 +102,7 @@
         """Replace an object; a revision in its metadata must be the current one."""
         path = _path(kind, new_object.metadata.name)
         body = await self._call('PUT', path, msgspec.json.encode(new_object))
-        return _decode(body, StoreObject)
+        return _decode(body, decode_object)
 
     async def delete(self, kind: str, name: str, revision: int) -> None | Failure:
         """Delete an object if the revision is its current one."""
@@ -200,21 +162,15 @@
     )
 
 
-def _decode(body: bytes | Failure, expected: type) -> 'Page | Failure':
+def _decode(
+    body: bytes | Failure, decode: Callable[[bytes], Answer]
+) -> Answer | Failure:
     if isinstance(body, Failure):
         return body
     try:
-        return _decode_nested(body, expected)
+        return decode(body)
     except msgspec.MsgspecError as error:
         return Failure(
             ErrorKind.STORE_UNAVAILABLE,
             f'malformed answer from the store: {error}',
         )
-
-
-def _decode_nested(body: bytes, expected: type) -> Page:
-    try:
-        return msgspec.json.decode(body, type=expected)
-    except RecursionError:
-        # One object of another writer must not hide the others in the list.
-        return msgspec.json.decode(limit_nesting(body, _MAX_NESTING), type=expected)
