--- a/cicadadoor/platform/source.py
+++ b/cicadadoor/platform/source.py
@@ -7,6 +7,7 @@
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.platform.answers import (
     Metadata,
+    Page,
     StoreObject,
     decode_object,
     object_name,
@@ -44,6 +45,7 @@
         records: dict[str, Record | None] = {}
         revision = None
         after = ''
+        followed: set[str] = set()
         while True:
             page = await self._client.page(
                 _KINDS[topic],
@@ -57,9 +59,15 @@
             # Changes to earlier pages are not in later ones. The watch starts at the
             # first page's revision and delivers them.
             revision = page.at if revision is None else revision
-            after = max(records, default='')
-            if not page.more or not page.items:
+            if not page.more:
                 return Snapshot(revision=revision, records=records)
+            followed.add(after)
+            after = _last_name(page)
+            if after in followed:
+                return Failure(
+                    ErrorKind.STORE_UNAVAILABLE,
+                    f'{_KINDS[topic]}: the page after {after!r} does not advance',
+                )
 
     async def watch(
         self,
@@ -113,6 +121,11 @@
         return None if is_gone else answer
 
 
+def _last_name(page: Page) -> str:
+    names = (object_name(item) for item in reversed(page.items))
+    return next(filter(None, names), '')
+
+
 def _decode_into(
     topic: Topic,
     encoded: msgspec.Raw,
--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cicadadoor.entry.model import BackendRecord, Topic
+from cicadadoor.entry.model import BackendRecord, Snapshot, Topic
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.platform.source import PlatformSource
 from cicadadoor.platform.store_client import StoreClient
@@ -199,3 +199,35 @@
             assert mirror.records(Topic.BACKENDS)['i-odd'] is None
 
         run_deployed(work)
+
+
+class TestPages:
+    """Guard against pages that are requested forever."""
+
+    def test_page_without_the_configuration_is_followed_by_the_next(self):
+        other = b'{"metadata":{"name":"%s"},"spec":1}'
+        main = msgspec.json.encode(
+            {'metadata': {'name': 'main'}, 'spec': configuration(7)}
+        )
+        pages = [page(other % b'a', other % b'b', more=True), page(main)]
+        snapshot, paths = read(Topic.POLICY, *pages)
+        assert isinstance(snapshot, Snapshot)
+        assert snapshot.records['main'].version == 7
+        assert paths == ['config', 'config?after=b']
+
+    def test_page_that_does_not_advance_is_a_failure(self):
+        repeated = page(good('i-0'), more=True)
+        answer, paths = read(Topic.BACKENDS, repeated, repeated, repeated)
+        assert isinstance(answer, Failure)
+        assert len(paths) == 2
+
+    def test_empty_page_with_more_is_a_failure(self):
+        answer, _ = read(Topic.BACKENDS, page(more=True))
+        assert isinstance(answer, Failure)
+
+    def test_page_that_ends_with_an_unreadable_name_is_followed_by_the_next(self):
+        nameless = b'{"metadata":{"name":"\\ud800"}}'
+        pages = [page(good('i-0'), nameless, more=True), page(nameless, good('i-1'))]
+        snapshot, paths = read(Topic.BACKENDS, *pages)
+        assert snapshot.records.keys() == {'i-0', 'i-1'}
+        assert paths[1] == 'servers?after=i-0'
