--- a/cicadadoor/entry/membership.py
+++ b/cicadadoor/entry/membership.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from cicadadoor.decisions.readers import is_reader
+from cicadadoor.entry.decoding import decode_heartbeat
 from cicadadoor.entry.heartbeat_sender import HeartbeatSender
 from cicadadoor.entry.heartbeats import TOPICS, HostHeartbeat
 from cicadadoor.entry.mirror import Mirror
@@ -64,7 +65,6 @@
         self._has_unsent_changes = False
         # Set when a host is listed that may not know this one yet.
         self._has_new_peers = False
-        self._decoder = msgspec.msgpack.Decoder(HostHeartbeat)
 
     async def start(self, kernel: Kernel) -> None:
         """Open the socket and start to send heartbeats."""
@@ -223,7 +223,7 @@
     def _receive(self, encoded: bytes, sender: str) -> bool:
         """Record a heartbeat; return whether to pass it on within the domain."""
         try:
-            heartbeat = self._decoder.decode(encoded)
+            heartbeat = decode_heartbeat(encoded)
         except (msgspec.MsgspecError, RecursionError) as error:
             log.warning('heartbeat_malformed', error=error)
             return False
--- a/cicadadoor/entry/snapshot_exchange.py
+++ b/cicadadoor/entry/snapshot_exchange.py
@@ -3,10 +3,15 @@
 import random
 from functools import partial
 
+from cicadadoor.entry.decoding import (
+    EncodedSnapshot,
+    decode_snapshot,
+    encode_snapshot,
+)
 from cicadadoor.entry.heartbeats import HostHeartbeat
 from cicadadoor.entry.membership import HeartbeatPart, Membership
 from cicadadoor.entry.mirror import Mirror
-from cicadadoor.entry.model import Snapshot, Topic
+from cicadadoor.entry.model import Topic
 from cicadadoor.errors import Failure
 from cicadadoor.kernel import Kernel, OnFault
 from cicadadoor.links.messages import Message
@@ -29,7 +34,7 @@
 class SnapshotAnswer(Message, frozen=True, kw_only=True, tag=True):
     """Return a topic's records, or none if they are not later."""
 
-    snapshot: Snapshot | None
+    snapshot: EncodedSnapshot | None
 
 
 class SnapshotExchange(HeartbeatPart):
@@ -115,7 +120,7 @@
                 log.info('snapshot_request_failed', peer=address, reason=answer.reason)
                 self._hub.disconnect(address)
             elif isinstance(answer, SnapshotAnswer) and answer.snapshot is not None:
-                self._mirror.adopt(topic, answer.snapshot, address)
+                self._mirror.adopt(topic, decode_snapshot(answer.snapshot), address)
         finally:
             self._pending_topics.discard(topic)
 
@@ -123,5 +128,5 @@
         snapshot = None
         if isinstance(request, SnapshotRequest):
             if self._mirror.revision(request.topic) > request.revision:
-                snapshot = self._mirror.snapshot(request.topic)
+                snapshot = encode_snapshot(self._mirror.snapshot(request.topic))
         return SnapshotAnswer(snapshot=snapshot)
