--- a/cicadadoor/entry/backend_table.py
+++ b/cicadadoor/entry/backend_table.py
@@ -15,13 +15,6 @@
 log = logs.logger('backends')
 
 _MS_PER_S = 1000
-# Entries that expired while the store was unavailable are restored within about 2 s of
-# its recovery; the rest is for the propagation to this host.
-MISSING_ENTRY_GRACE_S = 2.1
-# If this many entries and this share of all disappear at once, they have probably
-# expired in the store while the servers still run.
-_MASS_REMOVAL = 3
-_MASS_REMOVAL_SHARE = 0.2
 # A reported load is used for this long.
 _LOAD_REPORT_TTL_S = 0.3
 # Backend servers at the current sites cache about 50 objects.
@@ -183,19 +176,25 @@
         region_of_domain: dict[str, str],
         now_s: float,
         *,
-        is_store_back: bool,
+        missing_until_s: float | None = None,
     ) -> None:
-        """Apply the current entries; after an outage, missing ones may reappear."""
+        """Apply the current entries.
+
+        Servers without an entry are removed, or kept until `missing_until_s` if their
+        entries may have lapsed in an outage of the store.
+        """
         for name, record in entries.items():
             self._apply_entry(name, record, region_of_domain, now_s)
         missing = [name for name in self.known if name not in entries]
-        may_return = is_store_back or self._is_mass_removal(missing)
         for name in missing:
-            self._mark_missing(
-                name, now_s + MISSING_ENTRY_GRACE_S if may_return else None
-            )
+            self._mark_missing(name, missing_until_s)
         self._rebuild_indexes()
 
+    @property
+    def has_missing(self) -> bool:
+        """Return whether servers are kept whose entries are missing."""
+        return any(each.missing_until_s is not None for each in self.known.values())
+
     def expire(self, now_s: float) -> bool:
         """Remove servers whose entries did not reappear; tell if there were any."""
         expired = [
@@ -248,17 +247,6 @@
         if record.cold_remaining_ms > 0:
             backend.cold_until_s = now_s + record.cold_remaining_ms / _MS_PER_S
 
-    def _is_mass_removal(self, missing: list[str]) -> bool:
-        unexpected = [
-            name
-            for name in missing
-            if not self.known[name].record.is_draining
-            and self.known[name].missing_until_s is None
-        ]
-        return len(unexpected) >= max(
-            _MASS_REMOVAL, _MASS_REMOVAL_SHARE * len(self.known)
-        )
-
     def _mark_missing(self, name: str, missing_until_s: float | None) -> None:
         backend = self.known[name]
         if backend.missing_until_s is not None:
@@ -271,7 +259,7 @@
         log.info(
             'backend_missing',
             backend_server=name,
-            reason='store outage or mass removal',
+            reason='store outage',
         )
 
     def _rebuild_indexes(self) -> None:
--- a/cicadadoor/entry/backends.py
+++ b/cicadadoor/entry/backends.py
@@ -2,7 +2,7 @@
 
 from cicadadoor.decisions.domain_summaries import smallest_ages, sum_counts
 from cicadadoor.decisions.host_shares import cold_gap_s, cold_sender_count
-from cicadadoor.entry.backend_table import MISSING_ENTRY_GRACE_S, Backend, BackendTable
+from cicadadoor.entry.backend_table import Backend, BackendTable
 from cicadadoor.entry.heartbeats import HostHeartbeat
 from cicadadoor.entry.limit_sharing import (
     LimitSharing,
@@ -16,6 +16,7 @@
 from cicadadoor.entry.policy import ActivePolicy
 from cicadadoor.entry.ranking import Ranking
 from cicadadoor.entry.state import EntryState
+from cicadadoor.entry.vanished_entries import VanishedEntries
 from cicadadoor.kernel import Kernel
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import TimerService
@@ -35,6 +36,7 @@
         self._policy: ActivePolicy
         self._membership: Membership
         self._table = BackendTable()
+        self._vanished: VanishedEntries
         self._evacuated: frozenset[str] = frozenset()
         self._ranking: Ranking
         self._limits: LimitSharing
@@ -49,6 +51,7 @@
         self._policy = kernel.find('policy')
         self._membership = kernel.find('membership')
         self._membership.add_part(self)
+        self._vanished = VanishedEntries(self._membership, self._mirror)
         settings = self._state.settings
         self._limits = LimitSharing(self._membership.own_record)
         self._ranking = Ranking(settings.region, settings.region_of_domain)
@@ -159,7 +162,9 @@
     def on_heartbeats(self, heartbeats: list[HostHeartbeat]) -> None:
         """Apply the requests in flight and failures that other hosts report."""
         now_s = self._timer.now_s()
+        self._vanished.note_outage(now_s)
         if self._table.expire(now_s):
+            self._vanished.follow_missing(self._table)
             self._ranking.clear()
         live = self._membership.peers.heard(now_s)
         self._limits.update_hosts([peer.record for peer in live])
@@ -182,7 +187,11 @@
     def _may_send(self, backend: Backend, now_s: float) -> bool:
         if not _is_open(backend, self._evacuated) or not backend.health.may_try(now_s):
             return False
-        return backend.missing_until_s is None or now_s <= backend.missing_until_s
+        if backend.missing_until_s is None:
+            return True
+        # A server that has also failed has probably ended.
+        is_suspect = backend.health.is_suspect(now_s)
+        return now_s <= backend.missing_until_s and not is_suspect
 
     def _may_send_if_cold(self, backend: Backend, now_s: float) -> bool:
         if not backend.is_cold(now_s):
@@ -217,14 +226,13 @@
             for name, record in self._mirror.records(Topic.BACKENDS).items()
             if isinstance(record, BackendRecord)
         }
-        recovered_s = self._mirror.recovered_s(Topic.BACKENDS)
-        is_failing = self._mirror.is_failing(Topic.BACKENDS)
         self._table.apply_entries(
             entries,
             self._state.settings.region_of_domain,
             now_s,
-            is_store_back=is_failing or now_s - recovered_s < MISSING_ENTRY_GRACE_S,
+            missing_until_s=self._vanished.grace_end_s(now_s),
         )
+        self._vanished.follow_missing(self._table)
         self._ranking.clear()
 
     def _apply_evacuations(self) -> None:
--- a/cicadadoor/entry/mirror.py
+++ b/cicadadoor/entry/mirror.py
@@ -54,6 +54,8 @@
 
     __slots__ = (
         'behind_since_s',
+        'change_heard_s',
+        'changed_s',
         'digest',
         'failing_since_s',
         'has_snapshot',
@@ -63,7 +65,6 @@
         'is_renewed',
         'records',
         'read_scope',
-        'recovered_s',
         'revision',
     )
 
@@ -81,8 +82,11 @@
         # Set while the watch is cancelled to be started again.
         self.is_renewed = False
         self.failing_since_s: float | None = None
-        self.recovered_s = -math.inf
         self.behind_since_s: float | None = None
+        # When another host was first heard to have a change that this copy lacks.
+        self.change_heard_s: float | None = None
+        # When the latest change of the copy was first known of.
+        self.changed_s = -math.inf
         self.read_scope: anyio.CancelScope | None = None
         self.digest = 0
 
@@ -99,7 +103,6 @@
             away_s=round(now_s - self.failing_since_s, 3),
         )
         self.failing_since_s = None
-        self.recovered_s = now_s
 
     def record_failure(self, topic: Topic, failure: Failure, now_s: float) -> None:
         """Record that a call got no answer, and log the first failure."""
@@ -160,6 +163,9 @@
         # Whether that one is relied on for the configuration too. Calls that may be
         # stale cost a tenth, and each change of it ends a watch of every host.
         self.policy_may_be_stale = False
+        # Topics of which a later copy is taken from another host without waiting for
+        # the watch.
+        self.urgent_topics: set[Topic] = set()
 
     async def start(self, kernel: Kernel) -> None:
         """Start to follow every topic."""
@@ -203,9 +209,13 @@
         """Return a digest of the records, equal on hosts with the same records."""
         return self._copies[topic].digest
 
-    def recovered_s(self, topic: Topic) -> float:
-        """Return when the store last recovered from a failure, on the boot clock."""
-        return self._copies[topic].recovered_s
+    def changed_s(self, topic: Topic) -> float:
+        """Return when the latest change was first known of, on the boot clock.
+
+        That is when another host's heartbeat first showed a change that the copy
+        lacked, or when the copy changed.
+        """
+        return self._copies[topic].changed_s
 
     def is_failing(self, topic: Topic) -> bool:
         """Return whether the last call for the topic got no answer."""
@@ -249,9 +259,14 @@
         now_s = self._timer.now_s()
         if revision <= copy.revision or digest == copy.digest:
             copy.behind_since_s = None
+            copy.change_heard_s = None
             return False
         if copy.behind_since_s is None:
             copy.behind_since_s = now_s
+        if copy.change_heard_s is None:
+            copy.change_heard_s = now_s
+        if topic in self.urgent_topics and _may_be_stale(self, topic):
+            return True
         lag_limit_s = WATCH_LAG_LIMIT_S + _batch_delay_s(
             topic, len(self.records(Topic.HOSTS))
         )
@@ -346,8 +361,10 @@
         is_same = copy.revision > 0 and snapshot.records == copy.records
         copy.revision = snapshot.revision
         copy.behind_since_s = None
+        heard_s, copy.change_heard_s = copy.change_heard_s, None
         if is_same:
             return
+        copy.changed_s = self._timer.now_s() if heard_s is None else heard_s
         copy.records = dict(snapshot.records)
         copy.digest = _digest(copy.records)
         for on_change in self._subscribers:
--- /dev/null
+++ b/cicadadoor/entry/vanished_entries.py
@@ -0,0 +1,56 @@
+"""Decide how long servers without an entry are used."""
+
+from cicadadoor.decisions.readers import is_reader
+from cicadadoor.decisions.store_outages import StoreOutage
+from cicadadoor.entry.backend_table import BackendTable
+from cicadadoor.entry.membership import Membership
+from cicadadoor.entry.mirror import Mirror
+from cicadadoor.entry.model import Topic
+
+
+class VanishedEntries:
+    """Follow the outages of the store at this host and its failure domain's reader."""
+
+    def __init__(self, membership: Membership, mirror: Mirror) -> None:
+        self._membership = membership
+        self._mirror = mirror
+        self._outage = StoreOutage()
+
+    def note_outage(self, now_s: float) -> None:
+        """Record to which hosts the store answers now.
+
+        These are this host and the readers of its failure domain, including hosts that
+        would be its reader if the store answered them.
+        """
+        own = self._membership.own_record.host
+        peers = self._membership.peers
+        is_served = {
+            peer.record.host: peer.is_served
+            for peer in peers.all()
+            if peers.is_in_own_domain(peer)
+            and peers.is_heard(peer, now_s)
+            and not peer.is_leaving
+        }
+        is_served[own] = self._mirror.is_served
+        served = frozenset(
+            host for host, is_host_served in is_served.items() if is_host_served
+        )
+        followed = {own}.union(
+            host for host in is_served if is_reader(host, served, is_served=True)
+        )
+        self._outage.note(
+            now_s, failing=frozenset(followed.difference(served)), served=served
+        )
+
+    def grace_end_s(self, now_s: float) -> float | None:
+        """Return until when servers are used whose entries have just vanished."""
+        self.note_outage(now_s)
+        changed_s = self._mirror.changed_s(Topic.BACKENDS)
+        return self._outage.grace_end_s(now_s, changed_s)
+
+    def follow_missing(self, table: BackendTable) -> None:
+        """Read later copies at once while entries are expected to return."""
+        if table.has_missing:
+            self._mirror.urgent_topics.add(Topic.BACKENDS)
+        else:
+            self._mirror.urgent_topics.discard(Topic.BACKENDS)
