--- a/cicadadoor/entry/mirror.py
+++ b/cicadadoor/entry/mirror.py
@@ -9,7 +9,7 @@
 import anyio
 import msgspec
 
-from cicadadoor.entry.model import Changes, Record, Snapshot, Topic
+from cicadadoor.entry.model import Changes, Record, Snapshot, Topic, later_record
 from cicadadoor.entry.source import RecordSource
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.kernel import Kernel, OnFault, Service
@@ -358,14 +358,18 @@
 
     def _replace(self, topic: Topic, snapshot: Snapshot) -> None:
         copy = self._copies[topic]
-        is_same = copy.revision > 0 and snapshot.records == copy.records
+        records = {
+            name: later_record(copy.records.get(name), record)
+            for name, record in snapshot.records.items()
+        }
+        is_same = copy.revision > 0 and records == copy.records
         copy.revision = snapshot.revision
         copy.behind_since_s = None
         heard_s, copy.change_heard_s = copy.change_heard_s, None
         if is_same:
             return
         copy.changed_s = self._timer.now_s() if heard_s is None else heard_s
-        copy.records = dict(snapshot.records)
+        copy.records = records
         copy.digest = _digest(copy.records)
         for on_change in self._subscribers:
             _notify(on_change, topic)
--- a/cicadadoor/entry/model.py
+++ b/cicadadoor/entry/model.py
@@ -86,7 +86,8 @@
 class BackendRecord(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Describe one run of a backend server, as the server registered itself.
 
-    `started_ms` distinguishes runs that use the same instance id.
+    `started_ms` distinguishes runs that use the same instance id, and `sequence` orders
+    the entries of one run; 0 and None stand for an entry without them.
     """
 
     instance_id: str
@@ -97,6 +98,17 @@
     is_draining: bool
     cold_remaining_ms: int
     started_ms: int = 0
+    sequence: int | None = None
+
+    def is_older_than(self, other: 'BackendRecord') -> bool:
+        """Return whether the server wrote this entry before the other one."""
+        if not self.started_ms or not other.started_ms:
+            return False
+        if self.started_ms != other.started_ms:
+            return self.started_ms < other.started_ms
+        if self.sequence is None or other.sequence is None:
+            return False
+        return self.sequence < other.sequence
 
 
 class Evacuation(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -119,6 +131,15 @@
 Record = RequestPolicy | BackendRecord | Evacuation | HostRecord
 
 
+def later_record(known: Record | None, record: Record | None) -> Record | None:
+    """Return the record that replaces a known one of the same name.
+
+    The store may apply the entry of a backend server after a later one.
+    """
+    are_entries = isinstance(known, BackendRecord) and isinstance(record, BackendRecord)
+    return known if are_entries and record.is_older_than(known) else record
+
+
 class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
     """Hold all records of a topic by name, at one revision of the store.
 
--- a/cicadadoor/platform/decoding.py
+++ b/cicadadoor/platform/decoding.py
@@ -105,6 +105,7 @@
 class _WorkerStatus(msgspec.Struct, kw_only=True):
     state: str
     cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=_MAX_INTEGER)] = 0
+    seq: Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)] | None = None
 
 
 class _Worker(msgspec.Struct, kw_only=True):
@@ -212,6 +213,7 @@
         is_draining=status.state == 'draining' or stored.metadata.deleting,
         cold_remaining_ms=int(status.cold_remaining_ms),
         started_ms=decoded.born,
+        sequence=status.seq,
     )
 
 
--- a/cicadadoor/platform/source.py
+++ b/cicadadoor/platform/source.py
@@ -2,7 +2,14 @@
 
 import msgspec
 
-from cicadadoor.entry.model import Changes, HostRecord, Record, Snapshot, Topic
+from cicadadoor.entry.model import (
+    Changes,
+    HostRecord,
+    Record,
+    Snapshot,
+    Topic,
+    later_record,
+)
 from cicadadoor.entry.source import RecordSource
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.platform.answers import (
@@ -137,7 +144,7 @@
         name = stored.metadata.name
         if topic is Topic.POLICY and name != _POLICY_NAME:
             return name
-        records[name] = decode(topic, stored)
+        records[name] = later_record(records.get(name), decode(topic, stored))
     except (msgspec.MsgspecError, MalformedObjectError, RecursionError) as error:
         name = name or object_name(encoded)
         log.warning('object_unreadable', topic=topic.value, name=name, error=error)
