--- a/cicadadoor/platform/source.py
+++ b/cicadadoor/platform/source.py
@@ -2,11 +2,25 @@
 
 import msgspec
 
-from cicadadoor.entry.model import Changes, HostRecord, Record, Snapshot, Topic
+from cicadadoor.entry.model import (
+    Changes,
+    HostRecord,
+    Record,
+    Snapshot,
+    Topic,
+    later_record,
+)
 from cicadadoor.entry.source import RecordSource
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.platform.answers import (
+    Metadata,
+    Page,
+    StoreObject,
+    decode_object,
+    object_name,
+)
 from cicadadoor.platform.decoding import MalformedObjectError, decode
-from cicadadoor.platform.store_client import Metadata, StoreClient, StoreObject
+from cicadadoor.platform.store_client import StoreClient
 from cicadadoor.telemetry import logs
 
 log = logs.logger('platform')
@@ -38,6 +52,7 @@
         records: dict[str, Record | None] = {}
         revision = None
         after = ''
+        followed: set[str] = set()
         while True:
             page = await self._client.page(
                 _KINDS[topic],
@@ -51,9 +66,15 @@
             # Changes to earlier pages are not in later ones. The watch starts at the
             # first page's revision and delivers them.
             revision = page.at if revision is None else revision
-            after = max(records, default='')
-            if not page.more or not page.items:
+            if not page.more:
                 return Snapshot(revision=revision, records=records)
+            followed.add(after)
+            after = _last_name(page)
+            if after in followed:
+                return Failure(
+                    ErrorKind.STORE_UNAVAILABLE,
+                    f'{_KINDS[topic]}: the page after {after!r} does not advance',
+                )
 
     async def watch(
         self,
@@ -107,6 +128,11 @@
         return None if is_gone else answer
 
 
+def _last_name(page: Page) -> str:
+    names = (object_name(item) for item in reversed(page.items))
+    return next(filter(None, names), '')
+
+
 def _decode_into(
     topic: Topic,
     encoded: msgspec.Raw,
@@ -114,13 +140,14 @@
 ) -> str:
     name = ''
     try:
-        stored = msgspec.json.decode(encoded, type=StoreObject)
+        stored = decode_object(encoded)
         name = stored.metadata.name
         if topic is Topic.POLICY and name != _POLICY_NAME:
             return name
-        records[name] = decode(topic, stored)
+        records[name] = later_record(records.get(name), decode(topic, stored))
     except (msgspec.MsgspecError, MalformedObjectError, RecursionError) as error:
+        name = name or object_name(encoded)
         log.warning('object_unreadable', topic=topic.value, name=name, error=error)
-        if name:
+        if name and (topic is not Topic.POLICY or name == _POLICY_NAME):
             records[name] = None
     return name
