--- a/cicadadoor/entry/connection_pool.py
+++ b/cicadadoor/entry/connection_pool.py
@@ -30,7 +30,7 @@
             found = idle.pop()
             if not found.connection.is_broken and now_s < found.expires_s:
                 return found.connection
-            found.connection.abort()
+            found.connection.close_idle()
         return None
 
     def release(
@@ -56,7 +56,7 @@
                 if is_usable and not idle.connection.is_broken:
                     kept.append(idle)
                 else:
-                    idle.connection.abort()
+                    idle.connection.close_idle()
             if kept:
                 self._idle[key] = kept
             else:
--- a/cicadadoor/entry/connections.py
+++ b/cicadadoor/entry/connections.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+import socket
 from collections.abc import Callable
+from contextlib import suppress
 from functools import partial
 from typing import Any
 
@@ -23,7 +25,7 @@
     ResponseReader,
     check_content_length,
 )
-from cicadadoor.sockets import KEEP_ALIVE_OPTIONS
+from cicadadoor.sockets import CLOSE_GRACEFULLY, CLOSE_WITH_RESET, KEEP_ALIVE_OPTIONS
 
 # Bodies are written in parts, so that an early response is noticed before the end.
 _WRITE_BYTES = 65_536
@@ -62,12 +64,15 @@
         self.has_received = False
 
     def connection_made(self, transport: Any) -> None:
-        """Store the transport and enable TCP keep-alive."""
+        """Store the transport and set the options of the socket."""
         self._transport = transport
         self._reader.transport = transport
         raw_socket = transport.get_extra_info('socket')
         for level, option, setting in KEEP_ALIVE_OPTIONS:
             raw_socket.setsockopt(level, option, setting)
+        # Set here rather than in `abort`, so that it also takes effect where the
+        # process is killed or the transport closes the socket by itself.
+        self._set_linger(CLOSE_WITH_RESET)
 
     def data_received(self, data: bytes) -> None:
         """Pass received bytes to the reader."""
@@ -84,6 +89,8 @@
         self.is_broken = True
         if self.is_busy:
             self._reader.has_eof = True
+        else:
+            self._set_linger(CLOSE_GRACEFULLY)
         self._notify()
         return False
 
@@ -104,8 +111,18 @@
         self._notify()
 
     def abort(self) -> None:
-        """Close at once; the backend server then drops the running request."""
+        """Reset the connection; the backend server then drops the running request.
+
+        Bytes that the server has not acknowledged are discarded. A graceful close would
+        still deliver them, and a request behind a partition would run after it heals.
+        """
+        self.is_broken = True
+        self._transport.abort()
+
+    def close_idle(self) -> None:
+        """Close a connection on which no request is running."""
         self.is_broken = True
+        self._set_linger(CLOSE_GRACEFULLY)
         self._transport.abort()
 
     async def exchange(
@@ -189,6 +206,12 @@
     def _notify(self) -> None:
         self._wake.set()
 
+    def _set_linger(self, linger: bytes) -> None:
+        raw_socket = self._transport.get_extra_info('socket')
+        # The socket is closed already if the peer has reset the connection.
+        with suppress(OSError):
+            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _finish(self, *, is_done: bool) -> None:
         self._reader.end()
         self.is_busy = False
--- a/cicadadoor/sockets.py
+++ b/cicadadoor/sockets.py
@@ -1,6 +1,7 @@
 """Define the socket options of outgoing connections."""
 
 import socket
+import struct
 
 # A peer that lost power or its network link sends nothing. Two probes 1 s apart, after
 # 1 s of silence, detect it within about 3 s, the shortest time that all rules allow
@@ -17,3 +18,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
 )
+
+# Settings of SO_LINGER: whether it is active, and the seconds. With 0 seconds, closing
+# the socket discards the bytes that the peer has not acknowledged and sends a reset.
+CLOSE_WITH_RESET = struct.pack('ii', 1, 0)
+CLOSE_GRACEFULLY = struct.pack('ii', 0, 0)
