--- a/cicadadoor/decisions/domain_summaries.py
+++ b/cicadadoor/decisions/domain_summaries.py
@@ -17,7 +17,6 @@
 _REPORTER_COUNT = 2
 # Requests per second, or None if the limit has ended, and the seconds since then.
 ReportedLimit = tuple[float | None, float]
-SetsByKey = Mapping[int, frozenset[int]]
 
 
 def uses_summaries(host_count: int) -> bool:
@@ -61,15 +60,6 @@
     return {name: round(rate_per_s, digits) for name, rate_per_s in total.items()}
 
 
-def union_by_key(sets: Iterable[SetsByKey]) -> dict[int, frozenset[int]]:
-    """Unite the sets of each key."""
-    united: dict[int, frozenset[int]] = {}
-    for each in sets:
-        for key, members in each.items():
-            united[key] = united.get(key, frozenset()) | members
-    return united
-
-
 def smallest_ages(ages: Iterable[Mapping[int, float]]) -> dict[int, float]:
     """Return the smallest age by name hash."""
     smallest: dict[int, float] = {}
--- a/cicadadoor/entry/admission.py
+++ b/cicadadoor/entry/admission.py
@@ -6,7 +6,7 @@
 from cicadadoor.entry.messages import CallerRequest
 from cicadadoor.entry.model import RoutePolicy
 from cicadadoor.entry.policy import ActivePolicy
-from cicadadoor.entry.quarantine import CRASHES_TO_REFUSE, CrashWatch
+from cicadadoor.entry.quarantine import CrashWatch
 from cicadadoor.entry.quotas import Quotas
 from cicadadoor.entry.routed_request import RoutedRequest, WeightedRoundRobin
 from cicadadoor.entry.state import EntryState
@@ -87,7 +87,7 @@
         return Failure(kind, reason)
 
     def _check_limits(self, routed: RoutedRequest) -> RoutedRequest | Failure:
-        if self._crashes.crash_count(routed.fingerprint) >= CRASHES_TO_REFUSE:
+        if self._crashes.refuses(routed.fingerprint):
             return Failure(
                 ErrorKind.REQUEST_HELD,
                 'backend servers crashed while running identical requests',
--- a/cicadadoor/entry/dispatch.py
+++ b/cicadadoor/entry/dispatch.py
@@ -74,6 +74,11 @@
 
     async def run(self, routed: RoutedRequest) -> BackendResponse | Failure:
         """Send the request until it is answered or must not be retried."""
+        with self._crashes.running(routed.fingerprint) as is_probe:
+            routed.is_probe = is_probe
+            return await self._run(routed)
+
+    async def _run(self, routed: RoutedRequest) -> BackendResponse | Failure:
         budget = self._retry_budget(routed.service)
         budget.earn(self._timer.now_s())
         reported_failure: Failure | None = None
@@ -132,6 +137,10 @@
             return Failure(
                 ErrorKind.DEADLINE_PASSED, 'deadline passed before the attempt'
             )
+        if not routed.is_probe and self._crashes.is_quarantined(routed.fingerprint):
+            return Failure(
+                ErrorKind.REQUEST_HELD, 'quarantined while it waited for a server'
+            )
         routed.tried.append(backend.record.instance_id)
         attempt = self._placement.begin(routed, backend, left_s)
         may_have_run_before = routed.may_have_run
--- a/cicadadoor/entry/heartbeats.py
+++ b/cicadadoor/entry/heartbeats.py
@@ -1,7 +1,7 @@
 """Define the heartbeats of hosts and the summaries of failure domains."""
 
 import zlib
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from functools import lru_cache
 
 import msgspec
@@ -12,9 +12,9 @@
     smallest_ages,
     sum_counts,
     sum_rates,
-    union_by_key,
     youngest_limits,
 )
+from cicadadoor.decisions.request_quarantine import CrashReport, merge_reports
 from cicadadoor.entry.model import Topic
 
 TOPICS = tuple(Topic)
@@ -28,17 +28,18 @@
     `revisions` and `digests` are in the order of the topics. `demand` holds requests
     per second by organisation. `in_flight` counts this host's requests at each backend
     server. `unreachable` holds the seconds since each backend server last failed to
-    answer. `crashes` holds, by request fingerprint, the runs of backend servers whose
-    connections broke while such a request ran. `learned` is a flat list of pairs: a
-    backend server and an object that it has just loaded; it is sent only within the
-    region. `limits` holds, by backend server, the requests per second that it takes
-    from all hosts together, as it told the sender (None if the limit has ended), and
-    the seconds since then. `is_served` is whether the store answers the sender. Names
-    are sent as `name_hash`, since traffic between regions is billed.
+    answer. `quarantines` holds, by request fingerprint, what the sender knows of the
+    crashes of backend servers while such a request ran; `crashes` holds only their
+    runs, for older hosts, whose `quarantines` are None. `learned` is a flat list of
+    pairs: a backend server and an object that it has just loaded; it is sent only
+    within the region. `limits` holds, by backend server, the requests per second that
+    it takes from all hosts together, as it told the sender (None if the limit has
+    ended), and the seconds since then. `is_served` is whether the store answers the
+    sender. Names are sent as `name_hash`, since traffic between regions is billed.
 
     In the summary of a failure domain, `members` are the live hosts of the domain and
     `leaving` those of them that are about to stop; `demand`, `in_flight`,
-    `unreachable`, `crashes`, `limits` and `learned` concern all of them together.
+    `unreachable`, `quarantines`, `limits` and `learned` concern all of them together.
     """
 
     host: str
@@ -56,6 +57,7 @@
     members: frozenset[int] = frozenset()
     leaving: frozenset[int] = frozenset()
     limits: dict[int, ReportedLimit] = {}
+    quarantines: dict[int, CrashReport] | None = None
 
     def revision(self, topic: Topic) -> int:
         """Return the revision of the sender's copy of a topic."""
@@ -72,15 +74,22 @@
     return zlib.crc32(name.encode())
 
 
+def runs_of(quarantines: Mapping[int, CrashReport]) -> dict[int, frozenset[int]]:
+    """Return the `crashes` that older hosts read instead of `quarantines`."""
+    return {name: report.runs for name, report in quarantines.items() if report.runs}
+
+
 def summarise(own: HostHeartbeat, others: Sequence[HostHeartbeat]) -> HostHeartbeat:
     """Return the summary of a failure domain; `others` are its other live hosts."""
     heartbeats = [own, *others]
+    quarantines = merge_reports(each.quarantines or {} for each in heartbeats)
     return structs.replace(
         own,
         demand=sum_rates((each.demand for each in heartbeats), _RATE_DIGITS),
         in_flight=sum_counts(each.in_flight for each in heartbeats),
         unreachable=smallest_ages(each.unreachable for each in heartbeats),
-        crashes=union_by_key(each.crashes for each in heartbeats),
+        crashes=runs_of(quarantines),
+        quarantines=quarantines,
         limits=youngest_limits(each.limits for each in heartbeats),
         learned=tuple(hash_value for each in heartbeats for hash_value in each.learned),
         members=frozenset(name_hash(each.host) for each in heartbeats),
--- a/cicadadoor/entry/quarantine.py
+++ b/cicadadoor/entry/quarantine.py
@@ -1,37 +1,30 @@
 """Detect requests that crash backend servers, and refuse them."""
 
-import math
+from collections.abc import Iterator
+from contextlib import contextmanager
 from hashlib import blake2b
 
-from cicadadoor.decisions.domain_summaries import union_by_key
+from cicadadoor.decisions.request_quarantine import (
+    CRASHES_TO_REFUSE,
+    CrashReport,
+    RequestQuarantine,
+)
 from cicadadoor.entry.backend_table import Backend
-from cicadadoor.entry.heartbeats import HostHeartbeat, name_hash
+from cicadadoor.entry.heartbeats import HostHeartbeat, name_hash, runs_of
 from cicadadoor.entry.membership import HeartbeatPart, Membership
 from cicadadoor.entry.messages import CallerRequest
+from cicadadoor.entry.state import EntryState
 from cicadadoor.kernel import Kernel
-from cicadadoor.telemetry import logs
+from cicadadoor.telemetry import logs, metrics
 from cicadadoor.timer import TimerService
 
 log = logs.logger('quarantine')
 
-# A request is refused once this many servers have crashed while running it. After two
-# of them, the host no longer retries it itself.
-CRASHES_TO_REFUSE = 3
-# A crashing request is retried within seconds; crashes further apart are unrelated.
-_CRASH_WINDOW_S = 20.0
-_MAX_REPORTED = 64
+# A host that has started waits this long for the quarantines that the others hold.
+_TAKEOVER_TIMEOUT_S = 1.0
 _DIGEST_BYTES = 6
 
 
-class _CrashedServers:
-    __slots__ = ('last_s', 'runs')
-
-    def __init__(self) -> None:
-        # Hashes of the runs of servers.
-        self.runs: set[int] = set()
-        self.last_s = -math.inf
-
-
 class CrashWatch(HeartbeatPart):
     """Count the backend servers whose connections broke during identical requests.
 
@@ -44,56 +37,131 @@
 
     def __init__(self) -> None:
         self._timer: TimerService
-        self._own: dict[int, _CrashedServers] = {}
-        self._others: dict[int, frozenset[int]] = {}
+        self._membership: Membership
+        self._quarantine: RequestQuarantine
+        self._started_s = 0.0
+        self._has_heard_all = False
+        # Heartbeats that have been merged, by host.
+        self._merged: dict[str, tuple[str, int]] = {}
 
     async def start(self, kernel: Kernel) -> None:
         """Register for heartbeats."""
+        state: EntryState = kernel.find('state')
         self._timer = kernel.find('timer')
-        membership: Membership = kernel.find('membership')
-        membership.add_part(self)
+        self._membership = kernel.find('membership')
+        self._quarantine = RequestQuarantine(name_hash(state.settings.host))
+        self._started_s = self._timer.now_s()
+        self._membership.add_part(self)
+
+    @property
+    def is_informed(self) -> bool:
+        """Return whether this host knows the quarantines, or has waited for them."""
+        waited_s = self._timer.now_s() - self._started_s
+        return self._has_heard_all or waited_s >= _TAKEOVER_TIMEOUT_S
 
     def crash_count(self, fingerprint: int) -> int:
         """Return how many servers crashed at any host while running such a request."""
-        others = self._others.get(fingerprint, frozenset())
-        own = self._own.get(fingerprint)
-        return len(others) if own is None else len(others | own.runs)
+        return self._quarantine.crash_count(fingerprint)
+
+    def is_quarantined(self, fingerprint: int) -> bool:
+        """Return whether such requests are refused, apart from probes."""
+        return self.crash_count(fingerprint) >= CRASHES_TO_REFUSE
+
+    def refuses(self, fingerprint: int) -> bool:
+        """Return whether to refuse an arriving request, which renews its quarantine."""
+        is_refused = self._quarantine.refuses(fingerprint, self._timer.now_s())
+        self._publish_changes()
+        return is_refused
+
+    @contextmanager
+    def running(self, fingerprint: int) -> Iterator[bool]:
+        """Track a request that was not refused; yield whether it is a probe."""
+        is_probe = self._quarantine.begin(fingerprint, self._timer.now_s())
+        if not is_probe:
+            yield False
+            return
+        metrics.QUARANTINE_PROBES.inc()
+        log.info('quarantine_probe_sent', fingerprint=fingerprint)
+        try:
+            yield True
+        finally:
+            self._quarantine.end_probe(fingerprint)
 
     def note_crash(self, fingerprint: int, backend: Backend) -> None:
         """Record a connection that broke while a request was running."""
-        record = self._own.setdefault(fingerprint, _CrashedServers())
-        record.runs.add(name_hash(backend.pool_key))
-        record.last_s = self._timer.now_s()
-        if len(record.runs) == CRASHES_TO_REFUSE:
-            log.warning(
-                'request_quarantined',
-                fingerprint=fingerprint,
-                backend_server=backend.record.instance_id,
-            )
+        run = name_hash(backend.pool_key)
+        self._quarantine.note_crash(fingerprint, run, self._timer.now_s())
+        self._publish_changes()
 
     def note_response(self, fingerprint: int) -> None:
-        """Forget this host's crashes for a request that a backend server answered."""
-        self._own.pop(fingerprint, None)
+        """Forget the crashes of a request that a backend server answered."""
+        self._quarantine.note_response(fingerprint, self._timer.now_s())
+        self._publish_changes()
 
     def add_fields(self, fields: dict[str, object]) -> None:
-        """Add the crashes of the most recent fingerprints to the heartbeat."""
-        oldest_s = self._timer.now_s() - _CRASH_WINDOW_S
-        for fingerprint, record in list(self._own.items()):
-            if record.last_s < oldest_s:
-                self._own.pop(fingerprint)
-        recent = sorted(
-            self._own.items(),
-            key=lambda item: item[1].last_s,
-            reverse=True,
+        """Add what this host knows of crashes to the heartbeat."""
+        reports = self._quarantine.reports(self._timer.now_s())
+        fields['quarantines'] = reports
+        fields['crashes'] = runs_of(reports)
+
+    def on_tick(self, heartbeats: list[HostHeartbeat]) -> None:
+        """Merge what the other hosts know, and forget what has ended."""
+        now_s = self._timer.now_s()
+        self._update_hosts(now_s)
+        unseen = [
+            each
+            for each in heartbeats
+            if self._merged.get(each.host) != (each.instance, each.number)
+        ]
+        self._merged = {each.host: (each.instance, each.number) for each in heartbeats}
+        # Ages were right when the heartbeat was sent, so each one is merged only once.
+        for heartbeat in unseen:
+            self._quarantine.merge(_reports_of(heartbeat), now_s)
+        self._quarantine.expire(now_s)
+        self._publish_changes()
+
+    def _update_hosts(self, now_s: float) -> None:
+        membership = self._membership
+        heard = membership.peers.heard(now_s)
+        is_alone = membership.host_count == 1
+        if is_alone:
+            self._has_heard_all = self._has_heard_all or membership.is_listed
+        elif len(heard) == len(membership.peers):
+            self._has_heard_all = True
+        self._quarantine.update_hosts(
+            frozenset(peer.name_hash for peer in heard),
+            now_s,
+            may_probe=is_alone or (bool(heard) and not membership.is_isolated),
         )
-        fields['crashes'] = {
-            fingerprint: frozenset(each.runs)
-            for fingerprint, each in recent[:_MAX_REPORTED]
-        }
-
-    def on_heartbeats(self, heartbeats: list[HostHeartbeat]) -> None:
-        """Store the crashes that the other hosts saw."""
-        self._others = union_by_key(heartbeat.crashes for heartbeat in heartbeats)
+
+    def _publish_changes(self) -> None:
+        changes = self._quarantine.take_changes()
+        for change in changes:
+            if change.reason:
+                log.info(
+                    'quarantine_ended',
+                    fingerprint=change.fingerprint,
+                    crashes=change.crash_count,
+                    reason=change.reason,
+                )
+            else:
+                log.warning(
+                    'quarantine_started',
+                    fingerprint=change.fingerprint,
+                    crashes=change.crash_count,
+                )
+        if changes:
+            metrics.QUARANTINES.set(self._quarantine.active_count)
+
+
+def _reports_of(heartbeat: HostHeartbeat) -> dict[int, CrashReport]:
+    if heartbeat.quarantines is not None:
+        return heartbeat.quarantines
+    # From an older host, which reports the crashes of the last seconds.
+    return {
+        fingerprint: CrashReport(0, 0, runs, 0)
+        for fingerprint, runs in heartbeat.crashes.items()
+    }
 
 
 def fingerprint_of(request: CallerRequest, organisation: str, body: bytes) -> int:
--- a/cicadadoor/entry/routed_request.py
+++ b/cicadadoor/entry/routed_request.py
@@ -16,6 +16,7 @@
         'deadline_s',
         'failed_response',
         'fingerprint',
+        'is_probe',
         'may_have_run',
         'object_key',
         'organisation',
@@ -47,6 +48,8 @@
         self.deadline_s = deadline_s
         self.fingerprint = fingerprint_of(request, self.organisation_name, body)
         self.object_key = _object_key(route, request)
+        # Whether it tests if such requests still crash backend servers.
+        self.is_probe = False
         self.attempts = 0
         self.failed_connects = 0
         self.tried: list[str] = []
--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -12,6 +12,7 @@
 from cicadadoor.entry.forwarding import HeaderCodec
 from cicadadoor.entry.messages import BackendResponse, CallerRequest
 from cicadadoor.entry.policy import ActivePolicy
+from cicadadoor.entry.quarantine import CrashWatch
 from cicadadoor.entry.routed_request import RoutedRequest
 from cicadadoor.entry.state import EntryState
 from cicadadoor.entry.turns import TurnQueue
@@ -72,6 +73,7 @@
         self._directory: Directory
         self._admission: Admission
         self._dispatcher: Dispatcher
+        self._crashes: CrashWatch
         self._http: HttpServer
         self._callers_port = 0
         self._open = OpenRequests()
@@ -85,6 +87,7 @@
         self._directory = kernel.find('directory')
         self._admission = kernel.find('admission')
         self._dispatcher = kernel.find('dispatcher')
+        self._crashes = kernel.find('quarantine')
         settings = self._state.settings
         self._callers_port = settings.callers.port
         addresses = [
@@ -133,7 +136,8 @@
         path = scope['path']
         if path == self._paths.readiness:
             status = HTTPStatus.SERVICE_UNAVAILABLE
-            if self._policy.current is not None and not self._state.is_leaving:
+            is_informed = self._policy.current is not None and self._crashes.is_informed
+            if is_informed and not self._state.is_leaving:
                 status = HTTPStatus.OK
             await send_response(send, status, [], b'')
         elif path == self._paths.directory:
--- a/cicadadoor/telemetry/metrics.py
+++ b/cicadadoor/telemetry/metrics.py
@@ -43,6 +43,14 @@
     'Time by which timer callbacks ran late, as the event loop was busy or suspended.',
     buckets=(0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 5),
 )
+QUARANTINES = Gauge(
+    'cicadadoor_quarantines',
+    'Requests that are refused because backend servers crashed while running them.',
+)
+QUARANTINE_PROBES = Counter(
+    'cicadadoor_quarantine_probes_total',
+    'Quarantined requests that were sent to a backend server as a probe.',
+)
 GENERATION = Gauge('cicadadoor_generation', 'Configuration generation in use.')
 TASK_FAILURES = Counter(
     'cicadadoor_task_failures_total',
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -1,18 +1,71 @@
 """Test which requests are held back because servers crashed while running them."""
 
+from contextlib import suppress
+
+import msgspec
+
+from cicadadoor.decisions.request_quarantine import (
+    CRASHES_TO_REFUSE,
+    CrashReport,
+    RequestQuarantine,
+)
 from cicadadoor.entry.backend_table import Backend
 from cicadadoor.entry.heartbeats import HostHeartbeat, summarise
-from cicadadoor.entry.quarantine import CRASHES_TO_REFUSE, CrashWatch
+from cicadadoor.entry.membership import Membership
+from cicadadoor.entry.model import HostRecord
+from cicadadoor.entry.peers import PeerTable
+from cicadadoor.entry.quarantine import CrashWatch
 from tests.test_entry_backends import record_of
 from tests.utils.heartbeats import heartbeat_of
 from tests.utils.manual_timer import ManualTimer
 
 REQUEST = 7
+NOW_S = 1000.0
+
+
+class FakeMembership(Membership):
+    """Know a number of other hosts, of which some are heard."""
+
+    def __init__(self, others: int = 2, heard: int = 2) -> None:
+        super().__init__()
+        self.peers = PeerTable('muenchen', 'muc-a')
+        records = {
+            f'host-{number}': HostRecord(
+                host=f'host-{number}',
+                instance='1',
+                callers='127.0.0.1:1',
+                peers='127.0.0.1:2',
+                failure_domain='muc-a',
+                region='muenchen',
+            )
+            for number in range(1, 1 + others)
+        }
+        self.peers.update_records(records, 0)
+        for name in list(records)[:heard]:
+            self.peers.record_heartbeat(heartbeat_of(name), NOW_S)
+
+    @property
+    def host_count(self) -> int:
+        """Return the number of hosts."""
+        return 1 + len(self.peers)
+
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether fewer than half of the other hosts are heard."""
+        return 2 * len(self.peers.heard(NOW_S)) < len(self.peers)
 
+    @property
+    def is_listed(self) -> bool:
+        """Return that the host has found itself in the list."""
+        return True
 
-def watch() -> CrashWatch:
+
+def watch(membership: Membership | None = None) -> CrashWatch:
     found = CrashWatch()
-    found._timer = ManualTimer()
+    found._timer = ManualTimer(NOW_S)
+    found._membership = membership or FakeMembership()
+    found._quarantine = RequestQuarantine(1)
+    found._started_s = NOW_S
     return found
 
 
@@ -39,7 +92,7 @@
             for _ in range(4):
                 host.note_crash(REQUEST, server('i-3'))
         heartbeats = heartbeats_from(hosts)
-        hosts[0].on_heartbeats(heartbeats[1:])
+        hosts[0].on_tick(heartbeats[1:])
         assert hosts[0].crash_count(REQUEST) == 1
 
     def test_crashes_of_several_servers_at_several_hosts_add_up(self):
@@ -47,7 +100,7 @@
         for number, host in enumerate(hosts):
             host.note_crash(REQUEST, server(f'i-{number}'))
         heartbeats = heartbeats_from(hosts)
-        hosts[0].on_heartbeats([summarise(heartbeats[1], heartbeats[2:])])
+        hosts[0].on_tick([summarise(heartbeats[1], heartbeats[2:])])
         assert hosts[0].crash_count(REQUEST) == CRASHES_TO_REFUSE
 
     def test_server_that_crashes_again_after_its_restart_counts_again(self):
@@ -61,3 +114,86 @@
         host.note_crash(REQUEST, server('i-0'))
         host.note_response(REQUEST)
         assert host.crash_count(REQUEST) == 0
+
+    def test_crashes_that_another_host_saw_are_passed_on(self):
+        """The only host that had seen the crashes may restart."""
+        hosts = [watch() for _ in range(3)]
+        for number in range(CRASHES_TO_REFUSE):
+            hosts[0].note_crash(REQUEST, server(f'i-{number}'))
+        hosts[1].on_tick(heartbeats_from(hosts[:1]))
+        hosts[2].on_tick(heartbeats_from(hosts[1:2]))
+        assert hosts[2].refuses(REQUEST)
+
+    def test_heartbeat_that_was_received_once_is_applied_once(self):
+        """Its ages grow: a quarantine that has ended would start again."""
+        hosts = [watch() for _ in range(2)]
+        for number in range(CRASHES_TO_REFUSE):
+            hosts[0].note_crash(REQUEST, server(f'i-{number}'))
+        heartbeats = heartbeats_from(hosts[:1])
+        for _ in range(70):
+            hosts[1].on_tick(heartbeats)
+            hosts[1]._timer.jump(1)
+        hosts[1].on_tick(heartbeats)
+        assert not hosts[1].refuses(REQUEST)
+
+    def test_probe_ends_also_when_its_caller_leaves(self):
+        host = watch(FakeMembership(others=0))
+        for number in range(CRASHES_TO_REFUSE):
+            host.note_crash(REQUEST, server(f'i-{number}'))
+        for _ in range(2):
+            host.on_tick([])
+            host._timer.jump(59)
+            assert host.refuses(REQUEST)
+            host._timer.jump(2)
+            assert not host.refuses(REQUEST)
+            with suppress(TimeoutError), host.running(REQUEST) as is_probe:
+                assert is_probe
+                raise TimeoutError
+
+
+class TestOlderHosts:
+    """Guard against a mixed fleet in which one version cannot read the other."""
+
+    def test_crashes_of_an_older_host_count(self):
+        host = watch()
+        host.on_tick([heartbeat_of('host-1', crashes={REQUEST: frozenset((1, 2, 3))})])
+        assert host.refuses(REQUEST)
+
+    def test_older_host_reads_the_crashes(self):
+        host = watch()
+        host.note_crash(REQUEST, server('i-0'))
+        assert len(heartbeats_from([host])[0].crashes[REQUEST]) == 1
+
+    def test_fields_that_a_later_version_appends_are_ignored(self):
+        encoded = msgspec.msgpack.encode(
+            heartbeat_of('host-1', quarantines={REQUEST: CrashReport(1, 2, {3}, 4)})
+        )
+        fields = msgspec.msgpack.decode(encoded)
+        fields[-1] = {REQUEST: [*fields[-1][REQUEST], 'later']}
+        fields.append('later')
+        read = msgspec.msgpack.decode(
+            msgspec.msgpack.encode(fields), type=HostHeartbeat
+        )
+        assert read.quarantines[REQUEST].runs == {3}
+
+
+class TestTakeover:
+    """Guard against a host that reports ready before it knows the quarantines."""
+
+    def test_host_that_has_heard_all_others_is_informed(self):
+        host = watch(FakeMembership(others=2, heard=2))
+        assert not host.is_informed
+        host.on_tick([])
+        assert host.is_informed
+
+    def test_host_without_others_is_informed_once_it_is_listed(self):
+        host = watch(FakeMembership(others=0, heard=0))
+        host.on_tick([])
+        assert host.is_informed
+
+    def test_host_does_not_wait_for_silent_hosts_forever(self):
+        host = watch(FakeMembership(others=2, heard=1))
+        host.on_tick([])
+        assert not host.is_informed
+        host._timer.jump(1)
+        assert host.is_informed
