--- a/cicadadoor/entry/daemon.py
+++ b/cicadadoor/entry/daemon.py
@@ -1,6 +1,5 @@
 """Assemble and run the entry host daemon."""
 
-import signal
 import sys
 
 from cicadadoor import core
@@ -69,9 +68,6 @@
 
 def main() -> None:
     """Run `cicadadoor-entry SETTINGS_FILE`."""
-    # Ignored until the reload service handles it: the default action ends the process,
-    # and the settings have not been read yet, so there is nothing to reload.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     sys.exit(
         core.run_daemon(
             'cicadadoor-entry',
