--- a/cicadadoor/decisions/host_shares.py
+++ b/cicadadoor/decisions/host_shares.py
@@ -11,6 +11,8 @@
 
 # Fraction of the limit that is split evenly, for the first requests of a host.
 EVEN_FRACTION = 0.3
+# Part of the spare tolerance that hosts which start may use for their first requests.
+_START_FRACTION = 0.5
 # A delayed request may arrive within the same second as the next one, so only this
 # share of the allowed rate is planned.
 _COLD_USABLE_SHARE = 0.6
@@ -27,13 +29,27 @@
     return EVEN_FRACTION * even + (1 - EVEN_FRACTION) * own / total
 
 
-def initial_tokens(burst: float, rate_per_s: float, uptime_s: float) -> float:
+def start_allowance(spare: float, host_count: int) -> float:
+    """Return the tokens that a host has as soon as it starts.
+
+    All hosts may start at once, after they have just used their shares, so their
+    allowances together stay within `spare`: what the tolerance leaves beyond the
+    shares. Where it suffices, a first request is admitted; more than that uses only a
+    part of it, since a host may start twice within the window of the limit.
+    """
+    each = spare / max(1, host_count)
+    return max(min(1.0, each), _START_FRACTION * each)
+
+
+def initial_tokens(
+    burst: float, rate_per_s: float, uptime_s: float, allowance: float
+) -> float:
     """Return the tokens with which a host starts to use its share of a limit.
 
     Its previous run may have used the burst just before, so only what has accrued since
-    the host started is available.
+    the host started is available, and its allowance.
     """
-    return min(burst, 1 + rate_per_s * uptime_s)
+    return min(burst, allowance + rate_per_s * uptime_s)
 
 
 class SlidingMinimum:
--- a/cicadadoor/entry/quotas.py
+++ b/cicadadoor/entry/quotas.py
@@ -8,6 +8,7 @@
     ProbabilisticLimiter,
     SlidingMinimum,
     initial_tokens,
+    start_allowance,
     wanted_share,
 )
 from cicadadoor.entry.heartbeats import HostHeartbeat, name_hash
@@ -37,6 +38,8 @@
 # These fractions of the tolerated excess are used to refuse fewer of them.
 _OVERRUN_FRACTION = 0.8
 _SLACK_FRACTION = 0.6
+# The limit of an organisation applies to each window of this length.
+_LIMIT_WINDOW_S = 5.0
 
 
 class _Account:
@@ -50,16 +53,14 @@
     )
 
     def __init__(
-        self, organisation: OrganisationPolicy, now_s: float, uptime_s: float
+        self, organisation: OrganisationPolicy, now_s: float, tokens: float
     ) -> None:
         self.bucket = TokenBucket(0, 0, now_s)
         self.organisation = organisation
         self.name_hash = name_hash(organisation.name)
         self.demand = Demand(now_s)
         self.share_minimum = SlidingMinimum(_GROWTH_DELAY_S)
-        self.limiter = ProbabilisticLimiter(
-            initial_tokens(organisation.burst, organisation.rate_per_s, uptime_s), now_s
-        )
+        self.limiter = ProbabilisticLimiter(tokens, now_s)
 
 
 class Quotas(HeartbeatPart):
@@ -107,11 +108,22 @@
 
     def _open_account(self, organisation: OrganisationPolicy, now_s: float) -> _Account:
         uptime_s = now_s - self._started_s
-        account = _Account(organisation, now_s, uptime_s)
+        spare = self._spare_tolerance(organisation)
+        # The limiter's tokens are those of all hosts together.
+        tokens = initial_tokens(
+            organisation.burst,
+            organisation.rate_per_s,
+            uptime_s,
+            start_allowance(spare, 1),
+        )
+        account = _Account(organisation, now_s, tokens)
         self._accounts[organisation.name] = account
         self._update_share(account, now_s)
         bucket = account.bucket
-        bucket.tokens = initial_tokens(bucket.burst, bucket.rate_per_s, uptime_s)
+        allowance = start_allowance(spare, self._membership.host_count)
+        bucket.tokens = initial_tokens(
+            bucket.burst, bucket.rate_per_s, uptime_s, allowance
+        )
         return account
 
     def add_fields(self, fields: dict[str, object]) -> None:
@@ -189,6 +201,12 @@
         slack = _SLACK_FRACTION * settings.quota_slack
         return organisation.rate_per_s * overrun, organisation.burst * overrun, slack
 
+    def _spare_tolerance(self, organisation: OrganisationPolicy) -> float:
+        settings = self._state.settings
+        full_window = organisation.rate_per_s * _LIMIT_WINDOW_S + organisation.burst
+        overrun = (1 - _OVERRUN_FRACTION) * settings.quota_overrun * full_window
+        return overrun + (1 - _SLACK_FRACTION) * settings.quota_slack
+
     def _update_share(self, account: _Account, now_s: float) -> None:
         organisation = account.organisation
         host_count = self._membership.host_count
--- a/tests/test_host_shares.py
+++ b/tests/test_host_shares.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from types import SimpleNamespace
 
 import pytest
 
@@ -13,8 +14,12 @@
     cold_gap_s,
     cold_sender_count,
     initial_tokens,
+    start_allowance,
     wanted_share,
 )
+from cicadadoor.entry.model import OrganisationPolicy
+from cicadadoor.entry.quotas import Quotas
+from tests.utils.manual_timer import ManualTimer
 
 
 class TestWantedShare:
@@ -203,11 +208,82 @@
     """The tokens of a host that has just started."""
 
     def test_restarted_host_does_not_get_its_share_of_the_burst_again(self):
-        assert initial_tokens(burst=30, rate_per_s=10, uptime_s=0) == 1
-        assert initial_tokens(burst=30, rate_per_s=10, uptime_s=2) == 21
+        assert initial_tokens(burst=30, rate_per_s=10, uptime_s=0, allowance=1) == 1
+        assert initial_tokens(burst=30, rate_per_s=10, uptime_s=2, allowance=1) == 21
 
     def test_tokens_do_not_exceed_the_burst(self):
-        assert initial_tokens(burst=30, rate_per_s=10, uptime_s=60) == 30
+        assert initial_tokens(burst=30, rate_per_s=10, uptime_s=60, allowance=1) == 30
+
+    @pytest.mark.parametrize('host_count', (1, 2, 8))
+    def test_first_request_is_admitted_where_the_tolerance_suffices(self, host_count):
+        assert start_allowance(8, host_count) >= 1
+
+    @pytest.mark.parametrize('host_count', (1, 2, 8, 24, 94))
+    def test_allowances_of_all_hosts_stay_within_the_tolerance(self, host_count):
+        """Each of many hosts had a token at its start, beyond the limit together."""
+        assert host_count * start_allowance(8, host_count) <= 8.0001
+
+
+def _quotas(
+    host_count: int, organisation: OrganisationPolicy, timer: ManualTimer
+) -> Quotas:
+    quotas = Quotas()
+    quotas._timer = timer
+    quotas._started_s = timer.now_s()
+    settings = SimpleNamespace(quota_overrun=0.1, quota_slack=20)
+    quotas._state = SimpleNamespace(settings=settings)
+    quotas._membership = SimpleNamespace(host_count=host_count, is_isolated=False)
+    return quotas
+
+
+def _organisation(rate_per_s: float, burst: float) -> OrganisationPolicy:
+    return OrganisationPolicy(
+        name='school', api_keys=(), rate_per_s=rate_per_s, burst=burst
+    )
+
+
+class TestHostsThatStart:
+    """Guard against refused first requests and against limits granted twice."""
+
+    def test_burst_right_after_the_start_of_a_host_is_admitted(self):
+        """A host that started quickly refused the tenth of ten requests with 429."""
+        organisation = _organisation(100, 100)
+        quotas = _quotas(1, organisation, ManualTimer())
+        assert not any(quotas.take(organisation) for _ in range(10))
+
+    @pytest.mark.parametrize(
+        ('host_count', 'rate_per_s', 'burst'),
+        (
+            (1, 10, 10),
+            (1, 100, 100),
+            (2, 100, 100),
+            (8, 10, 10),
+            (48, 40, 40),
+            (90, 70, 70),
+        ),
+    )
+    def test_organisation_stays_within_its_limit_while_all_hosts_restart(
+        self, host_count, rate_per_s, burst
+    ):
+        """Requests come at all hosts faster than any of them may be admitted."""
+        organisation = _organisation(rate_per_s, burst)
+        timer = ManualTimer()
+        admitted_s: list[float] = []
+        hosts = [_quotas(host_count, organisation, timer) for _ in range(host_count)]
+        # Long enough for full buckets before the first request.
+        timer.jump(60)
+        for step in range(300):
+            if step == 50:
+                hosts = [_quotas(host_count, organisation, timer) for _ in hosts]
+            for quotas in hosts:
+                while quotas.take(organisation) is None:
+                    admitted_s.append(timer.now_s())
+            timer.jump(0.05)
+        most = max(
+            sum(1 for at_s in admitted_s if start_s <= at_s <= start_s + _WINDOW_S)
+            for start_s in admitted_s
+        )
+        assert most <= (rate_per_s * _WINDOW_S + burst) * 1.1 + 20
 
 
 class TestDemand:
