--- a/cicadadoor/decisions/request_quarantine.py
+++ b/cicadadoor/decisions/request_quarantine.py
@@ -29,6 +29,9 @@
 _AGE_TOLERANCE_S = 5.0
 # A host that has forgotten a request does not adopt it again just before it ends.
 _MAX_ADOPTED_AGE_S = RETENTION_S - 2 * _AGE_TOLERANCE_S
+# Connections to several servers that break together, while all of them ran such a
+# request, show a fault of the network. They count as one crash.
+_SAME_MOMENT_S = 0.05
 _MAX_ENTRIES = 256
 _MAX_RUNS = 8
 # Of each heartbeat; a report takes about 45 bytes. The worst requests are in every
@@ -66,6 +69,7 @@
 
 class _Entry:
     __slots__ = (
+        'crash_s',
         'failed_probes',
         'generation',
         'is_probing',
@@ -79,6 +83,8 @@
         self.runs: frozenset[int] = frozenset()
         self.failed_probes = 0
         self.seen_s = seen_s
+        # Time of the last crash that this host saw and counted.
+        self.crash_s = -math.inf
         # Begin of the last probe or of the quarantine.
         self.probe_s = -math.inf
         self.is_probing = False
@@ -178,10 +184,15 @@
         if entry is not None:
             entry.is_probing = False
 
-    def note_crash(self, fingerprint: int, run: int, now_s: float) -> None:
+    def note_crash(
+        self, fingerprint: int, run: int, now_s: float, sent_s: float = math.inf
+    ) -> None:
         """Record that a run of a server crashed while running such a request."""
         entry = self._entry(fingerprint, now_s)
         entry.seen_s = now_s
+        if sent_s < entry.crash_s and now_s - entry.crash_s < _SAME_MOMENT_S:
+            return
+        entry.crash_s = now_s
         was_quarantined = entry.is_quarantined
         if entry.is_probing:
             entry.is_probing = False
--- a/cicadadoor/entry/dispatch.py
+++ b/cicadadoor/entry/dispatch.py
@@ -229,7 +229,7 @@
         else:
             routed.attempts += 1
             if answer.kind is ErrorKind.OUTCOME_UNKNOWN:
-                self._crashes.note_crash(routed.fingerprint, backend)
+                self._crashes.note_crash(routed.fingerprint, backend, took_s)
 
     def _may_retry(
         self,
--- a/cicadadoor/entry/quarantine.py
+++ b/cicadadoor/entry/quarantine.py
@@ -87,10 +87,11 @@
         finally:
             self._quarantine.end_probe(fingerprint)
 
-    def note_crash(self, fingerprint: int, backend: Backend) -> None:
-        """Record a connection that broke while a request was running."""
+    def note_crash(self, fingerprint: int, backend: Backend, took_s: float) -> None:
+        """Record a connection that broke `took_s` after a request was sent."""
         run = name_hash(backend.pool_key)
-        self._quarantine.note_crash(fingerprint, run, self._timer.now_s())
+        now_s = self._timer.now_s()
+        self._quarantine.note_crash(fingerprint, run, now_s, now_s - took_s)
         self._publish_changes()
 
     def note_response(self, fingerprint: int) -> None:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -90,7 +90,7 @@
         hosts = [watch() for _ in range(3)]
         for host in hosts:
             for _ in range(4):
-                host.note_crash(REQUEST, server('i-3'))
+                host.note_crash(REQUEST, server('i-3'), 0)
         heartbeats = heartbeats_from(hosts)
         hosts[0].on_tick(heartbeats[1:])
         assert hosts[0].crash_count(REQUEST) == 1
@@ -98,7 +98,7 @@
     def test_crashes_of_several_servers_at_several_hosts_add_up(self):
         hosts = [watch() for _ in range(3)]
         for number, host in enumerate(hosts):
-            host.note_crash(REQUEST, server(f'i-{number}'))
+            host.note_crash(REQUEST, server(f'i-{number}'), 0)
         heartbeats = heartbeats_from(hosts)
         hosts[0].on_tick([summarise(heartbeats[1], heartbeats[2:])])
         assert hosts[0].crash_count(REQUEST) == CRASHES_TO_REFUSE
@@ -106,12 +106,12 @@
     def test_server_that_crashes_again_after_its_restart_counts_again(self):
         host = watch()
         for started_ms in range(CRASHES_TO_REFUSE):
-            host.note_crash(REQUEST, server('i-0', started_ms))
+            host.note_crash(REQUEST, server('i-0', started_ms), 0)
         assert host.crash_count(REQUEST) == CRASHES_TO_REFUSE
 
     def test_answer_ends_the_suspicion_of_this_host(self):
         host = watch()
-        host.note_crash(REQUEST, server('i-0'))
+        host.note_crash(REQUEST, server('i-0'), 0)
         host.note_response(REQUEST)
         assert host.crash_count(REQUEST) == 0
 
@@ -119,7 +119,7 @@
         """The only host that had seen the crashes may restart."""
         hosts = [watch() for _ in range(3)]
         for number in range(CRASHES_TO_REFUSE):
-            hosts[0].note_crash(REQUEST, server(f'i-{number}'))
+            hosts[0].note_crash(REQUEST, server(f'i-{number}'), 0)
         hosts[1].on_tick(heartbeats_from(hosts[:1]))
         hosts[2].on_tick(heartbeats_from(hosts[1:2]))
         assert hosts[2].refuses(REQUEST)
@@ -128,7 +128,7 @@
         """Its ages grow: a quarantine that has ended would start again."""
         hosts = [watch() for _ in range(2)]
         for number in range(CRASHES_TO_REFUSE):
-            hosts[0].note_crash(REQUEST, server(f'i-{number}'))
+            hosts[0].note_crash(REQUEST, server(f'i-{number}'), 0)
         heartbeats = heartbeats_from(hosts[:1])
         for _ in range(70):
             hosts[1].on_tick(heartbeats)
@@ -139,7 +139,7 @@
     def test_probe_ends_also_when_its_caller_leaves(self):
         host = watch(FakeMembership(others=0))
         for number in range(CRASHES_TO_REFUSE):
-            host.note_crash(REQUEST, server(f'i-{number}'))
+            host.note_crash(REQUEST, server(f'i-{number}'), 0)
         for _ in range(2):
             host.on_tick([])
             host._timer.jump(59)
@@ -161,7 +161,7 @@
 
     def test_older_host_reads_the_crashes(self):
         host = watch()
-        host.note_crash(REQUEST, server('i-0'))
+        host.note_crash(REQUEST, server('i-0'), 0)
         assert len(heartbeats_from([host])[0].crashes[REQUEST]) == 1
 
     def test_fields_that_a_later_version_appends_are_ignored(self):
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -272,6 +272,28 @@
         for host in fleet.hosts:
             assert host.quarantine.refuses(REQUEST, fleet.now_s) == is_refused
 
+    def test_connections_that_break_together_count_as_one_crash(self):
+        """A reset of all connections held back each request that was often sent."""
+        quarantine = RequestQuarantine(1)
+        for run in range(20):
+            quarantine.note_crash(REQUEST, run, 10.0 + run / 1000, sent_s=9.5)
+        assert quarantine.crash_count(REQUEST) == 1
+
+    def test_repetitions_of_one_request_that_crash_servers_count_each(self):
+        """A repetition is sent after the crash and may crash its server at once."""
+        quarantine = RequestQuarantine(1)
+        for run in range(CRASHES_TO_REFUSE):
+            now_s = 10.0 + run / 1000
+            quarantine.note_crash(REQUEST, run, now_s, sent_s=now_s)
+        assert quarantine.refuses(REQUEST, 11.0)
+
+    def test_many_copies_that_crash_servers_are_refused(self):
+        quarantine = RequestQuarantine(1)
+        for run in range(20):
+            now_s = 10.0 + run / 50
+            quarantine.note_crash(REQUEST, run, now_s, sent_s=9.5)
+        assert quarantine.refuses(REQUEST, 11.0)
+
 
 class TestBounds:
     """Guard against a flood of crashing requests that displaces a quarantine."""
