--- a/cicadadoor/entry/quarantine.py
+++ b/cicadadoor/entry/quarantine.py
@@ -127,7 +127,7 @@
         is_alone = membership.host_count == 1
         if is_alone:
             self._has_heard_all = self._has_heard_all or membership.is_listed
-        elif len(heard) == len(membership.peers):
+        elif heard and len(heard) == len(membership.peers):
             self._has_heard_all = True
         self._quarantine.update_hosts(
             frozenset(peer.name_hash for peer in heard),
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,12 +1,15 @@
 """Run the soak test: `python -m tests.soak [FIRST_SEED] [COUNT] [SECONDS]`."""
 
+import random
 import sys
 import tempfile
 import time
+from functools import partial
 from pathlib import Path
 
 import anyio
 
+from tests.soak.events import Event
 from tests.soak.run import soak
 
 _DEFAULT_SEED_COUNT = 10
@@ -22,7 +25,10 @@
     failed = 0
     for seed in range(first, first + count):
         folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-        report = anyio.run(soak, seed, duration_s, folder)
+        # Each event is played in about half of the seeds.
+        chosen = random.Random(f'choice-{seed}')
+        events = [event for event in Event if chosen.random() < 1 / 2]
+        report = anyio.run(partial(soak, seed, duration_s, folder, events=events))
         sys.stdout.write(f'{report}\n')
         sys.stdout.flush()
         if report.violations:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,6 +11,8 @@
 from tests.utils.entry_hosts import SITE
 
 _DEADLINE_MS = 2500
+# Prefix of the attempts of the request that crashes workers.
+CRASH_ATTEMPTS = 'crash-'
 _PAUSE_S = 0.05
 # With this pause, all callers together stay well below their organisation's rate.
 FAULT_FREE_PAUSE_S = 0.6
@@ -82,19 +84,22 @@
         method: str,
         host: int,
         key: str = 'key-1',
+        *,
+        path: str = '',
+        deadline_ms: int = _DEADLINE_MS,
     ) -> CallRecord:
         """Send one request and record its answer."""
         record = CallRecord(attempt, key)
         self.records.append(record)
-        path = '/look/1' if method == 'GET' else '/book/1'
+        default_path = '/look/1' if method == 'GET' else '/book/1'
         headers = {
             'Host': SITE,
             'Attempt-Id': attempt,
-            'Deadline-Ms': str(_DEADLINE_MS),
+            'Deadline-Ms': str(deadline_ms),
             'Authorization': f'Bearer {key}',
             'Cookie': f'Affinity-Key={self._random.randrange(_AFFINITY_KEYS)}',
         }
-        url = f'http://{self._fleet.hosts[host].callers}{path}'
+        url = f'http://{self._fleet.hosts[host].callers}{path or default_path}'
         try:
             answer = await client.request(method, url, headers=headers)
         except httpx.HTTPError:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -3,12 +3,20 @@
 from collections import Counter
 from http import HTTPStatus
 
-from tests.soak.callers import CallRecord
+from tests.soak.callers import CRASH_ATTEMPTS, CallRecord
 from tests.soak.fleet import BURST, RATE_PER_S, Run
 
 _WINDOW_S = 5.0
 _RATE_TOLERANCE = 1.1
 _SLACK_RUNS = 20
+# Attempts of a crashing request that may reach workers although they were sent later
+# than this after it crashed the third worker.
+_CRASHED_WORKERS = 3
+_MAX_LATE_CRASHES = 3
+_LATE_CRASH_S = 3.0
+# A run that begins later than this after its caller's answer was held up by a
+# partition. The event loop that records both may be late by some tenths of a second.
+_ABANDONED_S = 1.0
 
 
 def find_violations(records: list[CallRecord], runs: list[Run]) -> list[str]:
@@ -44,6 +52,8 @@
         for run in runs
         if run.organisation != 'school' or run.is_key_forwarded
     )
+    violations.extend(_late_crashes(records, runs))
+    violations.extend(_runs_after_abandonment(records, runs))
     max_runs = max_runs_in_window(
         [run.at_s for run in runs if runs_by_attempt[run.attempt] == 1]
     )
@@ -53,6 +63,29 @@
     return violations
 
 
+def _late_crashes(records: list[CallRecord], runs: list[Run]) -> list[str]:
+    crashes = [run for run in runs if run.attempt.startswith(CRASH_ATTEMPTS)]
+    third = sorted(run.at_s for run in crashes)[_CRASHED_WORKERS - 1 : _CRASHED_WORKERS]
+    reached = {run.attempt for run in crashes}
+    late = [
+        each.attempt
+        for each in records
+        if third and each.attempt in reached and each.sent_s > third[0] + _LATE_CRASH_S
+    ]
+    if len(late) <= _MAX_LATE_CRASHES:
+        return []
+    return [f'{len(late)} late attempts of a crashing request reached workers']
+
+
+def _runs_after_abandonment(records: list[CallRecord], runs: list[Run]) -> list[str]:
+    answered_s = {each.attempt: each.answered_s for each in records}
+    return [
+        f'{run.attempt}: ran {run.at_s - answered_s[run.attempt]:.1f} s after its end'
+        for run in runs
+        if run.at_s > answered_s.get(run.attempt, run.at_s) + _ABANDONED_S
+    ]
+
+
 def max_runs_in_window(times_s: list[float]) -> int:
     """Return the largest number of runs within any window of `_WINDOW_S`."""
     ordered = sorted(times_s)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import time
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
 
@@ -16,6 +17,8 @@
 RATE_PER_S = 60.0
 BURST = 60.0
 KILL_AFTER_S = 4
+# Requests for this path crash the worker that runs them.
+CRASH_PATH = '/look/crash'
 
 
 class Run:
@@ -38,12 +41,19 @@
         super().__init__(instance_id)
         self.all_runs = runs
         self.work_s = 0.02
+        # Set by the event that sends crashing requests.
+        self.on_crash: Callable[..., object] | None = None
+        self.restart: Callable[[str], Awaitable[None]] | None = None
 
     async def handle(self, request: RawRequest, connection: RawConnection) -> None:
         """Record and handle one request."""
         is_addressed = request.headers.get('target-instance') == self.instance_id
         if is_addressed and self.script[:1] != ['shed']:
             self.all_runs.append(Run(request))
+        if is_addressed and request.target == CRASH_PATH and self.on_crash:
+            connection.reset()
+            self.on_crash(self.restart, self.instance_id)
+            return
         await super().handle(request, connection)
 
 
@@ -100,6 +110,8 @@
         self.hosts: list[Host] = []
         self.version = 1
         self._folder = folder
+        # Start of the current run of each worker.
+        self._born: dict[str, int] = {}
         self._stack = AsyncExitStack()
 
     async def start(self, hosts: int, workers: int) -> None:
@@ -133,11 +145,15 @@
         changed = configuration(self.version, tenants=tenants)
         self.store.put('config', 'main', changed)
 
-    def announce(self, instance_id: str, state: str) -> None:
-        """Write a worker's registration with its state."""
-        status = {'state': state, 'seq': 1, 'cold_remaining_ms': 0}
-        address = self.worker_relays[instance_id].address
-        self.store.put('servers', instance_id, worker_entry(address, status=status))
+    def announce(self, instance_id: str, state: str, born: int = 0) -> None:
+        """Write a worker's registration with its state, and the start of its run."""
+        self._born[instance_id] = born or self._born.get(instance_id, 1)
+        entry = worker_entry(
+            self.worker_relays[instance_id].address,
+            status={'state': state, 'seq': 1, 'cold_remaining_ms': 0},
+            born=self._born[instance_id],
+        )
+        self.store.put('servers', instance_id, entry)
 
     async def _add_worker(self, instance_id: str) -> None:
         worker = SoakWorker(instance_id, self.runs)
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -42,7 +42,7 @@
 
     async def start(self) -> None:
         """Listen on a free loopback port."""
-        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        await self._listen(0)
         bound = self._server.sockets[0].getsockname()
         self.address = f'{bound[0]}:{bound[1]}'
 
@@ -51,12 +51,24 @@
         self._server.close()
         self._reset_all()
 
+    def crash(self) -> None:
+        """Refuse and reset connections, as after a crash of the target."""
+        self.stop()
+
+    async def restart(self) -> None:
+        """Listen again at the same address."""
+        if not self._server.is_serving():
+            await self._listen(int(self.address.rpartition(':')[2]))
+
     def set_fault(self, fault: RelayFault) -> None:
         """Start a fault; RelayFault.NONE ends it."""
         self.fault = fault
         if fault is RelayFault.RESET:
             self._reset_all()
 
+    async def _listen(self, port: int) -> None:
+        self._server = await asyncio.start_server(self._accept, '127.0.0.1', port)
+
     async def _accept(
         self,
         reader: asyncio.StreamReader,
@@ -92,6 +104,10 @@
                     await asyncio.sleep(self.delay_s)
                 while self.fault in held:
                     await asyncio.sleep(_HOLD_POLL_S)
+                if reader.exception() is not None:
+                    # Held bytes are lost if their sender resets the connection.
+                    _reset(writer)
+                    return
                 writer.write(chunk)
                 await writer.drain()
         writer.close()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,7 @@
 """Run the soak test for one seed, and report violated guarantees."""
 
 import time
+from collections.abc import Iterable
 from pathlib import Path
 
 import anyio
@@ -8,6 +9,7 @@
 
 from tests.soak.callers import FAULT_FREE_PAUSE_S, Callers
 from tests.soak.checks import find_violations
+from tests.soak.events import Event, EventPlayer
 from tests.soak.faults import FaultInjector
 from tests.soak.fleet import Fleet
 from tests.soak.relay import RelayFault
@@ -46,18 +48,22 @@
     folder: Path,
     hosts: int = 3,
     workers: int = 4,
+    events: Iterable[Event] = (),
 ) -> Report:
     """Run a fleet with faults, then without, and check all answers and runs."""
     report = Report(seed)
     fleet = Fleet(folder)
     callers = Callers(fleet, seed)
     injector = FaultInjector(fleet, seed)
+    player = EventPlayer(fleet, callers, seed)
     try:
         await fleet.start(hosts, workers)
         await _wait_served(fleet, callers, 'start')
         async with anyio.create_task_group() as tasks:
             for number in range(_CALLERS):
                 tasks.start_soon(callers.run, number)
+            for event in events:
+                tasks.start_soon(player.play, event)
             await injector.inject(duration_s)
             _end_faults(fleet)
             callers.pause_s = FAULT_FREE_PAUSE_S
@@ -65,7 +71,7 @@
             callers.is_stopped = True
     finally:
         await fleet.stop()
-    report.injected_faults = injector.log
+    report.injected_faults = injector.log + player.log
     report.sent = len(callers.records)
     report.served = sum(record.status == httpx.codes.OK for record in callers.records)
     report.violations += find_violations(callers.records, fleet.runs)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,13 @@
 """Run short soak tests, and check that the soak detects violated guarantees."""
 
+from functools import partial
+
 import anyio
 import pytest
 
 from tests.soak.callers import CallRecord
 from tests.soak.checks import find_violations, max_runs_in_window
+from tests.soak.events import Event
 from tests.soak.fleet import Run
 from tests.soak.run import soak
 from tests.utils.raw_server import RawRequest
@@ -15,6 +18,11 @@
 # store stopped answering before the hosts had read each other's records.
 # 908 accepted a withdrawn key: the watches of all hosts were on silent connections.
 _SEEDS = (1, 8, 106, 305, 908)
+_SEEDS_WITH_EVENTS = (
+    (21, (Event.CRASHING_REQUEST,)),
+    (22, (Event.ABANDONED_REQUESTS,)),
+    (23, (Event.CRASHING_REQUEST, Event.ABANDONED_REQUESTS)),
+)
 
 
 def _run(attempt: str, method: str = 'POST', **headers: str) -> Run:
@@ -39,6 +47,12 @@
         assert not report.violations, (report.violations, report.injected_faults)
         assert report.served > 0
 
+    @pytest.mark.parametrize(('seed', 'events'), _SEEDS_WITH_EVENTS)
+    def test_no_guarantee_is_violated_by_an_event(self, seed, events, tmp_path):
+        report = anyio.run(partial(soak, seed, _LENGTH_S, tmp_path, events=events))
+        assert not report.violations, (report.violations, report.injected_faults)
+        assert report.served > 0
+
 
 class TestChecks:
     """Guard against a soak that misses violations."""
@@ -78,5 +92,21 @@
         record.violation = 'the answer of another request'
         assert find_violations([record], [_run('a')])
 
+    def test_run_long_after_its_answer_is_found(self):
+        record, run = _record('a', 504), _run('a')
+        run.at_s = record.answered_s + 2
+        assert find_violations([record], [run])
+
+    @pytest.mark.parametrize(('late', 'is_violation'), ((3, False), (4, True)))
+    def test_crashing_request_that_is_not_held_back_is_found(self, late, is_violation):
+        names = [f'crash-{number}' for number in range(3 + late)]
+        records, runs = [_record(name, 502) for name in names], []
+        for number, record in enumerate(records):
+            record.sent_s += 0 if number < 3 else 4
+            record.answered_s = record.sent_s
+            runs.append(_run(record.attempt, 'GET'))
+            runs[-1].at_s = record.sent_s
+        assert bool(find_violations(records, runs)) == is_violation
+
     def test_window_slides(self):
         assert max_runs_in_window([0.0, 4.0, 6.0, 8.9, 9.5]) == 3
