--- /dev/null
+++ b/cicadadoor/decisions/memory_account.py
@@ -0,0 +1,199 @@
+"""Account for the memory that a process holds on behalf of other parties.
+
+When the account is short, space is reclaimed from the group of callers that holds the
+most. Within it, holders above the group's average are ended first, so that small
+requests of the same group are still served.
+"""
+
+from collections.abc import Callable, Hashable
+
+# Holders of more bytes than this count as large. The last part of the account is kept
+# for the others, since the bytes of a running request cannot be reclaimed.
+LARGE_BYTES = 131_072
+_LARGE_FRACTION = 0.85
+# A holder counts as stalled if it made no progress while the account granted this
+# fraction of its limit and several pieces for each holder.
+_STALLED_FRACTION = 0.03
+_STALLED_BYTES_PER_HOLDER = 131_072
+
+
+class Owner:
+    """Name the party that bytes are held for.
+
+    Owners of the same organisation form a group; before the organisation is known, the
+    owners with the same address do.
+    """
+
+    __slots__ = ('address', 'connection', 'organisation')
+
+    def __init__(
+        self,
+        address: str,
+        connection: Hashable = None,
+        organisation: str = '',
+    ) -> None:
+        self.address = address
+        self.connection = connection
+        self.organisation = organisation
+
+    @property
+    def group(self) -> tuple[str, str]:
+        """Return the key of the callers that share one part of the account."""
+        if self.organisation:
+            return 'organisation', self.organisation
+        return 'address', self.address
+
+
+class Reservation:
+    """Hold the bytes that one request, response or buffer has reserved.
+
+    `on_evict` is called when the reservation has to end; its bytes are already
+    released then. Without it, the reservation is not reclaimed. `left_bytes` is the
+    number of bytes until the holder is done.
+    """
+
+    __slots__ = (
+        '_account',
+        'granted_bytes',
+        'held_bytes',
+        'kind',
+        'left_bytes',
+        'on_evict',
+        'owner',
+    )
+
+    def __init__(self, account: 'MemoryAccount', kind: str, owner: Owner) -> None:
+        self._account = account
+        self.kind = kind
+        self.owner = owner
+        self.held_bytes = 0
+        self.left_bytes = 0
+        self.granted_bytes = 0
+        self.on_evict: Callable[[], None] | None = None
+
+    def grow(self, size_bytes: int) -> bool:
+        """Reserve more bytes; return False if the holder has to be refused or closed.
+
+        The reservation is unchanged then.
+        """
+        return self._account.grow(self, size_bytes)
+
+    def shrink(self, size_bytes: int) -> None:
+        """Release a part of the bytes."""
+        self._account.shrink(self, size_bytes)
+
+    def note_progress(self, left_bytes: int) -> None:
+        """Record that the holder came closer to its end."""
+        self.left_bytes = left_bytes
+        self.granted_bytes = self._account.granted_bytes
+
+    def release(self) -> None:
+        """Release all bytes; a released reservation may be released again."""
+        self._account.release(self)
+
+
+class MemoryAccount:
+    """Grant bytes up to a limit, and decide who has to end when it is reached."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self._large_limit_bytes = int(limit_bytes * _LARGE_FRACTION)
+        self._stalled_bytes = int(limit_bytes * _STALLED_FRACTION)
+        self._holders: dict[Reservation, None] = {}
+        self._by_kind: dict[str, int] = {}
+        self.held_bytes = 0
+        # Total of all bytes granted so far.
+        self.granted_bytes = 0
+        self.evictions = 0
+
+    @property
+    def limit_bytes(self) -> int:
+        """Return the number of bytes that all holders together may reserve."""
+        return self._limit_bytes
+
+    def open(self, kind: str, owner: Owner) -> Reservation:
+        """Return a reservation that holds no bytes yet."""
+        return Reservation(self, kind, owner)
+
+    def held_by_kind(self) -> dict[str, int]:
+        """Return the reserved bytes of each kind of holder."""
+        return dict(self._by_kind)
+
+    def grow(self, reservation: Reservation, size_bytes: int) -> bool:
+        """Reserve bytes, and reclaim those of other holders where that is fair."""
+        is_large = reservation.held_bytes + size_bytes > LARGE_BYTES
+        limit_bytes = self._large_limit_bytes if is_large else self._limit_bytes
+        while self.held_bytes + size_bytes > limit_bytes:
+            victim = self._find_victim(reservation, size_bytes)
+            if victim is reservation:
+                return False
+            self._evict(victim)
+        self._add(reservation, size_bytes)
+        self._holders[reservation] = None
+        self.granted_bytes += size_bytes
+        reservation.granted_bytes = self.granted_bytes
+        return True
+
+    def shrink(self, reservation: Reservation, size_bytes: int) -> None:
+        """Release a part of the bytes of a reservation."""
+        self._add(reservation, -min(size_bytes, reservation.held_bytes))
+
+    def release(self, reservation: Reservation) -> None:
+        """Release all bytes of a reservation."""
+        self._add(reservation, -reservation.held_bytes)
+        self._holders.pop(reservation, None)
+
+    def _add(self, reservation: Reservation, size_bytes: int) -> None:
+        reservation.held_bytes += size_bytes
+        self.held_bytes += size_bytes
+        kind = reservation.kind
+        self._by_kind[kind] = self._by_kind.get(kind, 0) + size_bytes
+
+    def _evict(self, victim: Reservation) -> None:
+        self.evictions += 1
+        self.release(victim)
+        on_evict, victim.on_evict = victim.on_evict, None
+        if on_evict is not None:
+            on_evict()
+
+    def _find_victim(self, grower: Reservation, size_bytes: int) -> Reservation:
+        """Return the holder to end; the grower is one of the candidates."""
+        groups: dict[tuple[str, str], list[Reservation]] = {}
+        totals: dict[tuple[str, str], int] = {grower.owner.group: size_bytes}
+        # A grower that holds nothing yet is a candidate as well.
+        candidates = {**self._holders, grower: None}
+        for holder in candidates:
+            group = holder.owner.group
+            totals[group] = totals.get(group, 0) + holder.held_bytes
+            if holder.on_evict is not None or holder is grower:
+                groups.setdefault(group, []).append(holder)
+        heaviest = max(groups, key=totals.__getitem__)
+        return self._select(groups[heaviest], grower, size_bytes)
+
+    def _select(
+        self,
+        holders: list[Reservation],
+        grower: Reservation,
+        size_bytes: int,
+    ) -> Reservation:
+        wanted = {holder: holder.held_bytes for holder in holders}
+        if grower in wanted:
+            wanted[grower] += size_bytes
+        average_bytes = sum(wanted.values()) / len(wanted)
+        candidates = [
+            holder
+            for holder in holders
+            if wanted[holder] >= average_bytes or self._is_stalled(holder)
+        ]
+        return max(candidates, key=self._rank)
+
+    def _rank(self, holder: Reservation) -> tuple[bool, int, int]:
+        # Stalled holders first, then those that are furthest from their end, so that
+        # of many bodies that do not fit together some become complete.
+        return self._is_stalled(holder), holder.left_bytes, holder.held_bytes
+
+    def _is_stalled(self, holder: Reservation) -> bool:
+        usual_bytes = _STALLED_BYTES_PER_HOLDER * len(self._holders)
+        idle_bytes = self.granted_bytes - holder.granted_bytes
+        is_large = holder.held_bytes > LARGE_BYTES
+        return is_large and idle_bytes > self._stalled_bytes + usual_bytes
