--- a/cicadadoor/decisions/memory_account.py
+++ b/cicadadoor/decisions/memory_account.py
@@ -10,13 +10,27 @@
 # Holders of more bytes than this count as large. The last part of the account is kept
 # for the others, since the bytes of a running request cannot be reclaimed.
 LARGE_BYTES = 131_072
-_LARGE_FRACTION = 0.85
+_LARGE_FRACTION = 0.9
 # A holder counts as stalled if it made no progress while the account granted this
 # fraction of its limit and several pieces for each holder.
 _STALLED_FRACTION = 0.03
 _STALLED_BYTES_PER_HOLDER = 131_072
 
 
+_BYTES_PER_MB = 1_000_000
+# An idle host uses 47 MB. Its own tables and averages grow by some more under load.
+_PROCESS_MB = 55
+_MIN_ACCOUNT_MB = 5
+# Part of the rest for fragmentation, the parsers' copies and the sockets' buffers.
+_RESERVE_FRACTION = 0.15
+
+
+def account_bytes(memory_mb: float) -> int:
+    """Return the size of the account of a process on a machine with this memory."""
+    free_mb = max(_MIN_ACCOUNT_MB, memory_mb - _PROCESS_MB)
+    return int(free_mb * (1 - _RESERVE_FRACTION) * _BYTES_PER_MB)
+
+
 class Owner:
     """Name the party that bytes are held for.
 
@@ -36,6 +50,10 @@
         self.connection = connection
         self.organisation = organisation
 
+    def with_organisation(self, organisation: str) -> 'Owner':
+        """Return the same owner with its organisation."""
+        return Owner(self.address, self.connection, organisation)
+
     @property
     def group(self) -> tuple[str, str]:
         """Return the key of the callers that share one part of the account."""
@@ -111,6 +129,10 @@
         """Return the number of bytes that all holders together may reserve."""
         return self._limit_bytes
 
+    def has_room(self, size_bytes: int) -> bool:
+        """Tell whether a large holder fits without reclaiming others."""
+        return self.held_bytes + size_bytes <= self._large_limit_bytes
+
     def open(self, kind: str, owner: Owner) -> Reservation:
         """Return a reservation that holds no bytes yet."""
         return Reservation(self, kind, owner)
--- a/cicadadoor/entry/admission.py
+++ b/cicadadoor/entry/admission.py
@@ -44,7 +44,7 @@
     def admit(
         self,
         request: CallerRequest,
-        body: bytes,
+        body: bytes | bytearray,
         received_s: float,
     ) -> RoutedRequest | Failure:
         """Return the request with its route, organisation and service, or a refusal."""
--- /dev/null
+++ b/cicadadoor/entry/connection_timeouts.py
@@ -0,0 +1,99 @@
+"""Find what takes too long on one connection of a client."""
+
+import enum
+
+from cicadadoor.entry.connection_context import ConnectionContext
+from cicadadoor.entry.exchange import Exchange
+from cicadadoor.entry.response_queue import ResponseQueue
+from cicadadoor.entry.response_writer import ResponseWriter
+
+# A client that takes nothing of its response for this time is disconnected.
+_WRITE_TIMEOUT_S = 10.0
+# Time to discard what a client still sends after the last response.
+_LINGER_S = 2.0
+_CHECK_PERIOD_S = 1.0
+
+
+@enum.unique
+class Overdue(enum.Enum):
+    """State what took too long."""
+
+    HEAD = 'head'
+    BODY = 'body'
+    RESPONSE = 'response'
+    IDLE = 'idle'
+    LINGER = 'linger'
+
+
+class ConnectionTimeouts:
+    """Hold the time at which a connection is to be checked, and check it."""
+
+    def __init__(
+        self,
+        context: ConnectionContext,
+        queue: ResponseQueue,
+        writer: ResponseWriter,
+        now_s: float,
+    ) -> None:
+        self._context = context
+        self._queue = queue
+        self._writer = writer
+        self._idle_since_s = now_s
+        self._waits_since_s = now_s
+        self._taken_bytes = 0
+        self._linger_due_s: float | None = None
+        # The connection is checked at this time at the latest.
+        self.due_s = now_s + context.idle_timeout_s
+
+    def begin_idle(self, now_s: float) -> None:
+        """Take note that no request is left."""
+        self._idle_since_s = now_s
+
+    def begin_wait(self) -> None:
+        """Take note that the client has to take bytes before more are written."""
+        now_s = self._context.now_s()
+        self._waits_since_s = now_s
+        self._taken_bytes = self._writer.taken_bytes
+        self.due_s = min(self.due_s, now_s + _CHECK_PERIOD_S)
+
+    def begin_linger(self) -> None:
+        """Take note that the last response has been written."""
+        self._linger_due_s = self._context.now_s() + _LINGER_S
+        self.due_s = min(self.due_s, self._linger_due_s)
+
+    def find_overdue(self, now_s: float, receiving: Exchange | None) -> Overdue | None:
+        """Return what took too long; otherwise set the time of the next check."""
+        if not self._writer.can_write:
+            return self._find_stall(now_s)
+        if self._linger_due_s is not None:
+            return self._compare(now_s, self._linger_due_s, Overdue.LINGER)
+        if not self._queue:
+            due_s = self._idle_since_s + self._context.idle_timeout_s
+            return self._compare(now_s, due_s, Overdue.IDLE)
+        if (
+            receiving is None
+            or receiving.is_held
+            and self._queue.first is not receiving
+        ):
+            self.due_s = now_s + _CHECK_PERIOD_S
+            if receiving is not None and receiving.body.progress is not None:
+                # Its body is not read until all earlier requests are answered.
+                receiving.body.progress.restart(now_s)
+            return None
+        if receiving.body.progress is None:
+            return self._compare(now_s, receiving.head_due_s, Overdue.HEAD)
+        return self._compare(now_s, receiving.body.progress.due_s, Overdue.BODY)
+
+    def _find_stall(self, now_s: float) -> Overdue | None:
+        taken_bytes = self._writer.taken_bytes
+        if taken_bytes != self._taken_bytes:
+            self._taken_bytes = taken_bytes
+            self._waits_since_s = now_s
+        due_s = self._waits_since_s + _WRITE_TIMEOUT_S
+        overdue = self._compare(now_s, due_s, Overdue.RESPONSE)
+        self.due_s = min(self.due_s, now_s + _CHECK_PERIOD_S)
+        return overdue
+
+    def _compare(self, now_s: float, due_s: float, overdue: Overdue) -> Overdue | None:
+        self.due_s = due_s
+        return overdue if now_s >= due_s else None
--- a/cicadadoor/entry/connections.py
+++ b/cicadadoor/entry/connections.py
@@ -113,7 +113,7 @@
         method: str,
         target: bytes,
         headers: Headers,
-        body: bytes,
+        body: bytes | bytearray,
         wants_body: WantsBody = _want_any_body,
     ) -> RawResponse:
         """Send a request and return the complete response.
@@ -146,7 +146,7 @@
         return response
 
     async def _run(
-        self, method: str, head: bytes, body: bytes, wants_body: WantsBody
+        self, method: str, head: bytes, body: bytes | bytearray, wants_body: WantsBody
     ) -> RawResponse:
         if self.is_broken:
             raise ConnectionBrokenError('connection closed before the request was sent')
@@ -162,7 +162,7 @@
         content = await self._reader.read_body(MAX_RESPONSE_BYTES)
         return RawResponse(response.status_code, headers, content)
 
-    async def _write_body(self, body: bytes) -> None:
+    async def _write_body(self, body: bytes | bytearray) -> None:
         for start in range(0, len(body), _WRITE_BYTES):
             part = h11.Data(data=body[start : start + _WRITE_BYTES])
             self._transport.write(self._parser.send(part) or b'')
--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -71,7 +71,7 @@
         self,
         *,
         request: CallerRequest,
-        body: bytes,
+        body: bytes | bytearray,
         organisation: str,
         deadline_s: float,
     ) -> None:
--- a/cicadadoor/entry/quarantine.py
+++ b/cicadadoor/entry/quarantine.py
@@ -96,7 +96,9 @@
         self._others = union_by_key(heartbeat.crashes for heartbeat in heartbeats)
 
 
-def fingerprint_of(request: CallerRequest, organisation: str, body: bytes) -> int:
+def fingerprint_of(
+    request: CallerRequest, organisation: str, body: bytes | bytearray
+) -> int:
     """Return a hash of the request that is the same for its retries."""
     hashed = blake2b(digest_size=_DIGEST_BYTES)
     for part in (
--- /dev/null
+++ b/cicadadoor/entry/response_writer.py
@@ -0,0 +1,97 @@
+"""Write responses to a client in pieces, as fast as the client takes them."""
+
+import asyncio
+import time
+from email.utils import formatdate
+
+import h11
+
+from cicadadoor.entry.exchange import Exchange, Response
+
+# A transport holds at most one piece that the kernel has not taken yet.
+_PIECE_BYTES = 32_768
+
+
+class _DateHeader:
+    """Format the current time once per second."""
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._header = (b'date', b'')
+
+    def get(self) -> tuple[bytes, bytes]:
+        second = int(time.time())
+        if second != self._second:
+            self._second = second
+            self._header = (b'date', formatdate(second, usegmt=True).encode())
+        return self._header
+
+
+_date = _DateHeader()
+
+
+class ResponseWriter:
+    """Write one response after the other; each call continues where it stopped."""
+
+    __slots__ = ('_body', '_offset', '_transport', 'can_write', 'written_bytes')
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        transport.set_write_buffer_limits(high=0)
+        self._body: memoryview | None = None
+        self._offset = 0
+        # False while the transport holds bytes that the kernel has not taken.
+        self.can_write = True
+        self.written_bytes = 0
+
+    @property
+    def taken_bytes(self) -> int:
+        """Return the number of bytes that the kernel has taken."""
+        return self.written_bytes - self._transport.get_write_buffer_size()
+
+    @property
+    def left_bytes(self) -> int:
+        """Return the number of bytes of the current response still to be written."""
+        return 0 if self._body is None else len(self._body) - self._offset
+
+    def write_continue(self, exchange: Exchange) -> None:
+        """Ask the client to send the body."""
+        event = h11.InformationalResponse(status_code=100, headers=[])
+        self._write(exchange.parser.send(event) or b'')
+
+    def write(self, exchange: Exchange, response: Response) -> bool:
+        """Write as much as the client takes; return whether all has been written."""
+        if self._body is None:
+            self._begin(exchange, response)
+        while self._offset < len(self._body) and self.can_write:
+            piece = self._body[self._offset : self._offset + _PIECE_BYTES]
+            self._offset += len(piece)
+            self._write(piece)
+        if self._offset < len(self._body):
+            return False
+        self._body = None
+        return True
+
+    def _begin(self, exchange: Exchange, response: Response) -> None:
+        headers = [
+            *response.headers,
+            (b'content-length', str(len(response.body)).encode()),
+        ]
+        if not any(name.lower() == b'date' for name, _ in response.headers):
+            headers.append(_date.get())
+        if response.closes:
+            headers.append((b'connection', b'close'))
+        event = h11.Response(status_code=int(response.status), headers=headers)
+        head = exchange.parser.send(event) or b''
+        body = response.body if response.has_body(exchange.method) else b''
+        self._offset = 0
+        if len(body) <= _PIECE_BYTES:
+            self._body = memoryview(b'')
+            self._write(head + body)
+            return
+        self._body = memoryview(body)
+        self._write(head)
+
+    def _write(self, piece: bytes | memoryview) -> None:
+        self.written_bytes += len(piece)
+        self._transport.write(piece)
--- a/cicadadoor/entry/routed_request.py
+++ b/cicadadoor/entry/routed_request.py
@@ -31,7 +31,7 @@
         self,
         *,
         request: CallerRequest,
-        body: bytes,
+        body: bytes | bytearray,
         route: RoutePolicy,
         organisation: OrganisationPolicy | None,
         service: str,
--- a/cicadadoor/http_server.py
+++ b/cicadadoor/http_server.py
@@ -11,7 +11,7 @@
 
 from cicadadoor.errors import AddressInUseError
 
-_BACKLOG = 1024
+BACKLOG = 1024
 _KEEP_ALIVE_S = 75
 _GRACEFUL_TIMEOUT_S = 2.0
 # Time for cancelled requests to send their responses.
@@ -83,14 +83,22 @@
         """Return the number of requests without a complete response."""
         return self._count
 
+    def begin(self) -> None:
+        """Count a request as in flight."""
+        self._count += 1
+
+    def end(self) -> None:
+        """Stop counting a request."""
+        self._count -= 1
+
     @contextmanager
     def track(self) -> Iterator[None]:
         """Count a request as in flight until the block ends."""
-        self._count += 1
+        self.begin()
         try:
             yield
         finally:
-            self._count -= 1
+            self.end()
 
     @contextmanager
     def cancellable(self) -> Iterator[None]:
@@ -117,6 +125,14 @@
 def listen(address: str) -> str:
     """Listen on an address and return the socket as a bind string for hypercorn.
 
+    Raise AddressInUseError if another process uses the address.
+    """
+    return f'fd://{open_listener(address).detach()}'
+
+
+def open_listener(address: str) -> socket.socket:
+    """Listen on an address.
+
     Raise AddressInUseError if another process uses the address.
     """
     host_ip, _, port = address.rpartition(':')
@@ -130,8 +146,8 @@
     except OSError as error:
         listener.close()
         raise AddressInUseError(address) from error
-    listener.listen(_BACKLOG)
-    return f'fd://{listener.detach()}'
+    listener.listen(BACKLOG)
+    return listener
 
 
 async def serve_forever(
@@ -151,7 +167,7 @@
 ) -> Config:
     config = Config()
     config.bind = [address] if isinstance(address, str) else address
-    config.backlog = _BACKLOG
+    config.backlog = BACKLOG
     config.keep_alive_timeout = _KEEP_ALIVE_S
     config.accesslog = None
     config.errorlog = None
--- a/cicadadoor/platform/__init__.py
+++ b/cicadadoor/platform/__init__.py
@@ -1,7 +1,7 @@
 """Adapt the platform to cicadadoor; only this package uses the platform's names."""
 
 from cicadadoor.entry.forwarding import HeaderCodec
-from cicadadoor.entry.server import Paths
+from cicadadoor.entry.platform_handler import Paths
 from cicadadoor.platform import headers
 from cicadadoor.platform.source import PlatformSource
 from cicadadoor.platform.store_client import StoreClient
--- a/cicadadoor/telemetry/metrics.py
+++ b/cicadadoor/telemetry/metrics.py
@@ -38,6 +38,21 @@
     ('service',),
     buckets=(0.05, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 2.5, 4, 6, 10),
 )
+HELD_BYTES = Gauge(
+    'cicadadoor_held_bytes',
+    'Memory held on behalf of clients and backend servers, by kind.',
+    ('kind',),
+)
+CLIENT_CONNECTIONS = Gauge(
+    'cicadadoor_client_connections',
+    'Open connections of clients, by group of addresses.',
+    ('group',),
+)
+REJECTED_CLIENTS = Counter(
+    'cicadadoor_rejected_clients_total',
+    'Requests refused and connections closed because of a limit, by reason.',
+    ('reason',),
+)
 EVENT_LOOP_DELAY_SECONDS = Histogram(
     'cicadadoor_event_loop_delay_seconds',
     'Time by which timer callbacks ran late, as the event loop was busy or suspended.',
