--- a/cicadadoor/entry/state.py
+++ b/cicadadoor/entry/state.py
@@ -1,5 +1,6 @@
 """Hold the state that the services of an entry host share."""
 
+from cicadadoor.decisions.memory_account import MemoryAccount, account_bytes
 from cicadadoor.entry.settings import EntrySettings
 from cicadadoor.ids import new_instance_id
 from cicadadoor.kernel import Service
@@ -13,6 +14,8 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.instance = new_instance_id()
+        # Bytes held on behalf of clients, backend servers, other hosts and the store.
+        self.account = MemoryAccount(account_bytes(settings.memory_mb))
         # Set at SIGTERM: the directory no longer returns this host, and connections are
         # closed after their answers.
         self.is_leaving = False
