--- a/cicadadoor/entry/daemon.py
+++ b/cicadadoor/entry/daemon.py
@@ -25,6 +25,7 @@
 from cicadadoor.entry.state import EntryState
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.peer_hub import PeerHub
+from cicadadoor.links.peer_limits import PeerLimits
 from cicadadoor.links.transport import PeerSecurity
 from cicadadoor.platform import build_source, header_codec, paths
 from cicadadoor.telemetry import logs
@@ -32,6 +33,10 @@
 
 # A peer sends at most one snapshot request per topic at a time.
 _PEER_CONTEXTS = 4
+# Such a request has a topic, two numbers and an instance id.
+_PEER_REQUEST_BYTES = 4096
+# The largest fleets have fewer than 128 hosts; a host that is refused asks another one.
+_PEER_CONNECTIONS = 256
 
 
 def build(settings: EntrySettings) -> Kernel:
@@ -60,7 +65,12 @@
     for service in services:
         kernel.register(service)
     # The hub starts after the services that handle its messages.
-    hub = PeerHub(state.instance, settings.peers, PeerSecurity(), _PEER_CONTEXTS)
+    limits = PeerLimits(
+        contexts=_PEER_CONTEXTS,
+        request_bytes=_PEER_REQUEST_BYTES,
+        connections=_PEER_CONNECTIONS,
+    )
+    hub = PeerHub(state.instance, settings.peers, PeerSecurity(), limits)
     kernel.register(SnapshotExchange(hub))
     kernel.register(hub)
     kernel.register(EntryServer(header_codec(), paths()))
--- a/cicadadoor/links/peer_hub.py
+++ b/cicadadoor/links/peer_hub.py
@@ -3,6 +3,7 @@
 from cicadadoor.errors import Failure
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.messages import Ack, Codec, Message, Refusal
+from cicadadoor.links.peer_limits import PeerLimits
 from cicadadoor.links.transport import (
     Handler,
     MessageStamp,
@@ -26,9 +27,9 @@
         instance: str,
         address: Address,
         security: PeerSecurity,
-        contexts: int | None = None,
+        limits: PeerLimits | None = None,
     ) -> None:
-        self._contexts = contexts
+        self._limits = limits
         self._stamp = MessageStamp(instance)
         self._address = address
         self._security = security
@@ -51,9 +52,8 @@
         """Listen, if any service answers requests."""
         if not self._handlers:
             return
-        options = {} if self._contexts is None else {'contexts': self._contexts}
         self._server = PeerServer(
-            self._stamp, self._handlers, self._security, **options
+            self._stamp, self._handlers, self._security, self._limits
         )
         self._server.start(kernel, self._address)
 
--- a/cicadadoor/links/transport.py
+++ b/cicadadoor/links/transport.py
@@ -20,15 +20,13 @@
     Refusal,
     encode,
 )
+from cicadadoor.links.peer_limits import PeerLimits
 from cicadadoor.settings import Address, Settings
 from cicadadoor.telemetry import logs, metrics
 
 log = logs.logger('link')
 
 _MS_PER_S = 1000
-# Peer requests that are served concurrently. Forwarded requests wait here for backend
-# servers, and for other gates, which may in turn wait for this one.
-_SERVER_CONTEXTS = 256
 _PAIR_SEND_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT_S = 0.5
 _CONNECT_POLL_S = 0.01
@@ -124,9 +122,9 @@
         stamp: MessageStamp,
         handlers: dict[type[Message], Handler],
         security: PeerSecurity,
-        contexts: int = _SERVER_CONTEXTS,
+        limits: PeerLimits | None = None,
     ) -> None:
-        self._contexts = contexts
+        self._limits = limits or PeerLimits()
         self._stamp = stamp
         self._codec = Codec(*handlers)
         self._handlers = handlers
@@ -136,11 +134,14 @@
     def start(self, kernel: Kernel, address: Address) -> None:
         """Listen and serve until closed; raise AddressInUseError if in use."""
         socket = pynng.Rep0()
-        socket.recv_max_size = MAX_MESSAGE_BYTES
+        # The connection of a peer that sends a longer message is closed.
+        socket.recv_max_size = self._limits.request_bytes
         self._security.apply(socket)
+        if self._limits.connections is not None:
+            socket.add_pre_pipe_connect_cb(self._refuse_surplus)
         _listen(socket, self._security.url(address))
         self._socket = socket
-        for _ in range(self._contexts):
+        for _ in range(self._limits.contexts):
             kernel.spawn(self._serve, socket.new_context())
 
     def close(self) -> None:
@@ -181,11 +182,26 @@
             return self._refuse(request, 0)
         try:
             answer = await self._handlers[type(request)](request)
-            return encode(self._stamp.apply(answer, request.message_id))
+            encoded_answer = encode(self._stamp.apply(answer, request.message_id))
         except Exception:
             log.exception('peer_handler_failed', message=type(request).__name__)
             failure = Failure(ErrorKind.INTERNAL, 'the message handler failed')
             return self._refuse(failure, request.message_id)
+        if len(encoded_answer) > MAX_MESSAGE_BYTES:
+            # The peer would close the connection, and would not learn why.
+            failure = Failure(
+                ErrorKind.MESSAGE_INVALID,
+                f'the answer of {len(encoded_answer)} bytes exceeds '
+                f'{MAX_MESSAGE_BYTES} bytes',
+            )
+            return self._refuse(failure, request.message_id)
+        return encoded_answer
+
+    def _refuse_surplus(self, pipe: pynng.Pipe) -> None:
+        # Called in a thread of pynng, before the connection counts as open.
+        if len(pipe.socket.pipes) > self._limits.connections:
+            metrics.DROPPED_MESSAGES.labels('too_many_peers').inc()
+            pipe.close()
 
     def _refuse(self, failure: Failure, in_reply_to: int) -> bytes:
         metrics.DROPPED_MESSAGES.labels(failure.kind.value).inc()
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -8,7 +8,8 @@
 
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.kernel import Kernel
-from cicadadoor.links.messages import Ack, Codec
+from cicadadoor.links.messages import MAX_MESSAGE_BYTES, Ack, Codec, Refusal
+from cicadadoor.links.peer_limits import PeerLimits
 from cicadadoor.links.transport import (
     MessageStamp,
     PeerClient,
@@ -79,6 +80,81 @@
         assert reached
 
 
+async def with_limited_server(limits: PeerLimits, use) -> None:
+    """Call `use` with the address of a server that repeats each reason."""
+    address = Address('127.0.0.1', Ports.free())
+    kernel = Kernel()
+
+    async def repeat(message):
+        return Refusal(kind='internal', reason=message.reason * 2)
+
+    async with anyio.create_task_group() as tasks:
+        kernel._tasks = tasks
+        server = PeerServer(
+            MessageStamp('server'), {Refusal: repeat}, PeerSecurity(), limits
+        )
+        server.start(kernel, address)
+        await use(str(address))
+        server.close()
+        tasks.cancel_scope.cancel()
+
+
+def client_of(address: str) -> PeerClient:
+    return PeerClient(MessageStamp('client'), Codec(Refusal), address, PeerSecurity())
+
+
+def request_of(size_bytes: int) -> Refusal:
+    return Refusal(kind='internal', reason='a' * size_bytes)
+
+
+class TestPeerLimits:
+    """Guard against peers for which a host holds more than it can."""
+
+    def test_request_over_the_limit_is_not_read(self):
+        async def use(address: str) -> None:
+            client = client_of(address)
+            short = await client.request(request_of(10), 30)
+            assert short.reason == 'a' * 20
+            long = await client.request(request_of(5000), 1)
+            assert long.kind is not ErrorKind.INTERNAL
+            assert len(long.reason) < 100
+            client.close()
+
+        anyio.run(with_limited_server, PeerLimits(request_bytes=4096), use)
+
+    def test_answer_over_the_limit_is_refused_with_a_reason(self):
+        """The peer used to close the connection, and to wait for its time-out."""
+
+        async def use(address: str) -> None:
+            client = client_of(address)
+            size_bytes = MAX_MESSAGE_BYTES // 2 + 1
+            answer = await client.request(request_of(size_bytes), 30)
+            assert answer.kind is ErrorKind.MESSAGE_INVALID
+            assert 'exceeds' in answer.reason
+            client.close()
+
+        anyio.run(with_limited_server, PeerLimits(), use)
+
+    def test_peers_beyond_the_limit_are_not_connected(self):
+        async def use(address: str) -> None:
+            clients = [client_of(address) for _ in range(2)]
+            for client in clients:
+                answer = await client.request(request_of(1), 30)
+                assert answer.reason == 'aa'
+            surplus = client_of(address)
+            refused = await surplus.request(request_of(1), 0.5)
+            assert refused.reason != 'aa'
+            clients.pop().close()
+            # It is connected once another peer has gone.
+            with anyio.fail_after(30):
+                while (await surplus.request(request_of(1), 1)).reason != 'aa':
+                    await anyio.sleep(0.05)
+            for client in (surplus, *clients):
+                client.close()
+
+        anyio.run(with_limited_server, PeerLimits(connections=2), use)
+
+
 async def _cancelled_by_library() -> None:
     raise asyncio.CancelledError
 
