--- a/cicadadoor/entry/heartbeats.py
+++ b/cicadadoor/entry/heartbeats.py
@@ -3,6 +3,7 @@
 import zlib
 from collections.abc import Sequence
 from functools import lru_cache
+from typing import Annotated
 
 import msgspec
 from msgspec import structs
@@ -18,9 +19,13 @@
 from cicadadoor.entry.model import Topic
 
 TOPICS = tuple(Topic)
+# As long as the settings allow for the name of a host.
+_MAX_NAME_LENGTH = 63
 _NAME_HASH_CACHE_SIZE = 16_384
 _RATE_DIGITS = 1
 
+Name = Annotated[str, msgspec.Meta(max_length=_MAX_NAME_LENGTH)]
+
 
 class HostHeartbeat(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Report to other hosts that this one is alive, and its state.
@@ -41,8 +46,8 @@
     `unreachable`, `crashes`, `limits` and `learned` concern all of them together.
     """
 
-    host: str
-    instance: str
+    host: Name
+    instance: Name
     number: int
     is_leaving: bool
     revisions: tuple[int, ...]
--- a/cicadadoor/entry/reported_hosts.py
+++ b/cicadadoor/entry/reported_hosts.py
@@ -8,6 +8,8 @@
 SUMMARY_TIMEOUT_S = 5.0
 # A host that is not listed shares the limits for this time after its last heartbeat.
 _UNLISTED_TIMEOUT_S = 10.0
+# Far more than the hosts of any fleet, so that a faulty sender cannot fill the memory.
+_MAX_UNLISTED_HOSTS = 1024
 
 
 class UnlistedHosts:
@@ -21,8 +23,9 @@
         return len(self._heard_s)
 
     def record_heartbeat(self, host: str, now_s: float) -> None:
-        """Record a heartbeat of a host that is not listed."""
-        self._heard_s[host] = now_s
+        """Record a heartbeat of a host that is not listed, unless too many are."""
+        if host in self._heard_s or len(self._heard_s) < _MAX_UNLISTED_HOSTS:
+            self._heard_s[host] = now_s
 
     def discard(self, hosts: Iterable[str]) -> None:
         """Remove hosts that are listed now."""
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -1,7 +1,10 @@
 """Test the table of other hosts."""
 
+import msgspec
 import pytest
+from msgspec import structs
 
+from cicadadoor.entry.heartbeats import HostHeartbeat
 from cicadadoor.entry.model import HostRecord
 from cicadadoor.entry.peers import PeerTable
 from tests.utils.heartbeats import heartbeat_of
@@ -90,6 +93,24 @@
         assert len(table.unlisted) == 0
 
 
+class TestBounds:
+    """Guard against a faulty sender that fills the memory of the other hosts."""
+
+    def test_number_of_unlisted_hosts_is_bounded(self, table):
+        for number in range(5000):
+            table.record_heartbeat(heartbeat_of(f'host-{number}'), 100.0)
+        assert len(table.unlisted) == 1024
+        table.prune(120.0)
+        assert not len(table.unlisted)
+
+    @pytest.mark.parametrize('field', ('host', 'instance'))
+    def test_heartbeat_with_a_long_name_is_malformed(self, field):
+        heartbeat = structs.replace(heartbeat_of('b'), **{field: 'a' * 64})
+        decoder = msgspec.msgpack.Decoder(HostHeartbeat)
+        with pytest.raises(msgspec.ValidationError):
+            decoder.decode(msgspec.msgpack.encode(heartbeat))
+
+
 class TestPruning:
     """Check hosts whose records were removed, and hosts that are silent."""
 
