--- a/cicadadoor/entry/daemon.py
+++ b/cicadadoor/entry/daemon.py
@@ -46,7 +46,7 @@
     services: tuple[Service, ...] = (
         BootTimer(),
         state,
-        build_source(str(settings.store)),
+        build_source(str(settings.store), state.account),
         Mirror(),
         ActivePolicy(),
         Membership(),
--- a/cicadadoor/http_client.py
+++ b/cicadadoor/http_client.py
@@ -4,7 +4,7 @@
 endless body without limit.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
 from typing import Any
 
@@ -13,12 +13,20 @@
 
 # The limit counts received bytes; a small compressed body may expand to any size.
 IDENTITY_ENCODING_HEADERS = {'accept-encoding': 'identity'}
+# A body is held as it is received, and once more as the content of the response.
+_COPIES = 2
+
+Reserve = Callable[[int], bool]
 
 
 class ResponseTooLongError(httpx.RemoteProtocolError):
     """Report a response, or one of its lines, that exceeds the size limit."""
 
 
+class ResponseNotHeldError(httpx.RemoteProtocolError):
+    """Report a response for which there was no memory."""
+
+
 class FetchedResponse:
     """Hold a response whose body was read completely."""
 
@@ -42,16 +50,21 @@
     *,
     limit_bytes: int,
     within_s: float,
+    reserve: Reserve | None = None,
     **options: Any,
 ) -> FetchedResponse:
-    """Return the complete response; raise httpx.HTTPError on failure."""
+    """Return the complete response; raise httpx.HTTPError on failure.
+
+    `reserve` is called with a number of bytes before they are stored; the response is
+    abandoned if it returns False.
+    """
     headers = {**IDENTITY_ENCODING_HEADERS, **(options.pop('headers', None) or {})}
     try:
         with anyio.fail_after(within_s):
             async with client.stream(
                 method, url, headers=headers, **options
             ) as response:
-                content = await _read_body(response, limit_bytes)
+                content = await _read_body(response, limit_bytes, reserve)
     except TimeoutError as error:
         raise httpx.ReadTimeout(f'no complete response within {within_s} s') from error
     return FetchedResponse(response.status_code, response.headers, content)
@@ -83,10 +96,18 @@
         yield chunk
 
 
-async def _read_body(response: httpx.Response, limit_bytes: int) -> bytes:
+async def _read_body(
+    response: httpx.Response,
+    limit_bytes: int,
+    reserve: Reserve | None,
+) -> bytes:
     content = bytearray()
     async for chunk in _body_chunks(response):
-        content += chunk
-        if len(content) > limit_bytes:
+        if len(content) + len(chunk) > limit_bytes:
             raise ResponseTooLongError(f'response body exceeds {limit_bytes} bytes')
+        if reserve is not None and not reserve(_COPIES * len(chunk)):
+            raise ResponseNotHeldError(
+                f'no memory for more than {len(content)} bytes of the response body'
+            )
+        content += chunk
     return bytes(content)
--- a/cicadadoor/platform/__init__.py
+++ b/cicadadoor/platform/__init__.py
@@ -1,5 +1,6 @@
 """Adapt the platform to cicadadoor; only this package uses the platform's names."""
 
+from cicadadoor.decisions.memory_account import MemoryAccount
 from cicadadoor.entry.forwarding import HeaderCodec
 from cicadadoor.entry.platform_handler import Paths
 from cicadadoor.platform import headers
@@ -7,9 +8,9 @@
 from cicadadoor.platform.store_client import StoreClient
 
 
-def build_source(address: str) -> PlatformSource:
+def build_source(address: str, account: MemoryAccount) -> PlatformSource:
     """Return a source of records that uses the store at the address."""
-    return PlatformSource(StoreClient(address))
+    return PlatformSource(StoreClient(address, account))
 
 
 def header_codec() -> HeaderCodec:
--- a/cicadadoor/platform/store_client.py
+++ b/cicadadoor/platform/store_client.py
@@ -1,15 +1,18 @@
 """HTTP client of the platform's metadata store."""
 
 from http import HTTPStatus
+from typing import Any
 from urllib.parse import quote
 
 import httpx
 import msgspec
 
+from cicadadoor.decisions.memory_account import MemoryAccount, Owner
 from cicadadoor.errors import ErrorKind, Failure
-from cicadadoor.http_client import fetch
+from cicadadoor.http_client import FetchedResponse, ResponseNotHeldError, fetch
 from cicadadoor.platform.nesting import limit_nesting
 from cicadadoor.sockets import KEEP_ALIVE_OPTIONS
+from cicadadoor.telemetry import metrics
 
 # A healthy store answers in 4 ms. Calls time out after this, so that a silent
 # connection is replaced early enough for changes to take effect in time.
@@ -20,6 +23,9 @@
 # A page has about 1 MB. A watch returns all changes since its revision; 16 MB of them
 # leave room in the 300 MB of memory of a host.
 _MAX_ANSWER_BYTES = 16_777_216
+_ACCOUNT_KIND = 'store'
+# Without a shared account: a long answer for each of four topics, held twice.
+_MAX_HELD_BYTES = 8 * _MAX_ANSWER_BYTES
 # Such a read costs a tenth of a consistent one, and may return data seconds old.
 _ALLOW_STALE = 'allow_stale=1'
 # Deeper than in any object that the platform or this host writes, and far below what
@@ -80,9 +86,15 @@
 
 
 class StoreClient:
-    """Send one HTTP request per method call; callers retry."""
+    """Send one HTTP request per method call; callers retry.
 
-    def __init__(self, address: str) -> None:
+    Answers count in the account while they are read, so that several long ones at a
+    time are read one after another where they do not fit together.
+    """
+
+    def __init__(self, address: str, account: MemoryAccount | None = None) -> None:
+        self._account = account or MemoryAccount(_MAX_HELD_BYTES)
+        self._owner = Owner(address)
         self._client = httpx.AsyncClient(
             base_url=f'http://{address}/v1/objects/',
             timeout=CALL_TIMEOUT_S,
@@ -161,11 +173,9 @@
     ) -> bytes | Failure:
         headers = {'content-type': 'application/json'} if encoded else None
         try:
-            response = await fetch(
-                self._client,
+            response = await self._fetch(
                 method,
                 path,
-                limit_bytes=_MAX_ANSWER_BYTES,
                 within_s=CALL_TIMEOUT_S + read_timeout_s,
                 content=encoded,
                 headers=headers,
@@ -189,6 +199,24 @@
             kind, f'{method} {path}: the store answered with status {response.status}'
         )
 
+    async def _fetch(self, method: str, path: str, **options: Any) -> FetchedResponse:
+        reservation = self._account.open(_ACCOUNT_KIND, self._owner)
+        try:
+            return await fetch(
+                self._client,
+                method,
+                path,
+                limit_bytes=_MAX_ANSWER_BYTES,
+                reserve=reservation.grow,
+                **options,
+            )
+        except ResponseNotHeldError:
+            metrics.REFUSED_HOLDINGS.labels(_ACCOUNT_KIND).inc()
+            raise
+        finally:
+            # The answer is decoded in the same step of the event loop.
+            reservation.release()
+
 
 def _path(kind: str, name: str) -> str:
     return f'{kind}/{quote(name, safe="")}'
--- a/cicadadoor/telemetry/metrics.py
+++ b/cicadadoor/telemetry/metrics.py
@@ -53,6 +53,11 @@
     'Requests refused and connections closed because of a limit, by reason.',
     ('reason',),
 )
+REFUSED_HOLDINGS = Counter(
+    'cicadadoor_refused_holdings_total',
+    'Messages of other hosts and answers of the store without memory, by kind.',
+    ('kind',),
+)
 EVENT_LOOP_DELAY_SECONDS = Histogram(
     'cicadadoor_event_loop_delay_seconds',
     'Time by which timer callbacks ran late, as the event loop was busy or suspended.',
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,6 +1,7 @@
 """Test HTTP clients against endless, slow and unexpected responses."""
 
 import gzip
+from functools import partial
 
 import anyio
 import httpx
@@ -8,11 +9,12 @@
 
 from cicadadoor.cli.client import read_status
 from cicadadoor.config.model import BackendServer
+from cicadadoor.decisions.memory_account import MemoryAccount, Owner
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.gate.probing import Prober
 from cicadadoor.http_client import fetch
 from cicadadoor.object_store.http import HttpObjectStore
-from cicadadoor.platform.store_client import StoreClient
+from cicadadoor.platform.store_client import Page, StoreClient
 from cicadadoor.timer import BootTimer
 from tests.test_keyed_once import StubService
 from tests.utils.gates import FakeKernel
@@ -142,6 +144,50 @@
         run(trickling, ask)
 
 
+def ask_for_page(account: MemoryAccount, size_bytes: int) -> object:
+    """Return what the store client makes of a valid page of this size."""
+    answers = []
+
+    async def page(request, connection) -> None:
+        body = b'{"items":["%s"],"at":1}' % (b'a' * size_bytes)
+        await connection.answer(200, body=body)
+
+    async def main() -> None:
+        async with serving(page) as server:
+            client = StoreClient(server.address, account)
+            answers.append(await client.page('config'))
+            await client.close()
+
+    anyio.run(main)
+    return answers[0]
+
+
+class TestAccount:
+    """Guard against store answers that are held beside the memory of clients."""
+
+    @pytest.mark.parametrize(
+        ('limit_bytes', 'is_held'), ((1_000_000, False), (10_000_000, True))
+    )
+    def test_answer_is_not_held_beyond_the_account(self, limit_bytes, is_held):
+        account = MemoryAccount(limit_bytes)
+        answer = ask_for_page(account, 2_000_000)
+        assert isinstance(answer, Page) is is_held
+        assert is_held or answer.kind is ErrorKind.STORE_UNAVAILABLE
+        assert account.held_bytes == 0
+
+    def test_answer_displaces_the_clients_that_hold_the_most(self):
+        """A host whose clients fill its memory must still follow the store."""
+        account = MemoryAccount(1_000_000)
+        evicted = []
+        crowd = account.open('body', Owner('127.0.0.2'))
+        crowd.on_evict = partial(evicted.append, True)
+        assert crowd.grow(850_000)
+
+        assert isinstance(ask_for_page(account, 200_000), Page)
+        assert evicted
+        assert account.held_bytes == 0
+
+
 class TestStatus:
     """Guard against a status code that no client expects."""
 
