--- a/cicadadoor/entry/quarantine.py
+++ b/cicadadoor/entry/quarantine.py
@@ -165,7 +165,9 @@
     }
 
 
-def fingerprint_of(request: CallerRequest, organisation: str, body: bytes) -> int:
+def fingerprint_of(
+    request: CallerRequest, organisation: str, body: bytes | bytearray
+) -> int:
     """Return a hash of the request that is the same for its retries."""
     hashed = blake2b(digest_size=_DIGEST_BYTES)
     for part in (
--- a/cicadadoor/entry/routed_request.py
+++ b/cicadadoor/entry/routed_request.py
@@ -32,7 +32,7 @@
         self,
         *,
         request: CallerRequest,
-        body: bytes,
+        body: bytes | bytearray,
         route: RoutePolicy,
         organisation: OrganisationPolicy | None,
         service: str,
