--- a/cicadadoor/decisions/memory_account.py
+++ b/cicadadoor/decisions/memory_account.py
@@ -74,6 +74,7 @@
         '_account',
         'granted_bytes',
         'held_bytes',
+        'is_closed',
         'kind',
         'left_bytes',
         'on_evict',
@@ -87,6 +88,7 @@
         self.held_bytes = 0
         self.left_bytes = 0
         self.granted_bytes = 0
+        self.is_closed = False
         self.on_evict: Callable[[], None] | None = None
 
     def grow(self, size_bytes: int) -> bool:
@@ -94,6 +96,8 @@
 
         The reservation is unchanged then.
         """
+        if self.is_closed:
+            return False
         return self._account.grow(self, size_bytes)
 
     def shrink(self, size_bytes: int) -> None:
@@ -109,6 +113,12 @@
         """Release all bytes; a released reservation may be released again."""
         self._account.release(self)
 
+    def close(self) -> None:
+        """Release all bytes, and grant no more."""
+        self.is_closed = True
+        self.on_evict = None
+        self._account.release(self)
+
 
 class MemoryAccount:
     """Grant bytes up to a limit, and decide who has to end when it is reached."""
--- a/cicadadoor/entry/caller_connection.py
+++ b/cicadadoor/entry/caller_connection.py
@@ -126,6 +126,9 @@
         if raw_socket.fileno() >= 0:
             raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         self._transport.abort()
+        # Frees the memory at once; the event loop reports the end only later.
+        self._writer.close()
+        self._queue.drop_all()
 
     def abort(self) -> None:
         """Close the connection at once."""
--- a/cicadadoor/entry/caller_handler.py
+++ b/cicadadoor/entry/caller_handler.py
@@ -40,6 +40,7 @@
         self._open = open_requests
         self._state: EntryState = kernel.find('state')
         self._timer: TimerService = kernel.find('timer')
+        self._account = self._state.account
         self._policy: ActivePolicy = kernel.find('policy')
         self._admission: Admission = kernel.find('admission')
         self._dispatcher: Dispatcher = kernel.find('dispatcher')
@@ -63,14 +64,14 @@
             exchange.method, exchange.target, exchange.headers
         )
         exchange.request = request
-        if exchange.body.declared_bytes != 0:
-            organisation = self._policy.find_organisation(request.api_key)
-            if organisation is not None:
-                exchange.owner = exchange.owner.with_organisation(organisation.name)
+        organisation = self._policy.find_organisation(request.api_key)
+        if organisation is not None:
+            exchange.owner = exchange.owner.with_organisation(organisation.name)
 
     def handle(self, exchange: Exchange) -> None:
         """Answer the request in a new task."""
         exchange.scope = anyio.CancelScope()
+        exchange.response_reservation = self._account.open('response', exchange.owner)
         task = asyncio.get_running_loop().create_task(self._serve(exchange))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -133,6 +134,7 @@
             if isinstance(routed, Failure):
                 answer = routed
             else:
+                routed.reservation = exchange.response_reservation
                 with tracing.record_span('entry'):
                     answer = await self._run(routed)
             if isinstance(answer, Failure):
--- a/cicadadoor/entry/connections.py
+++ b/cicadadoor/entry/connections.py
@@ -13,10 +13,9 @@
 import anyio
 import h11
 
-from cicadadoor.decisions.response_budget import ResponseBudget
+from cicadadoor.decisions.memory_account import MemoryAccount, Reservation
 from cicadadoor.entry.messages import Headers
 from cicadadoor.entry.response_reader import (
-    MAX_INCOMPLETE_BYTES,
     MAX_RESPONSE_BYTES,
     ConnectionBrokenError,
     InvalidResponseError,
@@ -27,6 +26,10 @@
 
 # Bodies are written in parts, so that an early response is noticed before the end.
 _WRITE_BYTES = 65_536
+# Without it, the event loop receives 256 KB at a time from each of many connections
+# before any of the bytes are parsed.
+_READ_BYTES = 65_536
+_buffer = memoryview(bytearray(_READ_BYTES))
 WantsBody = Callable[[int, Headers], bool]
 
 
@@ -39,19 +42,19 @@
 
     __slots__ = ('body', 'headers', 'status')
 
-    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
+    def __init__(self, status: int, headers: Headers, body: bytes | bytearray) -> None:
         self.status = status
         self.headers = headers
         self.body = body
 
 
-class BackendConnection(asyncio.Protocol):
+class BackendConnection(asyncio.BufferedProtocol):
     """Exchange one request and response at a time."""
 
-    def __init__(self, budget: ResponseBudget) -> None:
+    def __init__(self, account: MemoryAccount) -> None:
         self._transport: asyncio.Transport
         self._parser = h11.Connection(h11.CLIENT)
-        self._reader = ResponseReader(self._parser, budget, self._wait)
+        self._reader = ResponseReader(self._parser, account, self._wait)
         self._wake = anyio.Event()
         self._can_write = True
         self._error: Exception | None = None
@@ -69,7 +72,15 @@
         for level, option, setting in KEEP_ALIVE_OPTIONS:
             raw_socket.setsockopt(level, option, setting)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for received bytes, which all connections share."""
+        return _buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle received bytes."""
+        self.data_received(_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Pass received bytes to the reader."""
         if not self.is_busy:
             # Bytes that belong to no request, such as a duplicate response.
@@ -115,16 +126,18 @@
         headers: Headers,
         body: bytes | bytearray,
         wants_body: WantsBody = _want_any_body,
+        reservation: Reservation | None = None,
     ) -> RawResponse:
         """Send a request and return the complete response.
 
-        The body is empty if `wants_body` returns false. The connection is closed if it
-        cannot be reused after the response.
+        The body is empty if `wants_body` returns false; otherwise its bytes are added
+        to the reservation. The connection is closed if it cannot be reused after the
+        response.
         """
         self.is_busy = True
         self.has_sent = False
         self.has_received = False
-        self._reader.begin()
+        self._reader.begin(reservation)
         try:
             request = h11.Request(method=method, target=target, headers=headers)
             head = self._parser.send(request)
@@ -190,7 +203,7 @@
         self._wake.set()
 
     def _finish(self, *, is_done: bool) -> None:
-        self._reader.end()
+        self._reader.end(is_done=is_done)
         self.is_busy = False
         if not is_done or not self._can_reuse():
             self.abort()
@@ -209,14 +222,14 @@
 async def connect(
     address: str,
     timeout_s: float,
-    budget: ResponseBudget | None = None,
+    account: MemoryAccount | None = None,
 ) -> BackendConnection:
     """Open a connection; raise OSError, or TimeoutError after `timeout_s`."""
     host_ip, _, port = address.rpartition(':')
     loop = asyncio.get_running_loop()
     with anyio.fail_after(timeout_s):
         _, connection = await loop.create_connection(
-            partial(BackendConnection, budget or ResponseBudget(MAX_INCOMPLETE_BYTES)),
+            partial(BackendConnection, account or MemoryAccount(MAX_RESPONSE_BYTES)),
             host_ip,
             int(port),
         )
--- a/cicadadoor/entry/daemon.py
+++ b/cicadadoor/entry/daemon.py
@@ -26,6 +26,7 @@
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.peer_hub import PeerHub
 from cicadadoor.links.transport import PeerSecurity
+from cicadadoor.memory_tuning import return_large_blocks
 from cicadadoor.platform import build_source, header_codec, paths
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import BootTimer
@@ -72,6 +73,7 @@
     # Ignored until the reload service handles it: the default action ends the process,
     # and the settings have not been read yet, so there is nothing to reload.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    return_large_blocks()
     sys.exit(
         core.run_daemon(
             'cicadadoor-entry',
--- a/cicadadoor/entry/dispatch.py
+++ b/cicadadoor/entry/dispatch.py
@@ -159,6 +159,7 @@
             body=routed.body,
             organisation=routed.organisation_name,
             deadline_s=routed.deadline_s,
+            reservation=routed.reservation,
         )
         answer: BackendResponse | Failure = Failure(
             ErrorKind.BACKEND_SILENT,
--- a/cicadadoor/entry/exchange.py
+++ b/cicadadoor/entry/exchange.py
@@ -69,8 +69,7 @@
         """Free the bytes."""
         self.content = b''
         if self.reservation is not None:
-            self.reservation.on_evict = None
-            self.reservation.release()
+            self.reservation.close()
 
 
 class Exchange:
@@ -142,9 +141,10 @@
         """Free everything that the exchange holds."""
         self.is_dropped = True
         self.body.release()
+        if self.response is not None:
+            self.response.body = b''
         if self.response_reservation is not None:
-            self.response_reservation.on_evict = None
-            self.response_reservation.release()
+            self.response_reservation.close()
 
 
 class RequestHandler(abc.ABC):
--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from cicadadoor.decisions.response_budget import ResponseBudget
+from cicadadoor.decisions.memory_account import MemoryAccount, Reservation
 from cicadadoor.entry.backend_table import Backend
 from cicadadoor.entry.backends import Backends
 from cicadadoor.entry.connection_pool import ConnectionPool
@@ -14,7 +14,6 @@
 from cicadadoor.entry.limit_sharing import note_response
 from cicadadoor.entry.messages import BackendResponse, CallerRequest, Headers
 from cicadadoor.entry.response_reader import (
-    MAX_INCOMPLETE_BYTES,
     ConnectionBrokenError,
     InvalidResponseError,
 )
@@ -65,7 +64,7 @@
 class OutgoingRequest:
     """Hold a request as it is sent to a backend server, with its deadline."""
 
-    __slots__ = ('body', 'deadline_s', 'organisation', 'request')
+    __slots__ = ('body', 'deadline_s', 'organisation', 'request', 'reservation')
 
     def __init__(
         self,
@@ -74,7 +73,10 @@
         body: bytes | bytearray,
         organisation: str,
         deadline_s: float,
+        reservation: Reservation | None = None,
     ) -> None:
+        # Holds the bytes of the response.
+        self.reservation = reservation
         self.request = request
         self.body = body
         self.organisation = organisation
@@ -91,12 +93,13 @@
         self._timer: TimerService
         self._backends: Backends
         self._pool = ConnectionPool()
-        self._budget = ResponseBudget(MAX_INCOMPLETE_BYTES)
+        self._account: MemoryAccount
 
     async def start(self, kernel: Kernel) -> None:
         """Start to close expired idle connections periodically."""
         self._timer = kernel.find('timer')
         self._backends = kernel.find('backends')
+        self._account = kernel.find('state').account
         self._timer.subscribe('prune_connections', _PRUNE_PERIOD_S, self._prune)
 
     async def stop(self, grace_s: float) -> None:
@@ -144,7 +147,7 @@
         kept = self._pool.acquire(backend.pool_key, self._timer.now_s())
         if kept is not None:
             return kept
-        connection = await connect(backend.record.address, timeout_s, self._budget)
+        connection = await connect(backend.record.address, timeout_s, self._account)
         metrics.BACKEND_CONNECTIONS.inc()
         return connection
 
@@ -174,6 +177,7 @@
                     headers,
                     outgoing.body,
                     head_check.wants_body,
+                    outgoing.reservation,
                 )
         except TimeoutError:
             return Failure(
--- a/cicadadoor/entry/messages.py
+++ b/cicadadoor/entry/messages.py
@@ -121,6 +121,6 @@
 
     __slots__ = ('body', 'head')
 
-    def __init__(self, head: ResponseHead, body: bytes) -> None:
+    def __init__(self, head: ResponseHead, body: bytes | bytearray) -> None:
         self.head = head
         self.body = body
--- a/cicadadoor/entry/response_queue.py
+++ b/cicadadoor/entry/response_queue.py
@@ -95,11 +95,15 @@
             self._context.handler.end(exchange)
 
     def _reserve(self, exchange: Exchange, response: Response) -> None:
-        reservation = self._context.account.open('response', exchange.owner)
-        exchange.response_reservation = reservation
+        reservation = exchange.response_reservation
+        if reservation is None:
+            reservation = self._context.account.open('response', exchange.owner)
+            exchange.response_reservation = reservation
         reservation.on_evict = self._on_evict
-        reservation.left_bytes = len(response.body)
-        if not reservation.grow(len(response.body)):
+        reservation.note_progress(len(response.body))
+        # The response of a backend server is reserved already.
+        missing_bytes = len(response.body) - reservation.held_bytes
+        if missing_bytes > 0 and not reservation.grow(missing_bytes):
             self._on_evict()
 
     def _note_progress(self, exchange: Exchange) -> None:
--- a/cicadadoor/entry/response_reader.py
+++ b/cicadadoor/entry/response_reader.py
@@ -9,7 +9,7 @@
 import h11
 from anyio import lowlevel
 
-from cicadadoor.decisions.response_budget import ResponseBudget
+from cicadadoor.decisions.memory_account import MemoryAccount, Owner, Reservation
 from cicadadoor.decisions.response_limits import ResponseProgress, find_head_fault
 
 # Parsed in one step; the limits are checked between the steps.
@@ -21,9 +21,6 @@
 _EVENTS_PER_YIELD = 64
 # Longer responses are rejected.
 MAX_RESPONSE_BYTES = 67_108_864
-# Total size of all incomplete responses of a process. A host has 300 MB, most of which
-# is for the process itself and for responses being sent to callers.
-MAX_INCOMPLETE_BYTES = 100_663_296
 # Limits for a body that is discarded. The time covers a round trip between regions.
 _SKIP_TIMEOUT_S = 0.1
 _MAX_SKIP_BYTES = 65_536
@@ -44,11 +41,18 @@
     def __init__(
         self,
         parser: h11.Connection,
-        budget: ResponseBudget,
+        account: MemoryAccount,
         wait: Callable[[], Awaitable[None]],
     ) -> None:
         self._parser = parser
-        self._budget = budget
+        self._account = account
+        self._reservation: Reservation
+        # Whether the bytes of a complete response stay reserved by its receiver.
+        self._is_kept = False
+        self._body = bytearray()
+        self._reserved_bytes = 0
+        # The stated length of the body, or 0.
+        self._length_bytes = 0
         self._wait = wait
         self.transport: Any = None
         # Received but not yet passed to the parser.
@@ -66,27 +70,41 @@
         """Tell whether bytes arrived after the response."""
         return bool(self._unread or self._parser.trailing_data[0])
 
-    def receive(self, received: bytes) -> None:
+    def receive(self, received: bytes | memoryview) -> None:
         """Buffer received bytes, and pause reading if the buffer is too long."""
+        if self.fault:
+            return
+        if not self._reservation.grow(len(received)):
+            self.abort_response()
+            return
+        self._reserved_bytes += len(received)
         self._unread += received
         if len(self._unread) > _MAX_UNREAD_BYTES:
             self.transport.pause_reading()
 
-    def begin(self) -> None:
-        """Prepare for the next response."""
+    def begin(self, reservation: Reservation | None) -> None:
+        """Prepare for the next response, whose bytes are added to the reservation."""
         self._progress = ResponseProgress()
+        self._is_kept = reservation is not None
+        self._reservation = reservation or self._account.open('response', Owner(''))
+        self._reservation.on_evict = self.abort_response
+        self._reserved_bytes = 0
 
-    def end(self) -> None:
-        """Release the memory budget of the response."""
-        self._budget.release(self)
+    def end(self, *, is_done: bool) -> None:
+        """Release the bytes of the response, unless its receiver holds it."""
+        self._reservation.on_evict = None
+        if not (is_done and self._is_kept):
+            self._reservation.shrink(self._reserved_bytes)
 
     def abort_response(self) -> None:
         """Reject the response and close the connection to free its memory."""
         self.fault = (
-            f'response aborted at {self._progress.body_bytes} bytes: largest of the '
-            'incomplete responses, which together exceeded the memory limit'
+            f'response aborted at {self._progress.body_bytes} bytes: it holds more '
+            'than others while the memory is short'
         )
+        # Frees the memory at once; the request's task runs only later.
         self._unread.clear()
+        self._body.clear()
         self.transport.abort()
 
     async def read_head(self) -> h11.Response:
@@ -100,24 +118,28 @@
             self._progress.note_interim()
             self._check_limits()
         self._is_in_head = False
+        self._length_bytes = _find_length(event)
         return event
 
-    async def read_body(self, limit_bytes: int) -> bytes:
+    async def read_body(self, limit_bytes: int) -> bytearray:
         """Return the body; raise InvalidResponseError if it exceeds the limit."""
         # One buffer instead of a list: bytes objects for small chunks would take many
         # times their length in memory.
         body = bytearray()
+        self._body = body
         while not isinstance(event := await self._next_event(), h11.EndOfMessage):
             if not isinstance(event, h11.Data):
                 raise InvalidResponseError('response body ended early')
             body += event.data
             self._progress.body_bytes = len(body)
-            self._reserve(len(event.data))
+            if self._length_bytes:
+                self._reservation.left_bytes = self._length_bytes - len(body)
             if len(body) > limit_bytes:
                 raise InvalidResponseError(
                     f'response body exceeds the limit of {limit_bytes} bytes'
                 )
-        return bytes(body)
+        self._body = bytearray()
+        return body
 
     async def skip_body(self) -> None:
         """Read and discard a short body, so that the connection can be reused."""
@@ -126,11 +148,6 @@
             with anyio.move_on_after(_SKIP_TIMEOUT_S):
                 await self.read_body(_MAX_SKIP_BYTES)
 
-    def _reserve(self, size_bytes: int) -> None:
-        largest = self._budget.take(self, size_bytes)
-        if isinstance(largest, ResponseReader):
-            largest.abort_response()
-
     async def _next_event(self) -> object:
         self._events += 1
         if self._events % _EVENTS_PER_YIELD == 0:
@@ -161,6 +178,13 @@
         self._parser.receive_data(part)
 
 
+def _find_length(response: h11.Response) -> int:
+    for name, text in response.headers:
+        if name == b'content-length':
+            return int(text)
+    return 0
+
+
 def check_content_length(method: str, response: h11.Response) -> None:
     """Raise InvalidResponseError if Content-Length exceeds the limit."""
     if method == 'HEAD' or response.status_code in _NO_BODY:
--- a/cicadadoor/entry/response_writer.py
+++ b/cicadadoor/entry/response_writer.py
@@ -72,6 +72,10 @@
         self._body = None
         return True
 
+    def close(self) -> None:
+        """Discard the rest of the response."""
+        self._body = None
+
     def _begin(self, exchange: Exchange, response: Response) -> None:
         headers = [
             *response.headers,
--- a/cicadadoor/entry/routed_request.py
+++ b/cicadadoor/entry/routed_request.py
@@ -2,6 +2,7 @@
 
 import random
 
+from cicadadoor.decisions.memory_account import Reservation
 from cicadadoor.entry.messages import BackendResponse, CallerRequest
 from cicadadoor.entry.model import OrganisationPolicy, RoutePolicy
 from cicadadoor.entry.quarantine import fingerprint_of
@@ -21,6 +22,7 @@
         'organisation',
         'received_s',
         'request',
+        'reservation',
         'route',
         'service',
         'tried',
@@ -54,6 +56,8 @@
         self.may_have_run = False
         # A server error to return if the retry does not succeed.
         self.failed_response: BackendResponse | None = None
+        # Holds the bytes of the responses until the caller has taken one.
+        self.reservation: Reservation | None = None
 
     @property
     def organisation_name(self) -> str:
--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -1,7 +1,7 @@
 """Serve callers, directory lookups, readiness checks and metrics over HTTP."""
 
 from cicadadoor.decisions.connection_limits import ConnectionBounds, ConnectionTable
-from cicadadoor.decisions.memory_account import MemoryAccount, account_bytes
+from cicadadoor.decisions.memory_account import MemoryAccount
 from cicadadoor.entry.caller_handler import CallerHandler
 from cicadadoor.entry.caller_server import CallerServer
 from cicadadoor.entry.connection_context import ConnectionContext, LimitSource
@@ -61,7 +61,7 @@
         self._timer = kernel.find('timer')
         self._limits = _ConfiguredLimits(kernel.find('policy'))
         settings = self._state.settings
-        self._account = MemoryAccount(account_bytes(settings.memory_mb))
+        self._account = self._state.account
         bounds = ConnectionBounds(settings.max_descriptors)
         self._tables = {
             'callers': ConnectionTable(bounds.callers),
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -4,7 +4,7 @@
 import pytest
 from anyio import lowlevel
 
-from cicadadoor.decisions.response_budget import ResponseBudget
+from cicadadoor.decisions.memory_account import MemoryAccount
 from cicadadoor.entry.connections import connect
 from cicadadoor.entry.response_reader import InvalidResponseError
 from tests.utils.raw_server import serving
@@ -14,6 +14,7 @@
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 # Most that a test server sends; a host that reads all of it enforces no limit.
 _SENT_BYTES = 8_388_608
+_STALLED_BYTES = 3_145_728
 _TEST_TIMEOUT_S = 20
 
 
@@ -217,7 +218,7 @@
             aborted.append(connection)
 
         async def main() -> None:
-            budget = ResponseBudget(limit_bytes)
+            budget = MemoryAccount(limit_bytes)
             with anyio.fail_after(_TEST_TIMEOUT_S):
                 async with serving(handle) as server:
                     small = await connect(server.address, 5, budget)
@@ -233,26 +234,25 @@
         anyio.run(main)
 
     def test_stalled_answer_is_aborted_for_one_in_progress(self):
-        sent = anyio.Event()
         endless_answer = endless(CHUNKED, b'1000\r\n' + b'a' * 4096 + b'\r\n')
 
         async def handle(request, connection) -> None:
             if request.target == '/endless':
-                await sent.wait()
                 await endless_answer(request, connection)
                 return
-            await connection.write(CHUNKED + b'300000\r\n' + b'a' * 3_145_728)
-            sent.set()
+            await connection.write(CHUNKED + b'300000\r\n' + b'a' * _STALLED_BYTES)
             await connection.closed()
 
         async def main() -> None:
-            budget = ResponseBudget(4_194_304)
+            budget = MemoryAccount(4_194_304)
             with anyio.fail_after(_TEST_TIMEOUT_S):
                 async with serving(handle) as server:
                     stalled = await connect(server.address, 5, budget)
                     other = await connect(server.address, 5, budget)
                     async with anyio.create_task_group() as tasks:
                         tasks.start_soon(assert_rejected, stalled)
+                        # Both would be in progress while the bytes are on their way.
+                        await until(lambda: budget.held_bytes >= _STALLED_BYTES)
                         with pytest.raises(InvalidResponseError):
                             await other.exchange('GET', b'/endless', HEADERS, b'')
 
