--- a/cicadadoor/entry/daemon.py
+++ b/cicadadoor/entry/daemon.py
@@ -26,6 +26,7 @@
 from cicadadoor.links.peer_hub import PeerHub
 from cicadadoor.links.peer_limits import PeerLimits
 from cicadadoor.links.transport import PeerSecurity
+from cicadadoor.memory_tuning import return_large_blocks
 from cicadadoor.platform import build_source, header_codec, paths
 from cicadadoor.telemetry import logs
 from cicadadoor.timer import BootTimer
@@ -78,6 +79,7 @@
 
 def main() -> None:
     """Run `cicadadoor-entry SETTINGS_FILE`."""
+    return_large_blocks()
     sys.exit(
         core.run_daemon(
             'cicadadoor-entry',
