--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -115,7 +115,8 @@
             await _press(deployment, 1)
             worker.extra_headers = {}
             address = deployment.find('backends').find('i-0').record.address
-            deployment.store.put('servers', 'i-0', worker_entry(address, born=2))
+            later = worker_entry(address, born=1_700_000_000_001)
+            deployment.store.put('servers', 'i-0', later)
             with anyio.fail_after(20):
                 while 200 not in await _press(deployment, 0.2):
                     await anyio.sleep(0.1)
