--- a/cicadadoor/decisions/backend_health.py
+++ b/cicadadoor/decisions/backend_health.py
@@ -7,12 +7,16 @@
 
 import math
 
+from cicadadoor.decisions.restarts import RestartEvidence
+
 _MIN_PAUSE_S = 0.5
 _MAX_PAUSE_S = 4.0
 # A failure counts at other hosts for this long, counted from the failure itself.
 _REPORT_TTL_S = 3.0
 # Many hosts receive a report, and their trial requests add up.
 _REPORTED_PAUSE_S = 1.0
+# Reports of one failure differ by the time that heartbeats take.
+_REPORT_PRECISION_S = 0.4
 _GAIN = 0.15
 _UNRELIABLE_RATIO = 0.25
 # An unreliable server gets no requests that could improve its ratio, so the ratio
@@ -31,8 +35,8 @@
         'pause_s',
         'paused_until_s',
         'reported_failed_s',
+        'restart',
         'trial_until_s',
-        'was_refused',
     )
 
     def __init__(self) -> None:
@@ -45,13 +49,12 @@
         self.trial_until_s = -math.inf
         # The latest failure at another host.
         self.reported_failed_s = -math.inf
-        # Nothing listened at the address, so the server returns as a new process.
-        self.was_refused = False
+        self.restart = RestartEvidence()
 
     def note_response(self, now_s: float, *, is_bad: bool) -> None:
         """Record a response; a bad one reports a failure of the server itself."""
         self.last_response_s = now_s
-        self.was_refused = False
+        self.restart.clear()
         self.pause_s = 0.0
         self.paused_until_s = -math.inf
         self.trial_until_s = -math.inf
@@ -60,18 +63,32 @@
     def note_refused(self, now_s: float) -> None:
         """Record a refused connection."""
         self.note_connect_failure(now_s, now_s)
-        self.was_refused = True
+        self.restart.refused = True
 
     def note_connect_failure(self, now_s: float, sent_s: float) -> None:
         """Record a connection that could not be opened."""
-        self.note_unreachable(now_s, sent_s)
+        self._pause(now_s, sent_s)
+        self.note_reset(now_s, sent_s)
         self.connect_failed_s = now_s
 
+    def note_reset(self, now_s: float, sent_s: float) -> None:
+        """Record a connection that broke before a response.
+
+        It does not show that the server is down, so the server is not paused.
+        """
+        if self.last_response_s <= sent_s:
+            self.restart.note_connection_failure(now_s)
+
     def note_unreachable(self, now_s: float, sent_s: float) -> None:
         """Record a request without a response.
 
         The server is not paused if another request got a response since `sent_s`.
         """
+        if self.last_response_s <= sent_s:
+            self.restart.note_unanswered(now_s)
+        self._pause(now_s, sent_s)
+
+    def _pause(self, now_s: float, sent_s: float) -> None:
         if self.last_response_s > sent_s:
             self._update_bad_ratio(now_s, is_bad=True)
             return
@@ -83,7 +100,12 @@
 
     def note_reported_unreachable(self, now_s: float, failed_age_s: float) -> None:
         """Record a failure that another host saw; a later response outweighs it."""
-        self.reported_failed_s = max(self.reported_failed_s, now_s - failed_age_s)
+        failed_s = now_s - failed_age_s
+        # A host repeats its report of one failure, with an age that is rounded.
+        is_new = failed_s - self.reported_failed_s > _REPORT_PRECISION_S
+        if is_new and failed_s >= self.last_response_s:
+            self.restart.note_connection_failure(failed_s)
+        self.reported_failed_s = max(self.reported_failed_s, failed_s)
 
     def reported_age_s(self, now_s: float) -> float | None:
         """Return the age of a failure to report to other hosts, or None.
--- a/cicadadoor/entry/backend_table.py
+++ b/cicadadoor/entry/backend_table.py
@@ -241,6 +241,9 @@
                 backend_server=name,
                 draining=record.is_draining,
             )
+        if _is_later_entry(backend.record, record):
+            # The server itself says that it has not been restarted.
+            backend.cold_until_s = -math.inf
         backend.record = record
         backend.region = region_of_domain.get(record.failure_domain, '')
         backend.missing_until_s = None
@@ -271,3 +274,9 @@
 
 def _is_new_run(known: BackendRecord, record: BackendRecord) -> bool:
     return known.started_ms != record.started_ms or known.address != record.address
+
+
+def _is_later_entry(known: BackendRecord, record: BackendRecord) -> bool:
+    if known.sequence is None or record.sequence is None:
+        return False
+    return known.sequence < record.sequence
--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -132,7 +132,9 @@
         raw = await self._exchange(outgoing, head_check, connection, timeout_s)
         if isinstance(raw, Failure):
             # A reset concerns one connection and does not show that the server is down.
-            if raw.kind is ErrorKind.ANSWER_TIMED_OUT:
+            if raw.kind is ErrorKind.OUTCOME_UNKNOWN:
+                backend.health.note_reset(self._timer.now_s(), sent_s)
+            elif raw.kind is ErrorKind.ANSWER_TIMED_OUT:
                 backend.health.note_unreachable(self._timer.now_s(), sent_s)
             elif raw.kind is ErrorKind.ANSWER_INVALID:
                 self._record_response(backend, is_bad=True)
@@ -141,9 +143,11 @@
         return self._process_response(head_check, connection, raw, sent_s)
 
     async def _open(self, backend: Backend, timeout_s: float) -> BackendConnection:
-        kept = self._pool.acquire(backend.pool_key, self._timer.now_s())
-        if kept is not None:
-            return kept
+        # A new connection shows whether a server that does not answer is down or busy.
+        if not backend.health.is_paused:
+            kept = self._pool.acquire(backend.pool_key, self._timer.now_s())
+            if kept is not None:
+                return kept
         connection = await connect(backend.record.address, timeout_s, self._budget)
         metrics.BACKEND_CONNECTIONS.inc()
         return connection
@@ -238,9 +242,10 @@
         return fault or BackendResponse(head, raw.body)
 
     def _record_response(self, backend: Backend, *, is_bad: bool) -> None:
-        if backend.health.was_refused:
+        now_s = self._timer.now_s()
+        if backend.health.restart.shows_restart(now_s):
             self._backends.mark_restarted(backend)
-        backend.health.note_response(self._timer.now_s(), is_bad=is_bad)
+        backend.health.note_response(now_s, is_bad=is_bad)
 
     def _release(
         self,
--- a/tests/test_backend_health.py
+++ b/tests/test_backend_health.py
@@ -121,12 +121,12 @@
     def test_refused_connection_is_remembered_until_the_next_answer(self):
         health = BackendHealth()
         health.note_refused(10.0)
-        assert health.was_refused
+        assert health.restart.shows_restart(10.0)
         assert not health.may_try(10.1)
         health.note_response(11.0, is_bad=False)
-        assert not health.was_refused
+        assert not health.restart.shows_restart(11.0)
 
     def test_unreachable_server_does_not_count_as_refusing(self):
         health = BackendHealth()
         health.note_unreachable(10.0, sent_s=9.0)
-        assert not health.was_refused
+        assert not health.restart.shows_restart(11.0)
