--- a/cicadadoor/entry/daemon.py
+++ b/cicadadoor/entry/daemon.py
@@ -15,6 +15,7 @@
 from cicadadoor.entry.mirror import Mirror
 from cicadadoor.entry.placement import Placement
 from cicadadoor.entry.policy import ActivePolicy
+from cicadadoor.entry.pressure import PressureReport
 from cicadadoor.entry.quarantine import CrashWatch
 from cicadadoor.entry.quotas import Quotas
 from cicadadoor.entry.registration import HostRegistration
@@ -60,6 +61,7 @@
         Admission(),
         Placement(),
         Dispatcher(),
+        PressureReport(),
         Directory(),
     )
     for service in services:
--- a/cicadadoor/entry/heartbeats.py
+++ b/cicadadoor/entry/heartbeats.py
@@ -38,12 +38,14 @@
     backend server and an object that it has just loaded; it is sent only within the
     region. `limits` holds, by backend server, the requests per second that it takes
     from all hosts together, as it told the sender (None if the limit has ended), and
-    the seconds since then. `is_served` is whether the store answers the sender. Names
-    are sent as `name_hash`, since traffic between regions is billed.
+    the seconds since then. `is_served` is whether the store answers the sender, and
+    `is_pressed` whether the sender is short of memory. Names are sent as `name_hash`,
+    since traffic between regions is billed.
 
     In the summary of a failure domain, `members` are the live hosts of the domain and
-    `leaving` those of them that are about to stop; `demand`, `in_flight`,
-    `unreachable`, `crashes`, `limits` and `learned` concern all of them together.
+    `leaving` and `pressed` those of them that are about to stop or short of memory;
+    `demand`, `in_flight`, `unreachable`, `crashes`, `limits` and `learned` concern all
+    of them together.
     """
 
     host: Name
@@ -61,6 +63,8 @@
     members: frozenset[int] = frozenset()
     leaving: frozenset[int] = frozenset()
     limits: dict[int, ReportedLimit] = {}
+    is_pressed: bool = False
+    pressed: frozenset[int] = frozenset()
 
     def revision(self, topic: Topic) -> int:
         """Return the revision of the sender's copy of a topic."""
@@ -92,4 +96,11 @@
         leaving=frozenset(
             name_hash(each.host) for each in heartbeats if each.is_leaving
         ),
+        pressed=pressed_hosts(heartbeats),
     )
+
+
+def pressed_hosts(heartbeats: Sequence[HostHeartbeat]) -> frozenset[int]:
+    """Return the hosts that are short of memory, by the hash of their name."""
+    senders = (name_hash(each.host) for each in heartbeats if each.is_pressed)
+    return frozenset(senders).union(*(each.pressed for each in heartbeats))
--- a/cicadadoor/entry/snapshot_exchange.py
+++ b/cicadadoor/entry/snapshot_exchange.py
@@ -3,20 +3,24 @@
 import random
 from functools import partial
 
+from cicadadoor.decisions.memory_account import MemoryAccount, Owner
 from cicadadoor.entry.heartbeats import HostHeartbeat
 from cicadadoor.entry.membership import HeartbeatPart, Membership
 from cicadadoor.entry.mirror import Mirror
 from cicadadoor.entry.model import Snapshot, Topic
 from cicadadoor.errors import Failure
 from cicadadoor.kernel import Kernel, OnFault
-from cicadadoor.links.messages import Message
+from cicadadoor.links.messages import MAX_MESSAGE_BYTES, Message
 from cicadadoor.links.peer_hub import PeerHub
-from cicadadoor.telemetry import logs
+from cicadadoor.telemetry import logs, metrics
 
 log = logs.logger('neighbours')
 
 # If a host does not answer, a later round asks a random host again.
 _REQUEST_TIMEOUT_S = 0.6
+# The longest answer, as received and decoded.
+_ANSWER_BYTES = 2 * MAX_MESSAGE_BYTES
+_ACCOUNT_KIND = 'peers'
 
 
 class SnapshotRequest(Message, frozen=True, kw_only=True, tag=True):
@@ -41,6 +45,7 @@
         self._kernel: Kernel
         self._mirror: Mirror
         self._membership: Membership
+        self._account: MemoryAccount
         self._hub = hub
         self._pending_topics: set[Topic] = set()
 
@@ -49,6 +54,7 @@
         self._kernel = kernel
         self._mirror = kernel.find('mirror')
         self._membership = kernel.find('membership')
+        self._account = kernel.find('state').account
         self._hub.on(SnapshotRequest, self._answer, SnapshotAnswer)
         self._membership.add_part(self)
 
@@ -105,7 +111,12 @@
 
     async def _fetch_snapshot(self, topic: Topic, host: str) -> None:
         address = self._membership.peers.address(host)
+        reservation = self._account.open(_ACCOUNT_KIND, Owner(address))
         try:
+            if not reservation.grow(_ANSWER_BYTES):
+                # A later round asks again.
+                metrics.REFUSED_HOLDINGS.labels(_ACCOUNT_KIND).inc()
+                return
             answer = await self._hub.ask(
                 address,
                 SnapshotRequest(topic=topic, revision=self._mirror.revision(topic)),
@@ -117,6 +128,7 @@
             elif isinstance(answer, SnapshotAnswer) and answer.snapshot is not None:
                 self._mirror.adopt(topic, answer.snapshot, address)
         finally:
+            reservation.release()
             self._pending_topics.discard(topic)
 
     async def _answer(self, request: Message) -> Message:
--- a/cicadadoor/telemetry/metrics.py
+++ b/cicadadoor/telemetry/metrics.py
@@ -58,6 +58,10 @@
     'Messages of other hosts and answers of the store without memory, by kind.',
     ('kind',),
 )
+MEMORY_PRESSURE = Gauge(
+    'cicadadoor_memory_pressure',
+    'Whether this host is short of memory, so that the directory names it less often.',
+)
 EVENT_LOOP_DELAY_SECONDS = Histogram(
     'cicadadoor_event_loop_delay_seconds',
     'Time by which timer callbacks ran late, as the event loop was busy or suspended.',
