--- /dev/null
+++ b/cicadadoor/decisions/expected_finish.py
@@ -0,0 +1,185 @@
+"""Choose a backend server by when it is expected to answer.
+
+Answers load that some servers have no room for while others do: a surge in one region,
+a failure domain that is evacuated, or servers that share their machines and are slow
+for a moment. A request stays with the servers that have cached its object as long as
+they answer within the latency objective. Beyond that it goes to the next servers in the
+object's order, which then cache the object too; so a surge spreads over few copies.
+"""
+
+import math
+from collections.abc import Sequence
+
+from cicadadoor.decisions.placement import CacheState, Choice
+
+# A report of the speed is used for this long. It changes many times a second.
+_SLOWDOWN_TTL_S = 0.3
+_SLOWDOWN_GAIN = 0.05
+# A server loads another object only below this utilisation: a load takes several times
+# as long as a request for a cached object, and would delay all that come next.
+_MAX_LOADING_UTILISATION = 0.8
+# Urgent requests may wait longer, so other requests are refused earlier.
+_URGENT_OBJECTIVE_FACTOR = 1.3
+# A request that cannot meet its objective any more may wait at a server at most for
+# this multiple of the time that the server works on it: requests that would still be
+# in time would otherwise queue behind it and be late as well.
+_MAX_LATE_WAIT_FACTOR = 2.0
+
+
+class Slowdown:
+    """Track how many times longer than usual work takes on a server's machine."""
+
+    __slots__ = ('_average', '_reported', '_reported_s', 'is_reported')
+
+    def __init__(self) -> None:
+        self.is_reported = False
+        self._average = 1.0
+        self._reported = 1.0
+        self._reported_s = -math.inf
+
+    def note(self, slowdown: float, now_s: float) -> None:
+        """Add a report of the server."""
+        self.is_reported = True
+        self._reported = slowdown
+        self._reported_s = now_s
+        self._average += _SLOWDOWN_GAIN * (slowdown - self._average)
+
+    def factor(self, now_s: float) -> float:
+        """Return the latest report while it is fresh, and the average after that."""
+        if now_s - self._reported_s <= _SLOWDOWN_TTL_S:
+            return self._reported
+        return self._average
+
+
+class ServiceTimes:
+    """Hold how long a route's requests take at a server of usual speed, in seconds."""
+
+    __slots__ = ('cached_s', 'uncached_s')
+
+    def __init__(self, cached_s: float, uncached_s: float) -> None:
+        self.cached_s = cached_s
+        self.uncached_s = uncached_s
+
+    def of(self, cache_state: CacheState) -> float:
+        """Return the time for an object in this state."""
+        if cache_state is CacheState.CACHED:
+            return self.cached_s
+        return max(self.cached_s, self.uncached_s)
+
+
+class RatedServer:
+    """Hold what is known of a server that may be sent a request.
+
+    `load` counts the requests that run and wait at the server. `distance_s` is the
+    round-trip time to it.
+    """
+
+    __slots__ = ('cache_state', 'distance_s', 'load', 'name', 'slots', 'slowdown')
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        load: float,
+        slots: int,
+        cache_state: CacheState,
+        slowdown: float = 1.0,
+        distance_s: float = 0.0,
+    ) -> None:
+        self.name = name
+        self.load = load
+        self.slots = slots
+        self.cache_state = cache_state
+        self.slowdown = slowdown
+        self.distance_s = distance_s
+
+    @property
+    def is_cached(self) -> bool:
+        """Return whether the server has cached the object of the request."""
+        return self.cache_state is CacheState.CACHED
+
+    def wait_s(self, times: ServiceTimes) -> float:
+        """Return how long a request waits for a slot; others are taken as cached."""
+        ahead = self.load + 1 - self.slots
+        if ahead <= 0:
+            return 0.0
+        return ahead / self.slots * times.cached_s * self.slowdown
+
+    def finish_s(self, times: ServiceTimes) -> float:
+        """Return in how many seconds the server is expected to answer."""
+        work_s = times.of(self.cache_state) * self.slowdown
+        return self.distance_s + self.wait_s(times) + work_s
+
+
+class TimeLimits:
+    """Hold the seconds left until the latency objective and until the deadline."""
+
+    __slots__ = ('deadline_s', 'objective_s')
+
+    def __init__(
+        self, *, objective_s: float, deadline_s: float, is_urgent: bool
+    ) -> None:
+        factor = _URGENT_OBJECTIVE_FACTOR if is_urgent else 1.0
+        self.objective_s = min(deadline_s, objective_s * factor)
+        self.deadline_s = deadline_s
+
+
+def choose_by_finish(
+    ranked: Sequence[RatedServer],
+    times: ServiceTimes,
+    limits: TimeLimits,
+    *,
+    may_wait: bool,
+) -> Choice:
+    """Choose among the servers that accept requests, in the order of their rank.
+
+    The first server that has cached the object and answers within the objective is
+    chosen. Otherwise the request waits for a server that is loading the object, or
+    starts a load at the first server with room for it. Last come servers that answer
+    after the objective but without a long wait. An empty choice means to refuse.
+    """
+    cached = [each for each in ranked if each.is_cached]
+    for each in cached:
+        if each.finish_s(times) <= limits.objective_s:
+            return Choice(send_to=each.name)
+    for each in ranked:
+        if each.cache_state is CacheState.LOADING and may_wait:
+            return Choice(wait_for=each.name)
+    for each in ranked:
+        if not each.is_cached and _has_room_to_load(each, times, limits):
+            return Choice(send_to=each.name)
+    return _choose_late(cached, times, limits)
+
+
+def time_until_room_s(
+    ranked: Sequence[RatedServer],
+    times: ServiceTimes,
+    objective_s: float,
+) -> float:
+    """Return when a server is expected to answer within the objective again.
+
+    Only servers that have cached the object count, if there are any.
+    """
+    cached = [each for each in ranked if each.is_cached] or ranked
+    late_s = min((each.finish_s(times) - objective_s for each in cached), default=0.0)
+    return max(0.0, late_s)
+
+
+def _has_room_to_load(
+    server: RatedServer, times: ServiceTimes, limits: TimeLimits
+) -> bool:
+    if server.load + 1 > _MAX_LOADING_UTILISATION * server.slots:
+        return False
+    return server.finish_s(times) < limits.deadline_s
+
+
+def _choose_late(
+    cached: Sequence[RatedServer], times: ServiceTimes, limits: TimeLimits
+) -> Choice:
+    soonest = min(cached, key=lambda each: each.finish_s(times), default=None)
+    if soonest is None or soonest.finish_s(times) >= limits.deadline_s:
+        return Choice()
+    max_wait_s = _MAX_LATE_WAIT_FACTOR * times.cached_s * soonest.slowdown
+    if soonest.wait_s(times) > max_wait_s:
+        return Choice()
+    return Choice(send_to=soonest.name)
--- a/cicadadoor/entry/backend_table.py
+++ b/cicadadoor/entry/backend_table.py
@@ -6,9 +6,11 @@
 
 from cicadadoor.decisions.backend_health import BackendHealth
 from cicadadoor.decisions.backpressure import Backpressure
+from cicadadoor.decisions.expected_finish import RatedServer, Slowdown
 from cicadadoor.decisions.host_shares import SendPacer
 from cicadadoor.decisions.placement import CacheState, Candidate
 from cicadadoor.entry.heartbeats import name_hash
+from cicadadoor.entry.messages import LoadReport
 from cicadadoor.entry.model import BackendRecord
 from cicadadoor.telemetry import logs
 
@@ -103,6 +105,7 @@
         'region',
         'reported_load',
         'reported_s',
+        'slowdown',
         'name_hash',
         'change_since_report',
     )
@@ -123,6 +126,7 @@
         self.reported_load = 0
         self.reported_s = -math.inf
         self.change_since_report = 0
+        self.slowdown = Slowdown()
 
     @property
     def pool_key(self) -> str:
@@ -130,12 +134,15 @@
         record = self.record
         return f'{record.instance_id}@{record.address}#{record.started_ms}'
 
-    def note_load(self, load: tuple[int, int, int] | None, now_s: float) -> None:
-        """Store the running and queued requests that a response reports."""
-        if load is not None:
-            self.reported_load = load[0] + load[1]
-            self.reported_s = now_s
-            self.change_since_report = 0
+    def note_load(self, load: LoadReport | None, now_s: float) -> None:
+        """Store the load that a response reports."""
+        if load is None:
+            return
+        self.reported_load = load.running + load.queued
+        self.reported_s = now_s
+        self.change_since_report = 0
+        if load.slowdown is not None:
+            self.slowdown.note(load.slowdown, now_s)
 
     def load(self, now_s: float) -> float:
         """Return the known number of running and queued requests."""
@@ -156,6 +163,17 @@
             self.cached_objects.cache_state(object_key),
         )
 
+    def rate(self, object_key: str, now_s: float, distance_s: float) -> RatedServer:
+        """Return the server as a candidate whose response time is estimated."""
+        return RatedServer(
+            self.record.instance_id,
+            load=self.load(now_s),
+            slots=self.record.slots,
+            cache_state=self.cached_objects.cache_state(object_key),
+            slowdown=self.slowdown.factor(now_s),
+            distance_s=distance_s,
+        )
+
     def is_cold(self, now_s: float) -> bool:
         """Tell whether the server has recently started or recovered."""
         return now_s < self.cold_until_s
--- a/cicadadoor/entry/directory.py
+++ b/cicadadoor/entry/directory.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from cicadadoor.entry.backends import Backends
 from cicadadoor.entry.membership import Membership
 from cicadadoor.entry.model import HostRecord
 from cicadadoor.entry.state import EntryState
@@ -13,6 +14,10 @@
 _MAX_HOSTS = 64
 # With fewer hosts in the caller's region, hosts of all regions are returned.
 _MIN_NEAR_HOSTS = 1
+# With as many live hosts in the caller's failure domain, only these are returned, so
+# that requests do not cross failure domains. The loss of a host or two must not move
+# the callers of the whole domain.
+_MIN_DOMAIN_HOSTS = 4
 
 
 class DirectoryResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -23,24 +28,29 @@
 
 
 class Directory(Service):
-    """Return the live hosts of the caller's region, or all if there are none."""
+    """Return the live hosts of the caller's failure domain or region, or all."""
 
     name = 'directory'
 
     def __init__(self) -> None:
         self._state: EntryState
         self._membership: Membership
+        self._backends: Backends
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the services that this one uses."""
         self._state = kernel.find('state')
         self._membership = kernel.find('membership')
+        self._backends = kernel.find('backends')
 
     def look_up(self, region: str, failure_domain: str) -> DirectoryResponse | Failure:
         """Return hosts for a caller, those of its failure domain first."""
         hosts = self._membership.serving_hosts()
         near = [host for host in hosts if host.region == region]
         chosen = near if len(near) >= _MIN_NEAR_HOSTS else hosts
+        if self._backends.keeps_domains_apart:
+            own = [host for host in near if host.failure_domain == failure_domain]
+            chosen = own if len(own) >= _MIN_DOMAIN_HOSTS else chosen
         if not chosen:
             return Failure(
                 ErrorKind.DRAINING, 'this host is draining and no other is known'
--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -232,7 +232,7 @@
             backend,
             is_bad=is_invalid or raw.status in _SERVER_FAULTS,
         )
-        backend.note_load(head.flow_control.load, now_s)
+        self._backends.note_load(backend, head.flow_control.load)
         if not is_invalid:
             note_response(backend, head, sent_s, now_s)
         return fault or BackendResponse(head, raw.body)
--- a/cicadadoor/entry/messages.py
+++ b/cicadadoor/entry/messages.py
@@ -47,11 +47,28 @@
         return self.target.partition(b'?')[0].decode('latin-1')
 
 
+class LoadReport:
+    """Hold the requests that a server runs and queues, and its slots.
+
+    `slowdown` is how many times longer than usual work takes on the server's machine at
+    this moment, or None if the server does not say so.
+    """
+
+    __slots__ = ('queued', 'running', 'slots', 'slowdown')
+
+    def __init__(
+        self, running: int, queued: int, slots: int, slowdown: float | None = None
+    ) -> None:
+        self.running = running
+        self.queued = queued
+        self.slots = slots
+        self.slowdown = slowdown
+
+
 class FlowControl:
     """Hold what a server says of its load and asks of its callers in a response.
 
-    `load` holds the numbers of running requests, queued requests and slots. The server
-    takes `rate_limit_per_s` requests per second from all hosts together, and none from
+    The server takes `rate_limit_per_s` requests per second from all hosts together, and none from
     this host for `retry_after_s`. `is_leaving` means that it is about to stop.
     """
 
@@ -60,7 +77,7 @@
     def __init__(
         self,
         *,
-        load: tuple[int, int, int] | None = None,
+        load: LoadReport | None = None,
         rate_limit_per_s: float | None = None,
         retry_after_s: float | None = None,
         is_leaving: bool = False,
--- a/cicadadoor/entry/placement.py
+++ b/cicadadoor/entry/placement.py
@@ -11,6 +11,7 @@
 from cicadadoor.entry.backend_table import Backend, FirstRequest
 from cicadadoor.entry.backends import Backends
 from cicadadoor.entry.cache_reports import CacheReports
+from cicadadoor.entry.finish_chooser import FinishChooser
 from cicadadoor.entry.routed_request import RoutedRequest
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.kernel import Kernel, Service
@@ -56,12 +57,14 @@
         self._backends: Backends
         self._cache_reports: CacheReports
         self._processing_times = ProcessingTimes()
+        self._finish_chooser: FinishChooser
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the services that hold servers and cached objects."""
         self._timer = kernel.find('timer')
         self._backends = kernel.find('backends')
         self._cache_reports = kernel.find('learning')
+        self._finish_chooser = FinishChooser(self._backends, self._processing_times)
 
     async def select_server(self, routed: RoutedRequest) -> Backend | None:
         """Return the server to send to, or None if the request has to be refused.
@@ -112,7 +115,10 @@
             self._cache_reports.note(attempt.backend, routed.object_key)
         if is_answered and attempt.had_free_slot:
             # With a free slot at the start, the time contains no queueing.
-            took_s = self._timer.now_s() - attempt.sent_s
+            now_s = self._timer.now_s()
+            took_s = now_s - attempt.sent_s
+            if attempt.backend.slowdown.is_reported:
+                took_s /= attempt.backend.slowdown.factor(now_s)
             self._processing_times.note(
                 routed.route.name, took_s, is_cached=attempt.was_cached
             )
@@ -146,6 +152,10 @@
             )
             if not is_usable or backend.health.is_unreliable(now_s):
                 continue
+            if self._finish_chooser.applies_to(routed):
+                return self._finish_chooser.find_nearest(
+                    routed, backend, now_s, is_urgent=_is_urgent(routed)
+                )
             candidate = backend.candidate(routed.object_key, now_s)
             if candidate.cache_state is not CacheState.CACHED:
                 # The object may have to be loaded at one of the preferred servers.
@@ -158,7 +168,7 @@
         return self._processing_times.limits(
             routed.route.name,
             objective_s=routed.route.latency_objective_ms / _MS_PER_S,
-            is_urgent=routed.priority <= _URGENT_PRIORITY,
+            is_urgent=_is_urgent(routed),
         )
 
     def _order(self, routed: RoutedRequest) -> tuple[str, ...]:
@@ -198,6 +208,16 @@
         usable: dict[str, Backend],
         now_s: float,
     ) -> Choice:
+        may_wait = self._may_wait(routed, usable, now_s)
+        if self._finish_chooser.applies_to(routed):
+            return self._finish_chooser.choose(
+                routed,
+                self._order(routed),
+                usable,
+                now_s,
+                is_urgent=_is_urgent(routed),
+                may_wait=may_wait,
+            )
         limits = self._limits(routed)
         ranked = [
             usable[name].candidate(routed.object_key, now_s)
@@ -209,7 +229,7 @@
             preferred_count=_PREFERRED_COUNT,
             spill_utilisation=limits.spill,
             max_utilisation=limits.maximum,
-            may_wait=self._may_wait(routed, usable, now_s),
+            may_wait=may_wait,
         )
 
     def _may_wait(
@@ -240,15 +260,25 @@
         return f'{", ".join(texts) or "none"}; {len(usable)} of {of_all} usable'
 
     def _retry_after_ms(self, routed: RoutedRequest, servers: list[Backend]) -> int:
+        now_s = self._timer.now_s()
+        if self._finish_chooser.applies_to(routed):
+            room_s = self._finish_chooser.retry_after_s(
+                routed, self._order(routed), self._usable(routed), now_s
+            )
+            return int((room_s + _RETRY_JITTER_S * random.random()) * _MS_PER_S)
         # The caller retries once a server has finished loading its object.
         started_s = _loading_since_s(servers, routed.object_key)
         if started_s is None:
             return 0
         loaded_s = started_s + self._processing_times.uncached_s(routed.route.name)
-        left_s = max(0, loaded_s - self._timer.now_s())
+        left_s = max(0, loaded_s - now_s)
         return int((left_s + _RETRY_JITTER_S * random.random()) * _MS_PER_S)
 
 
+def _is_urgent(routed: RoutedRequest) -> bool:
+    return routed.priority <= _URGENT_PRIORITY
+
+
 def _loading_since_s(servers: Iterable[Backend], object_key: str) -> float | None:
     """Return when the first of the servers began to load the object, or None."""
     started = (
--- a/cicadadoor/platform/headers.py
+++ b/cicadadoor/platform/headers.py
@@ -4,7 +4,12 @@
 from collections.abc import Sequence
 from http.cookies import CookieError, SimpleCookie
 
-from cicadadoor.entry.messages import CallerRequest, FlowControl, ResponseHead
+from cicadadoor.entry.messages import (
+    CallerRequest,
+    FlowControl,
+    LoadReport,
+    ResponseHead,
+)
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -12,6 +17,10 @@
 _AFFINITY_COOKIE = 'Affinity-Key'
 _BEARER = b'bearer '
 _LOAD_FIELDS = 3
+# The fourth figure is how long work takes now, in per cent of the usual time. Later
+# figures are not known yet and are ignored.
+_USUAL_PERCENT = 100
+_MAX_LOAD_BYTES = 128
 _DECIMAL = re.compile(rb'[0-9]+(\.[0-9]*)?|\.[0-9]+')
 _MAX_DECIMAL_BYTES = 32
 # Hop-by-hop headers, the API key, and headers that this host sets itself.
@@ -155,12 +164,21 @@
     return float(text)
 
 
-def _parse_load(text: bytes) -> tuple[int, int, int] | None:
-    parts = text.split(b',')
-    if len(parts) != _LOAD_FIELDS or not all(part.strip().isdigit() for part in parts):
+def _parse_load(text: bytes) -> LoadReport | None:
+    parts = [part.strip() for part in text.split(b',')]
+    if len(text) > _MAX_LOAD_BYTES or len(parts) < _LOAD_FIELDS:
+        return None
+    if not all(part.isdigit() for part in parts[:_LOAD_FIELDS]):
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return running, waiting, slots
+    running, queued, slots = (int(part) for part in parts[:_LOAD_FIELDS])
+    slowdown = _parse_slowdown(parts[_LOAD_FIELDS:])
+    return LoadReport(running, queued, slots, slowdown)
+
+
+def _parse_slowdown(parts: list[bytes]) -> float | None:
+    percent = _parse_decimal(parts[0]) if parts else None
+    # A machine that takes no time at all would attract every request.
+    return percent / _USUAL_PERCENT if percent else None
 
 
 def _parse_idle_limit_s(text: bytes) -> float | None:
