--- a/cicadadoor/entry/settings.py
+++ b/cicadadoor/entry/settings.py
@@ -21,12 +21,16 @@
         'callers',
         'cold_overrun',
         'cold_slack',
+        'cores',
         'directory',
         'directory_ttl_max_s',
         'failure_domain',
         'host',
         'kill_after_s',
+        'link_mbps',
         'log_level',
+        'max_descriptors',
+        'memory_mb',
         'metrics',
         'path',
         'peers',
@@ -67,14 +71,20 @@
 
 def load(path: str) -> EntrySettings | Failure:
     """Load and validate a settings file; a failure names file, field and value."""
-    fields = shared.load_fields(path, _RULES)
-    return fields if isinstance(fields, Failure) else EntrySettings(path, **fields)
+    return _build(path, shared.load_fields(path, _RULES))
 
 
 def check(path: str, document: dict[str, Any]) -> EntrySettings | Failure:
     """Validate settings that are already parsed."""
-    fields = shared.check_fields(path, document, _RULES)
-    return fields if isinstance(fields, Failure) else EntrySettings(path, **fields)
+    return _build(path, shared.check_fields(path, document, _RULES))
+
+
+def _build(path: str, fields: dict[str, Any] | Failure) -> EntrySettings | Failure:
+    if isinstance(fields, Failure):
+        return fields
+    # The template language has no arithmetic, so the share is a field of its own.
+    fields['cores'] *= fields.pop('cpu_share')
+    return EntrySettings(path, **fields)
 
 
 def _parse_regions(given: Any) -> dict[str, str] | None:
@@ -153,6 +163,34 @@
         'a number from 0 to 1',
         0,
     ),
+    # Memory of the machine; the platform kills a process that exceeds it.
+    'memory_mb': FieldRule(
+        shared.number_between(64, 1_000_000),
+        'megabytes from 64 to 1000000',
+        300,
+    ),
+    # Open file descriptors of the process; 200 of them are for files.
+    'max_descriptors': FieldRule(
+        shared.number_between(256, 10_000_000),
+        'descriptors from 256 to 10000000',
+        4100,
+    ),
+    'link_mbps': FieldRule(
+        shared.number_between(0.1, 1_000_000),
+        'megabits per second from 0.1 to 1000000',
+        1000,
+    ),
+    'cores': FieldRule(
+        shared.number_between(0.01, 10_000),
+        'cores from 0.01 to 10000',
+        1,
+    ),
+    # Share of the machine's cores that the process may use.
+    'cpu_share': FieldRule(
+        shared.number_between(0.01, 1),
+        'a number from 0.01 to 1',
+        1,
+    ),
     'log_level': FieldRule(
         shared.parse_log_level,
         'DEBUG, INFO, WARNING or ERROR',
--- a/cicadadoor/settings.py
+++ b/cicadadoor/settings.py
@@ -113,13 +113,17 @@
     document: dict[str, Any],
     rules: dict[str, FieldRule],
 ) -> dict[str, Any] | Failure:
-    """Validate each field against its rule; a failure names field and value."""
+    """Validate each field against its rule; a failure names field and value.
+
+    A missing or null field has its default.
+    """
     for name in document:
         if name not in rules:
             return _invalid(path, name, document[name], _suggest_field(name, rules))
     fields = {}
     for name, rule in rules.items():
-        value = document.get(name, rule.default)
+        value = document.get(name)
+        value = rule.default if value is None else value
         if value is None and rule.required:
             return _invalid(path, name, 'a missing value', f'{rule.allowed} (required)')
         parsed = None if value is None else rule.parse(value)
