--- a/cicadadoor/entry/directory.py
+++ b/cicadadoor/entry/directory.py
@@ -1,7 +1,10 @@
 """Answer the directory requests of callers."""
 
+import random
+
 import msgspec
 
+from cicadadoor.decisions.host_selection import select_hosts
 from cicadadoor.entry.backends import Backends
 from cicadadoor.entry.membership import Membership
 from cicadadoor.entry.model import HostRecord
@@ -36,6 +39,7 @@
         self._state: EntryState
         self._membership: Membership
         self._backends: Backends
+        self._random = random.Random()
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the services that this one uses."""
@@ -51,6 +55,8 @@
         if self._backends.keeps_domains_apart:
             own = [host for host in near if host.failure_domain == failure_domain]
             chosen = own if len(own) >= _MIN_DOMAIN_HOSTS else chosen
+            capacities = [host.capacity for host in chosen]
+            chosen = [chosen[index] for index in select_hosts(capacities, self._random)]
         if not chosen:
             return Failure(
                 ErrorKind.DRAINING, 'this host is draining and no other is known'
--- a/cicadadoor/entry/membership.py
+++ b/cicadadoor/entry/membership.py
@@ -101,6 +101,7 @@
             peers=str(settings.peers),
             failure_domain=settings.failure_domain,
             region=settings.region,
+            capacity=settings.capacity,
         )
 
     @property
--- a/cicadadoor/entry/model.py
+++ b/cicadadoor/entry/model.py
@@ -106,7 +106,10 @@
 
 
 class HostRecord(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Describe a host: its identity, and its addresses for callers and for peers."""
+    """Describe a host: its identity, and its addresses for callers and for peers.
+
+    `capacity` is the share of requests that it should get, relative to other hosts.
+    """
 
     host: str
     instance: str
@@ -114,6 +117,7 @@
     peers: str
     failure_domain: str
     region: str
+    capacity: float = 1.0
 
 
 Record = RequestPolicy | BackendRecord | Evacuation | HostRecord
--- a/cicadadoor/entry/settings.py
+++ b/cicadadoor/entry/settings.py
@@ -9,6 +9,8 @@
 # Reserved at the end for responses to aborted requests and for closing connections.
 _SHUTDOWN_RESERVE_S = 0.65
 _LEAVE_FRACTION = 0.56
+# A core forwards about 300 requests per second; at 20 KB each these fill 50 Mbit/s.
+_MBPS_PER_CORE = 50
 # However long the stop may take: requests that are taken later may last longer than the
 # rest of it, and would be cut while a backend server runs them.
 _MAX_LEAVE_S = 2.95
@@ -59,6 +61,11 @@
         serving_s = self.kill_after_s - _SHUTDOWN_RESERVE_S
         return min(_MAX_LEAVE_S, serving_s * _LEAVE_FRACTION)
 
+    @property
+    def capacity(self) -> float:
+        """Return the host's capacity for requests, in cores."""
+        return round(min(self.cores, self.link_mbps / _MBPS_PER_CORE), 3)
+
     @property
     def grace_s(self) -> float:
         """Return how long requests in flight may take after `leave_s`, in seconds."""
