--- a/cicadadoor/decisions/expected_finish.py
+++ b/cicadadoor/decisions/expected_finish.py
@@ -15,6 +15,10 @@
 # A report of the speed is used for this long. It changes many times a second.
 _SLOWDOWN_TTL_S = 0.3
 _SLOWDOWN_GAIN = 0.05
+# Reports outside this range are taken for its ends: a wrong report must neither attract
+# all requests nor keep all of them away.
+_MIN_SLOWDOWN = 0.25
+_MAX_SLOWDOWN = 20.0
 # A server loads another object only below this utilisation: a load takes several times
 # as long as a request for a cached object, and would delay all that come next.
 _MAX_LOADING_UTILISATION = 0.8
@@ -39,6 +43,7 @@
 
     def note(self, slowdown: float, now_s: float) -> None:
         """Add a report of the server."""
+        slowdown = min(_MAX_SLOWDOWN, max(_MIN_SLOWDOWN, slowdown))
         self.is_reported = True
         self._reported = slowdown
         self._reported_s = now_s
--- a/cicadadoor/entry/backends.py
+++ b/cicadadoor/entry/backends.py
@@ -11,11 +11,11 @@
     select_senders,
 )
 from cicadadoor.entry.membership import HeartbeatPart, Membership
-from cicadadoor.entry.messages import LoadReport
 from cicadadoor.entry.mirror import Mirror
 from cicadadoor.entry.model import BackendRecord, Evacuation, ServicePolicy, Topic
 from cicadadoor.entry.policy import ActivePolicy
 from cicadadoor.entry.ranking import DomainOrder, Ranking, RegionOrder
+from cicadadoor.entry.shared_machines import SharedMachines
 from cicadadoor.entry.state import EntryState
 from cicadadoor.kernel import Kernel
 from cicadadoor.telemetry import logs
@@ -23,8 +23,6 @@
 
 log = logs.logger('backends')
 
-_REGION_ROUND_TRIP_S = 0.04
-
 
 class Backends(HeartbeatPart):
     """Combine server entries, evacuations and the load and failures that hosts see."""
@@ -39,8 +37,7 @@
         self._membership: Membership
         self._table = BackendTable()
         self._evacuated: frozenset[str] = frozenset()
-        # Services whose servers share their machines and report how slow these are.
-        self._sharing_machines: set[str] = set()
+        self.shared_machines: SharedMachines
         self._ranking: Ranking
         self._limits: LimitSharing
         # Heartbeats whose failures have been applied, by host.
@@ -61,6 +58,7 @@
             RegionOrder(settings.region, regions),
             DomainOrder(settings.failure_domain, regions),
         )
+        self.shared_machines = SharedMachines(self._ranking)
         self._mirror.subscribe(self._on_change)
 
     def of_service(self, service: str) -> list[Backend]:
@@ -143,30 +141,6 @@
         backend.in_flight -= 1
         backend.change_since_report -= 1
 
-    def note_load(self, backend: Backend, load: LoadReport | None) -> None:
-        """Store the load that a response of a server reports."""
-        backend.note_load(load, self._timer.now_s())
-        service = backend.record.service
-        if backend.slowdown.is_reported and service not in self._sharing_machines:
-            log.info('slowdown_reported', service=service)
-            self._sharing_machines.add(service)
-            self._ranking.rank_by_domain(service)
-
-    def shares_machines(self, service: str) -> bool:
-        """Return whether servers of a service report how slow their machines are."""
-        return service in self._sharing_machines
-
-    @property
-    def keeps_domains_apart(self) -> bool:
-        """Return whether objects of some service stay in their callers' domain."""
-        return bool(self._sharing_machines)
-
-    def distance_s(self, backend: Backend) -> float:
-        """Return the round-trip time to a server."""
-        if backend.region == self._state.settings.region:
-            return 0.0
-        return _REGION_ROUND_TRIP_S
-
     def mark_restarted(self, backend: Backend) -> None:
         """Treat a server as cold, since it may have been restarted."""
         policy = self._policy.find_service(backend.record.service)
--- a/cicadadoor/entry/directory.py
+++ b/cicadadoor/entry/directory.py
@@ -52,7 +52,7 @@
         hosts = self._membership.serving_hosts()
         near = [host for host in hosts if host.region == region]
         chosen = near if len(near) >= _MIN_NEAR_HOSTS else hosts
-        if self._backends.keeps_domains_apart:
+        if self._backends.shared_machines.is_any:
             own = [host for host in near if host.failure_domain == failure_domain]
             chosen = own if len(own) >= _MIN_DOMAIN_HOSTS else chosen
             capacities = [host.capacity for host in chosen]
--- a/cicadadoor/entry/finish_chooser.py
+++ b/cicadadoor/entry/finish_chooser.py
@@ -17,6 +17,7 @@
 from cicadadoor.entry.routed_request import RoutedRequest
 
 _MS_PER_S = 1000
+_REGION_ROUND_TRIP_S = 0.04
 # Servers that are rated for a request. Further ones are too far down the order to have
 # the object cached.
 _RATED_SERVERS = sum(FIRST_COUNTS)
@@ -25,13 +26,14 @@
 class FinishChooser:
     """Rate the first servers in an object's order and choose among them."""
 
-    def __init__(self, backends: Backends, times: ProcessingTimes) -> None:
+    def __init__(self, backends: Backends, times: ProcessingTimes, region: str) -> None:
         self._backends = backends
+        self._region = region
         self._times = times
 
     def applies_to(self, routed: RoutedRequest) -> bool:
         """Return whether the request's servers report enough to estimate times."""
-        if not self._backends.shares_machines(routed.service):
+        if not self._backends.shared_machines.includes(routed.service):
             return False
         return self._times.cached_s(routed.route.name) > 0
 
@@ -95,9 +97,10 @@
     def _rate(
         self, routed: RoutedRequest, backend: Backend, now_s: float
     ) -> RatedServer:
-        return backend.rate(
-            routed.object_key, now_s, self._backends.distance_s(backend)
-        )
+        distance_s = 0.0
+        if backend.region != self._region:
+            distance_s = _REGION_ROUND_TRIP_S
+        return backend.rate(routed.object_key, now_s, distance_s)
 
     def _service_times(self, routed: RoutedRequest) -> ServiceTimes:
         route = routed.route.name
--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -232,7 +232,7 @@
             backend,
             is_bad=is_invalid or raw.status in _SERVER_FAULTS,
         )
-        self._backends.note_load(backend, head.flow_control.load)
+        self._backends.shared_machines.note_load(backend, head.flow_control.load, now_s)
         if not is_invalid:
             note_response(backend, head, sent_s, now_s)
         return fault or BackendResponse(head, raw.body)
--- a/cicadadoor/entry/messages.py
+++ b/cicadadoor/entry/messages.py
@@ -68,8 +68,8 @@
 class FlowControl:
     """Hold what a server says of its load and asks of its callers in a response.
 
-    The server takes `rate_limit_per_s` requests per second from all hosts together, and none from
-    this host for `retry_after_s`. `is_leaving` means that it is about to stop.
+    The server takes `rate_limit_per_s` requests per second from all hosts together,
+    and none from this host for `retry_after_s`. `is_leaving` means that it stops soon.
     """
 
     __slots__ = ('is_leaving', 'load', 'rate_limit_per_s', 'retry_after_s')
--- a/cicadadoor/entry/placement.py
+++ b/cicadadoor/entry/placement.py
@@ -64,7 +64,11 @@
         self._timer = kernel.find('timer')
         self._backends = kernel.find('backends')
         self._cache_reports = kernel.find('learning')
-        self._finish_chooser = FinishChooser(self._backends, self._processing_times)
+        self._finish_chooser = FinishChooser(
+            self._backends,
+            self._processing_times,
+            kernel.find('state').settings.region,
+        )
 
     async def select_server(self, routed: RoutedRequest) -> Backend | None:
         """Return the server to send to, or None if the request has to be refused.
@@ -145,12 +149,7 @@
             backend = self._backends.find(name)
             if backend is None or name in routed.tried:
                 continue
-            is_usable = self._backends.is_usable(
-                backend,
-                routed.home_regions,
-                is_repeatable=routed.route.is_idempotent,
-            )
-            if not is_usable or backend.health.is_unreliable(now_s):
+            if not self._is_usable(routed, backend, now_s):
                 continue
             if self._finish_chooser.applies_to(routed):
                 return self._finish_chooser.find_nearest(
@@ -164,6 +163,12 @@
                 return backend
         return None
 
+    def _is_usable(self, routed: RoutedRequest, backend: Backend, now_s: float) -> bool:
+        is_usable = self._backends.is_usable(
+            backend, routed.home_regions, is_repeatable=routed.route.is_idempotent
+        )
+        return is_usable and not backend.health.is_unreliable(now_s)
+
     def _limits(self, routed: RoutedRequest) -> UtilisationLimits:
         return self._processing_times.limits(
             routed.route.name,
--- a/cicadadoor/entry/ranking.py
+++ b/cicadadoor/entry/ranking.py
@@ -3,11 +3,13 @@
 from abc import ABC, abstractmethod
 from collections.abc import Mapping, Sequence
 
-from cicadadoor.decisions.placement import (
+from cicadadoor.decisions.domain_order import (
     RankedServer,
-    WeightedServer,
     domain_shares,
     group_by_domain,
+)
+from cicadadoor.decisions.placement import (
+    WeightedServer,
     group_by_region,
     rank,
     region_weights,
@@ -123,7 +125,7 @@
         self._weights.clear()
 
     def rank_by_domain(self, service: str) -> None:
-        """Keep the objects of a service in their callers' failure domain from now on."""
+        """Rank the servers of a service by failure domain from now on."""
         self._by_domain.add(service)
         self.clear()
 
