--- a/cicadadoor/decisions/domain_order.py
+++ b/cicadadoor/decisions/domain_order.py
@@ -15,36 +15,65 @@
     """Return the share of the total demand that each domain takes from one domain.
 
     Demand is taken as equal in all domains. It stays in its domain as far as the slots
-    there can serve it, then in its region; the rest is spread by spare capacity.
+    there can serve it, then in its region; the rest is spread by spare capacity. No
+    domain is given more than its slots.
     """
     total_slots = sum(slots_by_domain.values())
     if not total_slots or not region_of_domain:
         return dict.fromkeys(slots_by_domain, 0.0)
     even = 1 / len(region_of_domain)
+    # Negative for domains that cannot serve all of their demand.
     spare = {
-        name: max(0.0, slots / total_slots - even)
-        for name, slots in slots_by_domain.items()
+        name: slots_by_domain.get(name, 0) / total_slots
+        - even * (name in region_of_domain)
+        for name in (*region_of_domain, *slots_by_domain)
     }
-    kept = min(even, slots_by_domain.get(domain, 0) / total_slots)
-    region = region_of_domain.get(domain)
-    near = {
-        name: part
-        for name, part in spare.items()
-        if region_of_domain.get(name) == region and name != domain
-    }
-    far = {
-        name: part
-        for name, part in spare.items()
-        if region_of_domain.get(name) != region
-    }
-    sent_near = min(even - kept, sum(near.values()))
+    region = region_of_domain.get(domain, '')
+    sent = min(even, max(0.0, -spare.get(domain, -even)))
+    near: dict[str, float] = {}
+    far: dict[str, float] = {}
+    for name in slots_by_domain:
+        balance = RegionBalance(spare, region_of_domain, name)
+        if balance.region == region:
+            near[name] = max(0.0, spare[name])
+        else:
+            # Other regions are sent only what their own domains leave.
+            far[name] = max(0.0, spare[name]) * (1 - balance.used)
+    sent_near = sent * RegionBalance(spare, region_of_domain, domain).served
     return {
         **_spread(sent_near, near),
-        **_spread(even - kept - sent_near, far),
-        domain: kept,
+        **_spread(sent - sent_near, far),
+        domain: even - sent,
     }
 
 
+class RegionBalance:
+    """Balance the spare slots and the unserved demand of a domain's region.
+
+    `used` is the part of the spare slots that the region's own domains use, `served`
+    the part of their unserved demand that these slots can serve.
+    """
+
+    __slots__ = ('region', 'served', 'used')
+
+    def __init__(
+        self,
+        spare: Mapping[str, float],
+        region_of_domain: Mapping[str, str],
+        domain: str,
+    ) -> None:
+        self.region = region_of_domain.get(domain, '')
+        parts = [
+            part
+            for name, part in spare.items()
+            if region_of_domain.get(name, '') == self.region
+        ]
+        unused = sum(part for part in parts if part > 0)
+        unserved = -sum(part for part in parts if part < 0)
+        self.used = min(1.0, unserved / unused) if unused else 1.0
+        self.served = min(1.0, unused / unserved) if unserved else 1.0
+
+
 def _spread(demand: float, spare: Mapping[str, float]) -> dict[str, float]:
     total = sum(spare.values())
     return {
