--- a/cicadadoor/decisions/expected_finish.py
+++ b/cicadadoor/decisions/expected_finish.py
@@ -15,6 +15,9 @@
 # A report of the speed is used for this long. It changes many times a second.
 _SLOWDOWN_TTL_S = 0.3
 _SLOWDOWN_GAIN = 0.05
+# The average of a server that is sent no requests, and so reports nothing, goes back to
+# the usual speed in about this time. It would be avoided for ever otherwise.
+_SLOWDOWN_FORGET_S = 5.0
 # Reports outside this range are taken for its ends: a wrong report must neither attract
 # all requests nor keep all of them away.
 _MIN_SLOWDOWN = 0.25
@@ -51,9 +54,10 @@
 
     def factor(self, now_s: float) -> float:
         """Return the latest report while it is fresh, and the average after that."""
-        if now_s - self._reported_s <= _SLOWDOWN_TTL_S:
+        age_s = now_s - self._reported_s
+        if age_s <= _SLOWDOWN_TTL_S:
             return self._reported
-        return self._average
+        return 1 + (self._average - 1) * math.exp(-age_s / _SLOWDOWN_FORGET_S)
 
 
 class ServiceTimes:
@@ -141,19 +145,33 @@
     The first server that has cached the object and answers within the objective is
     chosen. Otherwise the request waits for a server that is loading the object, or
     starts a load at the first server with room for it. Last come servers that answer
-    after the objective but without a long wait. An empty choice means to refuse.
+    after the objective but without a long wait, and then any free slot. An empty choice
+    means to refuse.
     """
     cached = [each for each in ranked if each.is_cached]
     for each in cached:
         if each.finish_s(times) <= limits.objective_s:
             return Choice(send_to=each.name)
+    late = _choose_late(cached, times, limits)
+    if late is not None and _is_better_than_load(late, times, limits):
+        return Choice(send_to=late.name)
     for each in ranked:
         if each.cache_state is CacheState.LOADING and may_wait:
             return Choice(wait_for=each.name)
-    for each in ranked:
-        if not each.is_cached and _has_room_to_load(each, times, limits):
+    open_servers = [
+        each
+        for each in ranked
+        if not each.is_cached and each.finish_s(times) < limits.deadline_s
+    ]
+    for each in open_servers:
+        if each.load + 1 <= _MAX_LOADING_UTILISATION * each.slots:
+            return Choice(send_to=each.name)
+    if late is not None:
+        return Choice(send_to=late.name)
+    for each in open_servers:
+        if each.load + 1 <= each.slots:
             return Choice(send_to=each.name)
-    return _choose_late(cached, times, limits)
+    return Choice()
 
 
 def time_until_room_s(
@@ -161,30 +179,39 @@
     times: ServiceTimes,
     objective_s: float,
 ) -> float:
-    """Return when a server is expected to answer within the objective again.
+    """Return when a server is expected to have room for the request again.
 
-    Only servers that have cached the object count, if there are any.
+    That is when one that has cached the object answers within the objective, or another
+    one has a free slot.
     """
-    cached = [each for each in ranked if each.is_cached] or ranked
-    late_s = min((each.finish_s(times) - objective_s for each in cached), default=0.0)
+    late_s = min(
+        (
+            each.finish_s(times) - objective_s if each.is_cached else each.wait_s(times)
+            for each in ranked
+        ),
+        default=0.0,
+    )
     return max(0.0, late_s)
 
 
-def _has_room_to_load(
-    server: RatedServer, times: ServiceTimes, limits: TimeLimits
-) -> bool:
-    if server.load + 1 > _MAX_LOADING_UTILISATION * server.slots:
-        return False
-    return server.finish_s(times) < limits.deadline_s
-
-
 def _choose_late(
     cached: Sequence[RatedServer], times: ServiceTimes, limits: TimeLimits
-) -> Choice:
+) -> RatedServer | None:
     soonest = min(cached, key=lambda each: each.finish_s(times), default=None)
     if soonest is None or soonest.finish_s(times) >= limits.deadline_s:
-        return Choice()
+        return None
     max_wait_s = _MAX_LATE_WAIT_FACTOR * times.cached_s * soonest.slowdown
-    if soonest.wait_s(times) > max_wait_s:
-        return Choice()
-    return Choice(send_to=soonest.name)
+    return None if soonest.wait_s(times) > max_wait_s else soonest
+
+
+def _is_better_than_load(
+    server: RatedServer, times: ServiceTimes, limits: TimeLimits
+) -> bool:
+    """Tell whether a late answer is no sign that the object needs another copy.
+
+    The server has a free slot, or the request would be late at any server, for example
+    because it has waited for the load.
+    """
+    if server.finish_s(times) > times.of(CacheState.NOT_CACHED):
+        return False
+    return server.wait_s(times) == 0 or limits.objective_s < times.cached_s
