--- a/cicadadoor/decisions/domain_order.py
+++ b/cicadadoor/decisions/domain_order.py
@@ -6,6 +6,9 @@
 
 from collections.abc import Mapping, Sequence
 
+# Share of its spare capacity with which a domain stands in the order of other domains.
+_SURGE_FRACTION = 0.001
+
 
 def domain_shares(
     slots_by_domain: Mapping[str, int],
@@ -15,7 +18,8 @@
     """Return the share of the total demand that each domain takes from one domain.
 
     Demand is taken as equal in all domains. It stays in its domain as far as the slots
-    there can serve it, then in its region; the rest is spread by spare capacity.
+    there can serve it, then in its region; the rest is spread by spare capacity. Each
+    domain with spare capacity has a small share, so that surges find these domains.
     """
     total_slots = sum(slots_by_domain.values())
     if not total_slots or not region_of_domain:
@@ -38,11 +42,15 @@
         if region_of_domain.get(name) != region
     }
     sent_near = min(even - kept, sum(near.values()))
-    return {
+    planned = {
         **_spread(sent_near, near),
         **_spread(even - kept - sent_near, far),
         domain: kept,
     }
+    return {
+        name: max(part, _SURGE_FRACTION * spare.get(name, 0.0))
+        for name, part in planned.items()
+    }
 
 
 def _spread(demand: float, spare: Mapping[str, float]) -> dict[str, float]:
--- a/cicadadoor/decisions/expected_finish.py
+++ b/cicadadoor/decisions/expected_finish.py
@@ -22,6 +22,12 @@
 # A server loads another object only below this utilisation: a load takes several times
 # as long as a request for a cached object, and would delay all that come next.
 _MAX_LOADING_UTILISATION = 0.8
+# A server whose queue takes at most this fraction of a request's own time is as good as
+# a free one, so the request stays with the first server of its object's order.
+_SHORT_WAIT_FACTOR = 0.25
+# Estimates are uncertain by about a third, so only a server that is expected to answer
+# within this fraction of the objective counts as being in time.
+_IN_TIME_FRACTION = 0.7
 # Urgent requests may wait longer, so other requests are refused earlier.
 _URGENT_OBJECTIVE_FACTOR = 1.3
 # A request that cannot meet its objective any more may wait at a server at most for
@@ -138,15 +144,16 @@
 ) -> Choice:
     """Choose among the servers that accept requests, in the order of their rank.
 
-    The first server that has cached the object and answers within the objective is
-    chosen. Otherwise the request waits for a server that is loading the object, or
-    starts a load at the first server with room for it. Last come servers that answer
-    after the objective but without a long wait. An empty choice means to refuse.
+    The first server that has cached the object and has no queue is chosen, or the one
+    that answers soonest if that is in time. Otherwise the request waits for a server
+    that is loading the object, or starts a load at the first server with room for it.
+    Last come servers that answer later but without a long wait. An empty choice means
+    to refuse.
     """
     cached = [each for each in ranked if each.is_cached]
-    for each in cached:
-        if each.finish_s(times) <= limits.objective_s:
-            return Choice(send_to=each.name)
+    in_time = find_in_time(cached, times, limits)
+    if in_time is not None:
+        return Choice(send_to=in_time.name)
     for each in ranked:
         if each.cache_state is CacheState.LOADING and may_wait:
             return Choice(wait_for=each.name)
@@ -156,6 +163,31 @@
     return _choose_late(cached, times, limits)
 
 
+def is_nearly_free(
+    server: RatedServer, times: ServiceTimes, limits: TimeLimits
+) -> bool:
+    """Return whether a server has cached the object and would start on it at once."""
+    if not server.is_cached:
+        return False
+    if server.wait_s(times) > _SHORT_WAIT_FACTOR * times.cached_s:
+        return False
+    return server.finish_s(times) <= limits.objective_s
+
+
+def find_in_time(
+    cached: Sequence[RatedServer], times: ServiceTimes, limits: TimeLimits
+) -> RatedServer | None:
+    """Return the server to use among those that have cached the object, or None."""
+    for each in cached:
+        if is_nearly_free(each, times, limits):
+            return each
+    soonest = min(cached, key=lambda each: each.finish_s(times), default=None)
+    if soonest is None:
+        return None
+    in_time_s = _IN_TIME_FRACTION * limits.objective_s
+    return soonest if soonest.finish_s(times) <= in_time_s else None
+
+
 def time_until_room_s(
     ranked: Sequence[RatedServer],
     times: ServiceTimes,
--- a/cicadadoor/entry/finish_chooser.py
+++ b/cicadadoor/entry/finish_chooser.py
@@ -7,6 +7,7 @@
     ServiceTimes,
     TimeLimits,
     choose_by_finish,
+    is_nearly_free,
     time_until_room_s,
 )
 from cicadadoor.decisions.placement import Choice
@@ -40,13 +41,13 @@
     def find_nearest(
         self, routed: RoutedRequest, backend: Backend, now_s: float, *, is_urgent: bool
     ) -> Backend | None:
-        """Return the server if it has the object and answers within the objective."""
-        rated = self._rate(routed, backend, now_s)
-        limits = self._limits(routed, now_s, is_urgent=is_urgent)
-        if not rated.is_cached:
-            return None
-        is_in_time = rated.finish_s(self._service_times(routed)) <= limits.objective_s
-        return backend if is_in_time else None
+        """Return the server if it has the object and would start on it at once."""
+        is_nearest_free = is_nearly_free(
+            self._rate(routed, backend, now_s),
+            self._service_times(routed),
+            self._limits(routed, now_s, is_urgent=is_urgent),
+        )
+        return backend if is_nearest_free else None
 
     def choose(
         self,
