--- a/cicadadoor/decisions/domain_order.py
+++ b/cicadadoor/decisions/domain_order.py
@@ -6,6 +6,9 @@
 
 from collections.abc import Mapping, Sequence
 
+# Share of its spare capacity with which a domain stands in the order of other domains.
+_SURGE_FRACTION = 0.001
+
 
 def domain_shares(
     slots_by_domain: Mapping[str, int],
@@ -16,7 +19,8 @@
 
     Demand is taken as equal in all domains. It stays in its domain as far as the slots
     there can serve it, then in its region; the rest is spread by spare capacity. No
-    domain is given more than its slots.
+    domain is given more than its slots, except that each one with spare capacity has a
+    small share, so that surges find these domains.
     """
     total_slots = sum(slots_by_domain.values())
     if not total_slots or not region_of_domain:
@@ -40,11 +44,15 @@
             # Other regions are sent only what their own domains leave.
             far[name] = max(0.0, spare[name]) * (1 - balance.used)
     sent_near = sent * RegionBalance(spare, region_of_domain, domain).served
-    return {
+    planned = {
         **_spread(sent_near, near),
         **_spread(sent - sent_near, far),
         domain: even - sent,
     }
+    return {
+        name: max(part, _SURGE_FRACTION * spare.get(name, 0.0))
+        for name, part in planned.items()
+    }
 
 
 class RegionBalance:
