--- a/cicadadoor/decisions/queue_limits.py
+++ b/cicadadoor/decisions/queue_limits.py
@@ -16,6 +16,9 @@
 _URGENT_OBJECTIVE_FACTOR = 1.3
 # Queue length at which the next server is preferred.
 _SPILL_QUEUE_LENGTH = 0.6
+# Some requests take many times as long as others. One of them must not make a route
+# look slow at all servers, so it counts as at most this multiple of the average.
+_MAX_SAMPLE_FACTOR = 2.0
 
 
 class UtilisationLimits:
@@ -60,6 +63,13 @@
         averages = self._cached_s if is_cached else self._uncached_s
         averages.note(route, took_s)
 
+    def note_bounded(self, route: str, took_s: float, *, is_cached: bool) -> None:
+        """Add the duration of a request, bounded to a multiple of the average."""
+        average_s = self.cached_s(route) if is_cached else self.uncached_s(route)
+        if average_s > 0:
+            took_s = min(took_s, _MAX_SAMPLE_FACTOR * average_s)
+        self.note(route, took_s, is_cached=is_cached)
+
     def cached_s(self, route: str) -> float:
         """Return the average at servers that cache the object; 0 if not measured."""
         return self._cached_s.find(route)
--- a/cicadadoor/entry/placement.py
+++ b/cicadadoor/entry/placement.py
@@ -119,13 +119,7 @@
             self._cache_reports.note(attempt.backend, routed.object_key)
         if is_answered and attempt.had_free_slot:
             # With a free slot at the start, the time contains no queueing.
-            now_s = self._timer.now_s()
-            took_s = now_s - attempt.sent_s
-            if attempt.backend.slowdown.is_reported:
-                took_s /= attempt.backend.slowdown.factor(now_s)
-            self._processing_times.note(
-                routed.route.name, took_s, is_cached=attempt.was_cached
-            )
+            self._note_time(routed, attempt)
 
     def no_server_failure(self, routed: RoutedRequest) -> Failure:
         """Return the refusal of a request that no server can accept."""
@@ -141,6 +135,19 @@
             self._retry_after_ms(routed, servers),
         )
 
+    def _note_time(self, routed: RoutedRequest, attempt: ServerAttempt) -> None:
+        now_s = self._timer.now_s()
+        took_s = now_s - attempt.sent_s
+        route = routed.route.name
+        if not attempt.backend.slowdown.is_reported:
+            self._processing_times.note(route, took_s, is_cached=attempt.was_cached)
+            return
+        self._processing_times.note_bounded(
+            route,
+            took_s / attempt.backend.slowdown.factor(now_s),
+            is_cached=attempt.was_cached,
+        )
+
     def _select_fast(self, routed: RoutedRequest) -> Backend | None:
         """Return the server that `choose` would return, if it is in the fast path."""
         now_s = self._timer.now_s()
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -1,5 +1,7 @@
 """Test how long the queue at a backend server may grow."""
 
+import random
+
 import pytest
 
 from cicadadoor.decisions.queue_limits import ProcessingTimes, utilisation_limits
@@ -39,3 +41,25 @@
 
     def test_unmeasured_time_is_not_positive(self):
         assert ProcessingTimes().cached_s('look') <= 0
+
+    def test_single_slow_requests_do_not_make_the_route_slow(self):
+        """Guard against copies of all objects after some requests of 7 times the time.
+
+        A route whose time at servers with the object exceeds the objective makes each
+        request look for another server.
+        """
+        generator = random.Random(3)
+        times = ProcessingTimes()
+        largest_s = 0.0
+        for _ in range(2000):
+            took_s = generator.choices((0.16, 7 * 0.16), (97, 3))[0]
+            times.note_bounded('look', took_s, is_cached=True)
+            largest_s = max(largest_s, times.cached_s('look'))
+        assert largest_s < 0.32
+
+    def test_lasting_change_is_followed(self):
+        times = ProcessingTimes()
+        times.note_bounded('look', 0.1, is_cached=False)
+        for _ in range(100):
+            times.note_bounded('look', 1.0, is_cached=False)
+        assert times.uncached_s('look') == pytest.approx(1.0, rel=0.01)
