--- a/cicadadoor/decisions/expected_finish.py
+++ b/cicadadoor/decisions/expected_finish.py
@@ -36,7 +36,7 @@
 # A request that cannot meet its objective any more may wait at a server at most for
 # this multiple of the time that the server works on it: requests that would still be
 # in time would otherwise queue behind it and be late as well.
-_MAX_LATE_WAIT_FACTOR = 2.0
+_MAX_LATE_WAIT_FACTOR = 1.0
 
 
 class Slowdown:
@@ -210,19 +210,24 @@
     times: ServiceTimes,
     objective_s: float,
 ) -> float:
-    """Return when a server is expected to have room for the request again.
+    """Return when a server is expected to accept the request.
 
-    That is when one that has cached the object answers within the objective, or another
-    one has a free slot.
+    That is when one that has cached the object answers in time or without a long wait,
+    or another one has a free slot.
     """
-    late_s = min(
-        (
-            each.finish_s(times) - objective_s if each.is_cached else each.wait_s(times)
-            for each in ranked
-        ),
-        default=0.0,
-    )
-    return max(0.0, late_s)
+    return min((_room_s(each, times, objective_s) for each in ranked), default=0.0)
+
+
+def _room_s(server: RatedServer, times: ServiceTimes, objective_s: float) -> float:
+    wait_s = server.wait_s(times)
+    if not server.is_cached:
+        return wait_s
+    late_s = server.finish_s(times) - _IN_TIME_FRACTION * objective_s
+    return max(0.0, min(late_s, wait_s - _max_late_wait_s(server, times)))
+
+
+def _max_late_wait_s(server: RatedServer, times: ServiceTimes) -> float:
+    return _MAX_LATE_WAIT_FACTOR * times.cached_s * server.slowdown
 
 
 def _choose_late(
@@ -231,8 +236,9 @@
     soonest = min(cached, key=lambda each: each.finish_s(times), default=None)
     if soonest is None or soonest.finish_s(times) >= limits.deadline_s:
         return None
-    max_wait_s = _MAX_LATE_WAIT_FACTOR * times.cached_s * soonest.slowdown
-    return None if soonest.wait_s(times) > max_wait_s else soonest
+    if soonest.wait_s(times) > _max_late_wait_s(soonest, times):
+        return None
+    return soonest
 
 
 def _is_better_than_load(
--- a/tests/test_expected_finish.py
+++ b/tests/test_expected_finish.py
@@ -210,20 +210,29 @@
 class TestTimeUntilRoom:
     """The time after which a refused request finds a server with room."""
 
-    def test_it_is_when_the_queue_has_drained_to_the_objective(self):
-        # 9 x 0.162 s until the last request ends, less the objective.
-        room_s = time_until_room_s([cached('a', 9 * SLOTS - 1)], TIMES, OBJECTIVE_S)
-        assert room_s == pytest.approx(9 * 0.162 - OBJECTIVE_S)
+    def test_server_accepts_the_request_after_that_time_and_not_before(self):
+        # Guards against retries that come back at once and are refused again.
+        full = cached('a', 9 * SLOTS - 1)
+        room_s = time_until_room_s([full], TIMES, OBJECTIVE_S)
+        drained = room_s / 0.162 * SLOTS
+        assert is_refused(chosen(full))
+        assert is_refused(chosen(cached('a', 9 * SLOTS - drained)))
+        assert chosen(cached('a', 9 * SLOTS - 1 - drained - 0.01)).send_to == 'a'
 
     def test_it_is_that_of_the_soonest_server(self):
-        ranked = [cached('a', 9 * SLOTS - 1), cached('b', 5 * SLOTS - 1)]
-        room_s = time_until_room_s(ranked, TIMES, OBJECTIVE_S)
-        assert room_s == pytest.approx(5 * 0.162 - OBJECTIVE_S)
+        near, far = cached('a', 9 * SLOTS), cached('b', 5 * SLOTS)
+        both_s = time_until_room_s([near, far], TIMES, OBJECTIVE_S)
+        assert both_s == time_until_room_s([far], TIMES, OBJECTIVE_S)
+        assert both_s == pytest.approx(
+            time_until_room_s([near], TIMES, OBJECTIVE_S) - 4 * 0.162
+        )
 
     def test_slow_server_needs_longer(self):
         slow = cached('a', 9 * SLOTS - 1, slowdown=2.0)
-        room_s = time_until_room_s([slow], TIMES, OBJECTIVE_S)
-        assert room_s == pytest.approx(2 * 9 * 0.162 - OBJECTIVE_S)
+        usual = cached('a', 9 * SLOTS - 1)
+        assert time_until_room_s([slow], TIMES, OBJECTIVE_S) > 2 * time_until_room_s(
+            [usual], TIMES, OBJECTIVE_S
+        )
 
     def test_it_is_never_negative(self):
         assert time_until_room_s([cached('a', 0)], TIMES, OBJECTIVE_S) == 0
