--- a/cicadadoor/decisions/expected_finish.py
+++ b/cicadadoor/decisions/expected_finish.py
@@ -25,6 +25,10 @@
 # A server loads another object only below this utilisation: a load takes several times
 # as long as a request for a cached object, and would delay all that come next.
 _MAX_LOADING_UTILISATION = 0.8
+# Another copy of an object that some server has cached is made only below this one.
+# When all servers are nearly full, such loads take the slots of several requests for
+# cached objects each, and evict other objects.
+_MAX_EXTRA_COPY_UTILISATION = 0.5
 # A server whose queue takes at most this fraction of a request's own time is as good as
 # a free one, so the request stays with the first server of its object's order.
 _SHORT_WAIT_FACTOR = 0.25
@@ -34,9 +38,9 @@
 # Urgent requests may wait longer, so other requests are refused earlier.
 _URGENT_OBJECTIVE_FACTOR = 1.3
 # A request that cannot meet its objective any more may wait at a server at most for
-# this multiple of the time that the server works on it: requests that would still be
-# in time would otherwise queue behind it and be late as well.
-_MAX_LATE_WAIT_FACTOR = 2.0
+# this multiple of the time that the server works on it. Under lasting overload a longer
+# queue serves no more requests, and makes all of them late.
+_MAX_LATE_WAIT_FACTOR = 1.0
 
 
 class Slowdown:
@@ -164,20 +168,26 @@
     for each in ranked:
         if each.cache_state is CacheState.LOADING and may_wait:
             return Choice(wait_for=each.name)
-    open_servers = [
-        each
-        for each in ranked
-        if not each.is_cached and each.finish_s(times) < limits.deadline_s
-    ]
-    for each in open_servers:
-        if each.load + 1 <= _MAX_LOADING_UTILISATION * each.slots:
-            return Choice(send_to=each.name)
-    if late is not None:
-        return Choice(send_to=late.name)
-    for each in open_servers:
-        if each.load + 1 <= each.slots:
-            return Choice(send_to=each.name)
-    return Choice()
+    max_utilisation = (
+        _MAX_EXTRA_COPY_UTILISATION if cached else _MAX_LOADING_UTILISATION
+    )
+    chosen = _find_room_to_load(ranked, times, limits, max_utilisation) or late
+    if chosen is None and not cached:
+        chosen = _find_room_to_load(ranked, times, limits, 1.0)
+    return Choice() if chosen is None else Choice(send_to=chosen.name)
+
+
+def _find_room_to_load(
+    ranked: Sequence[RatedServer],
+    times: ServiceTimes,
+    limits: TimeLimits,
+    max_utilisation: float,
+) -> RatedServer | None:
+    for each in ranked:
+        has_room = each.load + 1 <= max_utilisation * each.slots
+        if has_room and not each.is_cached and each.finish_s(times) < limits.deadline_s:
+            return each
+    return None
 
 
 def is_nearly_free(
@@ -231,6 +241,10 @@
     soonest = min(cached, key=lambda each: each.finish_s(times), default=None)
     if soonest is None or soonest.finish_s(times) >= limits.deadline_s:
         return None
+    if soonest.finish_s(times) <= limits.objective_s:
+        return soonest
+    if limits.objective_s > soonest.distance_s + times.cached_s * soonest.slowdown:
+        return None
     max_wait_s = _MAX_LATE_WAIT_FACTOR * times.cached_s * soonest.slowdown
     return None if soonest.wait_s(times) > max_wait_s else soonest
 
