--- a/cicadadoor/decisions/expected_finish.py
+++ b/cicadadoor/decisions/expected_finish.py
@@ -25,6 +25,10 @@
 # A server loads another object only below this utilisation: a load takes several times
 # as long as a request for a cached object, and would delay all that come next.
 _MAX_LOADING_UTILISATION = 0.8
+# Another copy of an object that some server has cached is made only below this one.
+# When all servers are nearly full, such loads take the slots of several requests for
+# cached objects each, and evict other objects.
+_MAX_EXTRA_COPY_UTILISATION = 0.5
 # A server whose queue takes at most this fraction of a request's own time is as good as
 # a free one, so the request stays with the first server of its object's order.
 _SHORT_WAIT_FACTOR = 0.25
@@ -34,8 +38,8 @@
 # Urgent requests may wait longer, so other requests are refused earlier.
 _URGENT_OBJECTIVE_FACTOR = 1.3
 # A request that cannot meet its objective any more may wait at a server at most for
-# this multiple of the time that the server works on it: requests that would still be
-# in time would otherwise queue behind it and be late as well.
+# this multiple of the time that the server works on it. Under lasting overload a longer
+# queue serves no more requests, and makes all of them late.
 _MAX_LATE_WAIT_FACTOR = 1.0
 
 
@@ -114,16 +118,21 @@
         return self.cache_state is CacheState.CACHED
 
     def wait_s(self, times: ServiceTimes) -> float:
-        """Return how long a request waits for a slot; others are taken as cached."""
-        ahead = self.load + 1 - self.slots
-        if ahead <= 0:
-            return 0.0
-        return ahead / self.slots * times.cached_s * self.slowdown
+        """Return how long a request waits for a slot."""
+        return self.drain_s(times, 1.0)
+
+    def drain_s(self, times: ServiceTimes, max_utilisation: float) -> float:
+        """Return when the load is small enough for one more; others count as cached."""
+        ahead = self.load + 1 - max_utilisation * self.slots
+        return max(0.0, ahead) / self.slots * times.cached_s * self.slowdown
+
+    def work_s(self, times: ServiceTimes) -> float:
+        """Return in how many seconds the server would answer if it had a free slot."""
+        return self.distance_s + times.of(self.cache_state) * self.slowdown
 
     def finish_s(self, times: ServiceTimes) -> float:
         """Return in how many seconds the server is expected to answer."""
-        work_s = times.of(self.cache_state) * self.slowdown
-        return self.distance_s + self.wait_s(times) + work_s
+        return self.wait_s(times) + self.work_s(times)
 
 
 class TimeLimits:
@@ -164,20 +173,26 @@
     for each in ranked:
         if each.cache_state is CacheState.LOADING and may_wait:
             return Choice(wait_for=each.name)
-    open_servers = [
-        each
-        for each in ranked
-        if not each.is_cached and each.finish_s(times) < limits.deadline_s
-    ]
-    for each in open_servers:
-        if each.load + 1 <= _MAX_LOADING_UTILISATION * each.slots:
-            return Choice(send_to=each.name)
-    if late is not None:
-        return Choice(send_to=late.name)
-    for each in open_servers:
-        if each.load + 1 <= each.slots:
-            return Choice(send_to=each.name)
-    return Choice()
+    max_utilisation = (
+        _MAX_EXTRA_COPY_UTILISATION if cached else _MAX_LOADING_UTILISATION
+    )
+    chosen = _find_room_to_load(ranked, times, limits, max_utilisation) or late
+    if chosen is None and not cached:
+        chosen = _find_room_to_load(ranked, times, limits, 1.0)
+    return Choice() if chosen is None else Choice(send_to=chosen.name)
+
+
+def _find_room_to_load(
+    ranked: Sequence[RatedServer],
+    times: ServiceTimes,
+    limits: TimeLimits,
+    max_utilisation: float,
+) -> RatedServer | None:
+    for each in ranked:
+        has_room = each.load + 1 <= max_utilisation * each.slots
+        if has_room and not each.is_cached and each.finish_s(times) < limits.deadline_s:
+            return each
+    return None
 
 
 def is_nearly_free(
@@ -213,17 +228,26 @@
     """Return when a server is expected to accept the request.
 
     That is when one that has cached the object answers in time or without a long wait,
-    or another one has a free slot.
+    or another one has room for a load.
     """
-    return min((_room_s(each, times, objective_s) for each in ranked), default=0.0)
+    has_copy = any(each.is_cached for each in ranked)
+    max_utilisation = _MAX_EXTRA_COPY_UTILISATION if has_copy else 1.0
+    rooms_s = (
+        _copy_room_s(each, times, objective_s)
+        if each.is_cached
+        else each.drain_s(times, max_utilisation)
+        for each in ranked
+    )
+    return min(rooms_s, default=0.0)
 
 
-def _room_s(server: RatedServer, times: ServiceTimes, objective_s: float) -> float:
-    wait_s = server.wait_s(times)
-    if not server.is_cached:
-        return wait_s
-    late_s = server.finish_s(times) - _IN_TIME_FRACTION * objective_s
-    return max(0.0, min(late_s, wait_s - _max_late_wait_s(server, times)))
+def _copy_room_s(server: RatedServer, times: ServiceTimes, objective_s: float) -> float:
+    late_s = server.wait_s(times) - _max_late_wait_s(server, times)
+    if server.work_s(times) < objective_s:
+        late_s = max(late_s, server.finish_s(times) - objective_s)
+        in_time_s = _IN_TIME_FRACTION * objective_s
+        late_s = min(late_s, server.finish_s(times) - in_time_s)
+    return max(0.0, late_s)
 
 
 def _max_late_wait_s(server: RatedServer, times: ServiceTimes) -> float:
@@ -236,6 +260,8 @@
     soonest = min(cached, key=lambda each: each.finish_s(times), default=None)
     if soonest is None or soonest.finish_s(times) >= limits.deadline_s:
         return None
+    if soonest.work_s(times) < limits.objective_s < soonest.finish_s(times):
+        return None
     if soonest.wait_s(times) > _max_late_wait_s(soonest, times):
         return None
     return soonest
--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -171,7 +171,9 @@
         ]
 
     async def start(self):
-        kept = {name: os.environ[name] for name in ('PATH', 'HOME') if name in os.environ}
+        kept = {
+            name: os.environ[name] for name in ('PATH', 'HOME') if name in os.environ
+        }
         log = open(self._folder / f'{self.name}.log', 'ab')
         self.process = await asyncio.create_subprocess_exec(
             *self._command,
@@ -206,7 +208,9 @@
             await self.process.wait()
 
     async def is_ready(self):
-        status, _, _ = await call(self.ready, 'GET', '/v1/readyz', {'Host': 'x'}, b'', 1)
+        status, _, _ = await call(
+            self.ready, 'GET', '/v1/readyz', {'Host': 'x'}, b'', 1
+        )
         return status == 200
 
     def log_text(self):
@@ -269,7 +273,9 @@
                 return found['addresses']
         return known[1] if known else []
 
-    async def request(self, zone, path, method='GET', body=b'', deadline_ms=4000, key=KEY):
+    async def request(
+        self, zone, path, method='GET', body=b'', deadline_ms=4000, key=KEY
+    ):
         """Send one request to a front address that the directory names."""
         addresses = await self.front_addresses(zone)
         self._count += 1
