--- a/cicadadoor/decisions/expected_finish.py
+++ b/cicadadoor/decisions/expected_finish.py
@@ -28,7 +28,7 @@
 # Another copy of an object that some server has cached is made only below this one.
 # When all servers are nearly full, such loads take the slots of several requests for
 # cached objects each, and evict other objects.
-_MAX_EXTRA_COPY_UTILISATION = 0.5
+_MAX_EXTRA_COPY_UTILISATION = 0.34
 # A server whose queue takes at most this fraction of a request's own time is as good as
 # a free one, so the request stays with the first server of its object's order.
 _SHORT_WAIT_FACTOR = 0.25
--- a/cicadadoor/entry/backends.py
+++ b/cicadadoor/entry/backends.py
@@ -3,6 +3,7 @@
 from cicadadoor.decisions.domain_summaries import smallest_ages, sum_counts
 from cicadadoor.decisions.host_shares import cold_gap_s, cold_sender_count
 from cicadadoor.entry.backend_table import MISSING_ENTRY_GRACE_S, Backend, BackendTable
+from cicadadoor.entry.domain_steering import DomainSteering
 from cicadadoor.entry.heartbeats import HostHeartbeat
 from cicadadoor.entry.limit_sharing import (
     LimitSharing,
@@ -12,7 +13,13 @@
 )
 from cicadadoor.entry.membership import HeartbeatPart, Membership
 from cicadadoor.entry.mirror import Mirror
-from cicadadoor.entry.model import BackendRecord, Evacuation, ServicePolicy, Topic
+from cicadadoor.entry.model import (
+    BackendRecord,
+    Evacuation,
+    HostRecord,
+    ServicePolicy,
+    Topic,
+)
 from cicadadoor.entry.policy import ActivePolicy
 from cicadadoor.entry.ranking import DomainOrder, Ranking, RegionOrder
 from cicadadoor.entry.shared_machines import SharedMachines
@@ -37,7 +44,8 @@
         self._membership: Membership
         self._table = BackendTable()
         self._evacuated: frozenset[str] = frozenset()
-        self.shared_machines: SharedMachines
+        self.shared_machines = SharedMachines()
+        self.steering: DomainSteering
         self._ranking: Ranking
         self._limits: LimitSharing
         # Heartbeats whose failures have been applied, by host.
@@ -58,7 +66,7 @@
             RegionOrder(settings.region, regions),
             DomainOrder(settings.failure_domain, regions),
         )
-        self.shared_machines = SharedMachines(self._ranking)
+        self.steering = DomainSteering(settings.failure_domain)
         self._mirror.subscribe(self._on_change)
 
     def of_service(self, service: str) -> list[Backend]:
@@ -216,6 +224,12 @@
             self._apply_entries()
         elif topic is Topic.EVACUATIONS:
             self._apply_evacuations()
+        elif topic is Topic.HOSTS:
+            hosts = self._mirror.records(topic).values()
+            if self.steering.note_hosts(
+                host for host in hosts if isinstance(host, HostRecord)
+            ):
+                self._ranking.rank_by_domain()
 
     def _apply_entries(self) -> None:
         now_s = self._timer.now_s()
--- a/cicadadoor/entry/directory.py
+++ b/cicadadoor/entry/directory.py
@@ -6,6 +6,7 @@
 
 from cicadadoor.decisions.host_selection import select_hosts
 from cicadadoor.entry.backends import Backends
+from cicadadoor.entry.domain_steering import MIN_DOMAIN_HOSTS
 from cicadadoor.entry.membership import Membership
 from cicadadoor.entry.model import HostRecord
 from cicadadoor.entry.state import EntryState
@@ -17,10 +18,6 @@
 _MAX_HOSTS = 64
 # With fewer hosts in the caller's region, hosts of all regions are returned.
 _MIN_NEAR_HOSTS = 1
-# With as many live hosts in the caller's failure domain, only these are returned, so
-# that requests do not cross failure domains. The loss of a host or two must not move
-# the callers of the whole domain.
-_MIN_DOMAIN_HOSTS = 4
 
 
 class DirectoryResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,9 +49,9 @@
         hosts = self._membership.serving_hosts()
         near = [host for host in hosts if host.region == region]
         chosen = near if len(near) >= _MIN_NEAR_HOSTS else hosts
-        if self._backends.shared_machines.is_any:
+        if self._backends.steering.is_on:
             own = [host for host in near if host.failure_domain == failure_domain]
-            chosen = own if len(own) >= _MIN_DOMAIN_HOSTS else chosen
+            chosen = own if len(own) >= MIN_DOMAIN_HOSTS else chosen
             capacities = [host.capacity for host in chosen]
             chosen = [chosen[index] for index in select_hosts(capacities, self._random)]
         if not chosen:
--- a/cicadadoor/entry/finish_chooser.py
+++ b/cicadadoor/entry/finish_chooser.py
@@ -1,4 +1,8 @@
-"""Choose servers by their expected finish where they report how slow they are."""
+"""Choose servers by their expected finish.
+
+Used where callers are kept in their failure domain, and for services whose servers
+report how slow they are.
+"""
 
 from itertools import islice
 
@@ -34,7 +38,10 @@
 
     def applies_to(self, routed: RoutedRequest) -> bool:
         """Return whether the request's servers report enough to estimate times."""
-        if not self._backends.shared_machines.includes(routed.service):
+        is_used = self._backends.steering.is_on or (
+            self._backends.shared_machines.includes(routed.service)
+        )
+        if not is_used:
             return False
         return self._times.cached_s(routed.route.name) > 0
 
--- a/cicadadoor/entry/ranking.py
+++ b/cicadadoor/entry/ranking.py
@@ -113,9 +113,8 @@
     """Compute rankings, and cache them until the backend servers change."""
 
     def __init__(self, region_order: ServerOrder, domain_order: ServerOrder) -> None:
-        self._region_order = region_order
+        self._order = region_order
         self._domain_order = domain_order
-        self._by_domain: set[str] = set()
         self._orders: dict[tuple[str, str], tuple[str, ...]] = {}
         self._weights: dict[str, list[WeightedServer]] = {}
 
@@ -124,9 +123,9 @@
         self._orders.clear()
         self._weights.clear()
 
-    def rank_by_domain(self, service: str) -> None:
-        """Rank the servers of a service by failure domain from now on."""
-        self._by_domain.add(service)
+    def rank_by_domain(self) -> None:
+        """Rank by failure domain from now on."""
+        self._order = self._domain_order
         self.clear()
 
     def find(self, service: str, object_key: str) -> tuple[str, ...] | None:
@@ -140,13 +139,10 @@
         open_servers: Sequence[Backend],
     ) -> tuple[str, ...]:
         """Compute and cache the ranking of the servers that accept requests."""
-        server_order = self._region_order
-        if service in self._by_domain:
-            server_order = self._domain_order
         if service not in self._weights:
-            self._weights[service] = server_order.weigh(open_servers)
+            self._weights[service] = self._order.weigh(open_servers)
         ranked = rank(self._weights[service], object_key)
-        order = server_order.group(ranked, open_servers)
+        order = self._order.group(ranked, open_servers)
         if len(self._orders) > _MAX_ORDERS:
             self._orders.clear()
         self._orders[service, object_key] = order
--- a/cicadadoor/entry/shared_machines.py
+++ b/cicadadoor/entry/shared_machines.py
@@ -2,7 +2,6 @@
 
 from cicadadoor.entry.backend_table import Backend
 from cicadadoor.entry.messages import LoadReport
-from cicadadoor.entry.ranking import Ranking
 from cicadadoor.telemetry import logs
 
 log = logs.logger('backends')
@@ -11,19 +10,12 @@
 class SharedMachines:
     """Note the services whose servers report how slow their machines are.
 
-    Only their requests are placed by expected finish and kept in their callers' failure
-    domain; all other services are served as before.
+    Their requests are placed by expected finish.
     """
 
-    def __init__(self, ranking: Ranking) -> None:
-        self._ranking = ranking
+    def __init__(self) -> None:
         self._services: set[str] = set()
 
-    @property
-    def is_any(self) -> bool:
-        """Return whether there is such a service."""
-        return bool(self._services)
-
     def includes(self, service: str) -> bool:
         """Return whether servers of the service report how slow their machines are."""
         return service in self._services
@@ -37,4 +29,3 @@
         if backend.slowdown.is_reported and service not in self._services:
             log.info('slowdown_reported', service=service)
             self._services.add(service)
-            self._ranking.rank_by_domain(service)
