--- a/tests/utils/queue_hosts.py
+++ b/tests/utils/queue_hosts.py
@@ -63,7 +63,7 @@
         self.ranking = Ranking(
             RegionOrder(self.region, regions), DomainOrder(domain, regions)
         )
-        self.ranking.rank_by_domain('')
+        self.ranking.rank_by_domain()
         self._servers = servers
         self._clock = clock
         self._waiting: dict[tuple[str, str], list[ModelRequest]] = {}
