--- a/cicadadoor/entry/directory.py
+++ b/cicadadoor/entry/directory.py
@@ -5,6 +5,9 @@
 import msgspec
 
 from cicadadoor.decisions.host_pressure import thin_out
+from cicadadoor.decisions.host_selection import select_hosts
+from cicadadoor.entry.backends import Backends
+from cicadadoor.entry.domain_steering import MIN_DOMAIN_HOSTS
 from cicadadoor.entry.membership import Membership
 from cicadadoor.entry.model import HostRecord
 from cicadadoor.entry.pressure import PressureReport
@@ -27,7 +30,7 @@
 
 
 class Directory(Service):
-    """Return the live hosts of the caller's region, or all if there are none.
+    """Return the live hosts of the caller's failure domain or region, or all.
 
     Hosts that are short of memory are named in few of the answers.
     """
@@ -38,18 +41,26 @@
         self._state: EntryState
         self._membership: Membership
         self._pressure: PressureReport
+        self._backends: Backends
+        self._random = random.Random()
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the services that this one uses."""
         self._state = kernel.find('state')
         self._membership = kernel.find('membership')
         self._pressure = kernel.find('pressure')
+        self._backends = kernel.find('backends')
 
     def look_up(self, region: str, failure_domain: str) -> DirectoryResponse | Failure:
         """Return hosts for a caller, those of its failure domain first."""
         hosts = self._membership.serving_hosts()
         near = [host for host in hosts if host.region == region]
         chosen = near if len(near) >= _MIN_NEAR_HOSTS else hosts
+        if self._backends.steering.is_on:
+            own = [host for host in near if host.failure_domain == failure_domain]
+            chosen = own if len(own) >= MIN_DOMAIN_HOSTS else chosen
+            capacities = [host.capacity for host in chosen]
+            chosen = [chosen[index] for index in select_hosts(capacities, self._random)]
         if not chosen:
             return Failure(
                 ErrorKind.DRAINING, 'this host is draining and no other is known'
