--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -169,7 +169,8 @@
             heartbeat_of('host-1', quarantines={REQUEST: CrashReport(1, 2, {3}, 4)})
         )
         fields = msgspec.msgpack.decode(encoded)
-        fields[-1] = {REQUEST: [*fields[-1][REQUEST], 'later']}
+        position = HostHeartbeat.__struct_fields__.index('quarantines')
+        fields[position] = {REQUEST: [*fields[position][REQUEST], 'later']}
         fields.append('later')
         read = msgspec.msgpack.decode(
             msgspec.msgpack.encode(fields), type=HostHeartbeat
