--- a/cicadadoor/entry/membership.py
+++ b/cicadadoor/entry/membership.py
@@ -42,6 +42,9 @@
     def on_tick(self, heartbeats: list[HostHeartbeat]) -> None:
         """Process heartbeats on each tick, if the next interval would be too late."""
 
+    def on_unlisted_heartbeat(self, heartbeat: HostHeartbeat) -> None:
+        """Process the heartbeat of a host that this one has not read of, on arrival."""
+
 
 class Membership(Service):
     """Send heartbeats, and receive those of other hosts."""
@@ -230,6 +233,8 @@
         now_s = self._timer.now_s()
         is_new = self.peers.record_heartbeat(heartbeat, now_s)
         if self.peers.find(heartbeat.host) is None:
+            for part in self._parts:
+                _call_part(part.on_unlisted_heartbeat, heartbeat)
             self._reread_hosts(heartbeat.host, now_s)
         is_summary = is_new and bool(heartbeat.members)
         # A summary from elsewhere has been passed on by the host that received it.
--- a/cicadadoor/entry/quarantine.py
+++ b/cicadadoor/entry/quarantine.py
@@ -121,6 +121,12 @@
         self._quarantine.expire(now_s)
         self._publish_changes()
 
+    def on_unlisted_heartbeat(self, heartbeat: HostHeartbeat) -> None:
+        """Merge what a host knows that is not in the list as this one has read it."""
+        # A host that has started reads no list while the store is silent.
+        self._quarantine.merge(_reports_of(heartbeat), self._timer.now_s())
+        self._publish_changes()
+
     def _update_hosts(self, now_s: float) -> None:
         membership = self._membership
         heard = membership.peers.heard(now_s)
--- a/tests/soak/events.py
+++ b/tests/soak/events.py
@@ -9,7 +9,7 @@
 
 from tests.soak.callers import CRASH_ATTEMPTS, Callers
 from tests.soak.faults import FaultAction
-from tests.soak.fleet import CRASH_PATH, Fleet
+from tests.soak.fleet import CRASH_PATH, Fleet, Host
 from tests.soak.relay import RelayFault
 
 _MS_PER_S = 1000
@@ -69,8 +69,11 @@
         self, client: httpx.AsyncClient, number: int
     ) -> None:
         host = self._random.randrange(len(self._fleet.hosts))
-        attempt = f'{CRASH_ATTEMPTS}{number}'
-        await self._callers.send(client, attempt, 'GET', host, path=CRASH_PATH)
+        # Callers learn of hosts that are ready. One that has just started takes the
+        # quarantines over before that.
+        if await _is_ready(client, self._fleet.hosts[host]):
+            attempt = f'{CRASH_ATTEMPTS}{number}'
+            await self._callers.send(client, attempt, 'GET', host, path=CRASH_PATH)
 
     async def _restart_worker(self, instance_id: str) -> None:
         self.log.append(f'{instance_id}: crashed')
@@ -114,3 +117,11 @@
             host,
             deadline_ms=_ABANDON_DEADLINE_MS,
         )
+
+
+async def _is_ready(client: httpx.AsyncClient, host: Host) -> bool:
+    try:
+        answer = await client.get(f'http://{host.settings["readiness"]}/v1/readyz')
+    except httpx.HTTPError:
+        return False
+    return answer.status_code == httpx.codes.OK
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -150,6 +150,19 @@
                 assert is_probe
                 raise TimeoutError
 
+    def test_host_that_cannot_read_the_list_learns_of_crashes(self):
+        """Heartbeats of unlisted hosts were dropped while the store was silent."""
+        sender = watch()
+        for number in range(CRASHES_TO_REFUSE):
+            sender.note_crash(REQUEST, server(f'i-{number}'), 0)
+        membership = FakeMembership(others=0)
+        membership._timer = ManualTimer(NOW_S)
+        membership._last_reread_s = NOW_S
+        host = watch(membership)
+        membership.add_part(host)
+        membership._receive(msgspec.msgpack.encode(heartbeats_from([sender])[0]), '')
+        assert host.refuses(REQUEST)
+
 
 class TestOlderHosts:
     """Guard against a mixed fleet in which one version cannot read the other."""
