--- a/cicadadoor/entry/caller_connection.py
+++ b/cicadadoor/entry/caller_connection.py
@@ -71,8 +71,8 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Handle received bytes."""
         if not self.is_closing:
-            self.use.moved_bytes += nbytes
             self._reader.receive(self._context.buffer[:nbytes])
+            self.use.moved_bytes += nbytes
 
     def eof_received(self) -> bool:
         """Cancel the requests without a response: the client counts as gone.
@@ -102,6 +102,8 @@
         written_bytes = self._writer.written_bytes
         self._queue.pump()
         self.use.moved_bytes += self._writer.written_bytes - written_bytes
+        if self._has_eof and not self._queue:
+            self._transport.close()
         self.note_phase()
         self._reader.resume()
 
