--- a/cicadadoor/decisions/connection_limits.py
+++ b/cicadadoor/decisions/connection_limits.py
@@ -7,8 +7,8 @@
 # Descriptors for files, pipes, listening sockets and the event loop.
 _FILES = 200
 # Shares of the other descriptors. Each running request of a caller needs a second one
-# for its backend server.
-_CALLERS_SHARE = 0.55
+# for its backend server; there are at most as many as connections of callers.
+_CALLERS_SHARE = 0.45
 _PLATFORM_SHARE = 0.05
 _MIN_PLATFORM = 16
 # Selecting looks at all connections, so several are closed at a time.
--- a/cicadadoor/decisions/memory_account.py
+++ b/cicadadoor/decisions/memory_account.py
@@ -160,6 +160,9 @@
             if victim is reservation:
                 return False
             self._evict(victim)
+            if reservation.is_closed:
+                # It belonged to the connection that was closed.
+                return False
         self._add(reservation, size_bytes)
         self._holders[reservation] = None
         self.granted_bytes += size_bytes
--- a/cicadadoor/entry/caller_connection.py
+++ b/cicadadoor/entry/caller_connection.py
@@ -165,7 +165,7 @@
     @property
     def is_idle(self) -> bool:
         """Tell whether the connection has no request and nothing left to write."""
-        return not self._queue and self._writer.can_write
+        return self.use.phase is Phase.IDLE and self._writer.can_write
 
     def stop_reading(self) -> None:
         """Discard what the client still sends."""
--- a/cicadadoor/entry/caller_handler.py
+++ b/cicadadoor/entry/caller_handler.py
@@ -34,8 +34,13 @@
     """Handle the requests of callers, each in a task of its own."""
 
     def __init__(
-        self, kernel: Kernel, header_codec: HeaderCodec, open_requests: OpenRequests
+        self,
+        kernel: Kernel,
+        header_codec: HeaderCodec,
+        open_requests: OpenRequests,
+        max_running: int,
     ) -> None:
+        self._max_running = max_running
         self._header_codec = header_codec
         self._open = open_requests
         self._state: EntryState = kernel.find('state')
@@ -48,6 +53,11 @@
         self._turns = TurnQueue(_TURNS_PER_PASS)
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def is_full(self) -> bool:
+        """Tell whether there are as many requests as connections to backend servers."""
+        return len(self._open) >= self._max_running
+
     @property
     def must_close(self) -> bool:
         """Tell whether the host is leaving.
@@ -118,6 +128,9 @@
                 await self._respond(exchange, request, received_s)
         except Exception:
             log.exception('request_fault', path=request.path)
+            if exchange.response is not None:
+                # The response could not be written.
+                exchange.connection.reset()
             status = HTTPStatus.INTERNAL_SERVER_ERROR
             exchange.respond(Response(status, [], b'', closes=True))
 
--- a/cicadadoor/entry/caller_server.py
+++ b/cicadadoor/entry/caller_server.py
@@ -35,6 +35,7 @@
         self._listeners: list[tuple[socket.socket, ConnectionContext]] = []
         self._servers: list[asyncio.Server] = []
         self._checked_s = now_s()
+        self._was_late = False
 
     def listen(self, address: str, context: ConnectionContext) -> None:
         """Listen on an address; raise AddressInUseError if it is in use."""
@@ -68,7 +69,9 @@
         self._checked_s = now_s
         connections = self._connections()
         self._check_paused(connections)
-        if late_s > _MAX_LATE_S:
+        # A process that is always late checks every second time.
+        self._was_late = late_s > _MAX_LATE_S and not self._was_late
+        if self._was_late:
             return
         for connection in connections:
             if now_s >= connection.timeouts.due_s:
--- a/cicadadoor/entry/exchange.py
+++ b/cicadadoor/entry/exchange.py
@@ -169,6 +169,11 @@
     def end(self, exchange: Exchange) -> None:  # noqa: B027
         """Take note that a request is answered or that its caller has left."""
 
+    @property
+    def is_full(self) -> bool:
+        """Tell whether further requests of a connection wait for the earlier ones."""
+        return False
+
     @property
     def must_close(self) -> bool:
         """Tell whether connections are closed after the next response."""
--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -67,7 +67,9 @@
             'callers': ConnectionTable(bounds.callers),
             'platform': ConnectionTable(bounds.platform),
         }
-        self._callers = CallerHandler(kernel, self._header_codec, self._open)
+        self._callers = CallerHandler(
+            kernel, self._header_codec, self._open, bounds.callers
+        )
         self._server = CallerServer(self._timer.now_s, _CHECK_PERIOD_S)
         self._server.listen(
             str(settings.callers), self._context('callers', self._callers)
