--- a/cicadadoor/entry/backend_table.py
+++ b/cicadadoor/entry/backend_table.py
@@ -2,13 +2,13 @@
 
 import math
 
-import anyio
-
 from cicadadoor.decisions.backend_health import BackendHealth
 from cicadadoor.decisions.backpressure import Backpressure
+from cicadadoor.decisions.cache_capacity import CacheCapacity
 from cicadadoor.decisions.expected_finish import RatedServer, Slowdown
 from cicadadoor.decisions.host_shares import SendPacer
-from cicadadoor.decisions.placement import CacheState, Candidate
+from cicadadoor.decisions.placement import Candidate
+from cicadadoor.entry.cached_objects import CachedObjects
 from cicadadoor.entry.heartbeats import name_hash
 from cicadadoor.entry.messages import LoadReport
 from cicadadoor.entry.model import BackendRecord
@@ -26,67 +26,6 @@
 _MASS_REMOVAL_SHARE = 0.2
 # A reported load is used for this long.
 _LOAD_REPORT_TTL_S = 0.3
-# Backend servers at the current sites cache about 50 objects.
-_MAX_OBJECTS = 48
-
-
-class FirstRequest:
-    """Hold the first request for an object, which makes the server load it."""
-
-    __slots__ = ('ended', 'started_s')
-
-    def __init__(self, started_s: float) -> None:
-        self.started_s = started_s
-        self.ended = anyio.Event()
-
-
-class CachedObjects:
-    """Track which objects one run of a backend server probably has cached."""
-
-    __slots__ = ('_key_hashes', 'first_requests')
-
-    def __init__(self) -> None:
-        # Hashes of object keys, as in heartbeats; the least recently used comes first.
-        self._key_hashes: dict[int, None] = {}
-        self.first_requests: dict[str, FirstRequest] = {}
-
-    def cache_state(self, object_key: str) -> CacheState:
-        """Return the cache state of an object; CACHED if the key is empty."""
-        if not object_key or name_hash(object_key) in self._key_hashes:
-            return CacheState.CACHED
-        if object_key in self.first_requests:
-            return CacheState.LOADING
-        return CacheState.NOT_CACHED
-
-    def begin(self, object_key: str, now_s: float) -> FirstRequest | None:
-        """Register a request; return None unless it is the first for its object."""
-        if self.cache_state(object_key) is not CacheState.NOT_CACHED:
-            return None
-        first_request = FirstRequest(now_s)
-        self.first_requests[object_key] = first_request
-        return first_request
-
-    def end(
-        self, object_key: str, first_request: FirstRequest | None, *, is_answered: bool
-    ) -> None:
-        """Register the end of a request, and wake those waiting for the object."""
-        if is_answered and object_key:
-            # Move the object to the end: like servers, evict the least recently used.
-            self._key_hashes.pop(name_hash(object_key), None)
-            self._add(name_hash(object_key))
-        if first_request is not None:
-            self.first_requests.pop(object_key, None)
-            first_request.ended.set()
-
-    def add_from_peer(self, object_hash: int) -> None:
-        """Add an object that the server has loaded for another host."""
-        if object_hash not in self._key_hashes:
-            self._add(object_hash)
-
-    def _add(self, object_hash: int) -> None:
-        self._key_hashes[object_hash] = None
-        if len(self._key_hashes) > _MAX_OBJECTS:
-            self._key_hashes.pop(next(iter(self._key_hashes)))
 
 
 class Backend:
@@ -110,14 +49,19 @@
         'change_since_report',
     )
 
-    def __init__(self, record: BackendRecord, region: str) -> None:
+    def __init__(
+        self,
+        record: BackendRecord,
+        region: str,
+        capacity: CacheCapacity | None = None,
+    ) -> None:
         self.record = record
         self.region = region
         self.name_hash = name_hash(record.instance_id)
         self.health = BackendHealth()
         self.backpressure = Backpressure()
         self.pacer = SendPacer()
-        self.cached_objects = CachedObjects()
+        self.cached_objects = CachedObjects(capacity)
         self.cold_until_s = -math.inf
         # Set while the entry is missing but may reappear.
         self.missing_until_s: float | None = None
@@ -190,6 +134,7 @@
         self.known: dict[str, Backend] = {}
         self.by_name_hash: dict[int, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
+        self._capacities: dict[str, CacheCapacity] = {}
 
     def of_service(self, service: str) -> list[Backend]:
         """Return the backend servers of a service."""
@@ -241,7 +186,11 @@
     ) -> None:
         backend = self.known.get(name)
         if backend is None or _is_new_run(backend.record, record):
-            backend = Backend(record, region_of_domain.get(record.failure_domain, ''))
+            backend = Backend(
+                record,
+                region_of_domain.get(record.failure_domain, ''),
+                self._capacities.setdefault(record.service, CacheCapacity()),
+            )
             self.known[name] = backend
             log.info(
                 'backend_known',
--- a/cicadadoor/entry/placement.py
+++ b/cicadadoor/entry/placement.py
@@ -8,11 +8,12 @@
 
 from cicadadoor.decisions.placement import CacheState, Choice, choose
 from cicadadoor.decisions.queue_limits import ProcessingTimes, UtilisationLimits
-from cicadadoor.entry.backend_table import Backend, FirstRequest
+from cicadadoor.entry.backend_table import Backend
 from cicadadoor.entry.backends import Backends
 from cicadadoor.entry.cache_reports import CacheReports
 from cicadadoor.entry.finish_chooser import FinishChooser
 from cicadadoor.entry.routed_request import RoutedRequest
+from cicadadoor.entry.server_attempt import AttemptTimes, ServerAttempt
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.timer import TimerService
@@ -31,22 +32,6 @@
 _RETRY_JITTER_S = 0.3
 
 
-class ServerAttempt:
-    """Hold one attempt at a backend server, and the object load that it started."""
-
-    __slots__ = ('backend', 'had_free_slot', 'first_request', 'sent_s', 'was_cached')
-
-    def __init__(self, routed: RoutedRequest, backend: Backend, now_s: float) -> None:
-        self.backend = backend
-        self.sent_s = now_s
-        cache_state = backend.cached_objects.cache_state(routed.object_key)
-        self.was_cached = cache_state is CacheState.CACHED
-        self.had_free_slot = backend.utilisation(now_s) < 1
-        self.first_request: FirstRequest | None = backend.cached_objects.begin(
-            routed.object_key, now_s
-        )
-
-
 class Placement(Service):
     """Select servers for requests, and measure how long the requests take."""
 
@@ -58,12 +43,14 @@
         self._cache_reports: CacheReports
         self._processing_times = ProcessingTimes()
         self._finish_chooser: FinishChooser
+        self._attempt_times: AttemptTimes
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the services that hold servers and cached objects."""
         self._timer = kernel.find('timer')
         self._backends = kernel.find('backends')
         self._cache_reports = kernel.find('learning')
+        self._attempt_times = AttemptTimes(self._backends, self._processing_times)
         self._finish_chooser = FinishChooser(
             self._backends,
             self._processing_times,
@@ -119,7 +106,7 @@
             self._cache_reports.note(attempt.backend, routed.object_key)
         if is_answered and attempt.had_free_slot:
             # With a free slot at the start, the time contains no queueing.
-            self._note_time(routed, attempt)
+            self._attempt_times.note(routed, attempt, self._timer.now_s())
 
     def no_server_failure(self, routed: RoutedRequest) -> Failure:
         """Return the refusal of a request that no server can accept."""
@@ -135,19 +122,6 @@
             self._retry_after_ms(routed, servers),
         )
 
-    def _note_time(self, routed: RoutedRequest, attempt: ServerAttempt) -> None:
-        now_s = self._timer.now_s()
-        took_s = now_s - attempt.sent_s
-        route = routed.route.name
-        if not attempt.backend.slowdown.is_reported:
-            self._processing_times.note(route, took_s, is_cached=attempt.was_cached)
-            return
-        self._processing_times.note_bounded(
-            route,
-            took_s / attempt.backend.slowdown.factor(now_s),
-            is_cached=attempt.was_cached,
-        )
-
     def _select_fast(self, routed: RoutedRequest) -> Backend | None:
         """Return the server that `choose` would return, if it is in the fast path."""
         now_s = self._timer.now_s()
--- a/tests/test_entry_backends.py
+++ b/tests/test_entry_backends.py
@@ -3,7 +3,8 @@
 import pytest
 
 from cicadadoor.decisions.placement import CacheState
-from cicadadoor.entry.backend_table import BackendTable, CachedObjects
+from cicadadoor.entry.backend_table import BackendTable
+from cicadadoor.entry.cached_objects import CachedObjects
 from cicadadoor.entry.messages import CallerRequest
 from cicadadoor.entry.model import (
     BackendRecord,
--- a/tests/utils/queue_hosts.py
+++ b/tests/utils/queue_hosts.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Mapping, Sequence
 
+from cicadadoor.decisions.cache_capacity import CacheCapacity, was_hit
 from cicadadoor.decisions.expected_finish import (
     ServiceTimes,
     TimeLimits,
@@ -50,8 +51,11 @@
     ) -> None:
         self.domain = domain
         self.region = regions[domain]
+        self.capacity = CacheCapacity()
         self.backends = {
-            name: Backend(each.record, regions[each.record.failure_domain])
+            name: Backend(
+                each.record, regions[each.record.failure_domain], self.capacity
+            )
             for name, each in servers.items()
         }
         self._evacuated = ''
@@ -118,6 +122,7 @@
         sent_s = self._clock.now_s
         name, key = backend.record.instance_id, request.object_key
         distance_s = self._distance_s(name)
+        position = backend.cached_objects.position(key)
         first_request = backend.cached_objects.begin(key, sent_s)
         was_cached = backend.cached_objects.cache_state(key) is CacheState.CACHED
         had_free_slot = backend.utilisation(sent_s) < 1
@@ -133,7 +138,7 @@
             backend.cached_objects.end(key, first_request, is_answered=True)
             if had_free_slot:
                 took_s = (now_s - sent_s) / backend.slowdown.factor(now_s)
-                self.times.note_bounded('', took_s, is_cached=was_cached)
+                self._note_time(took_s, position, is_cached=was_cached)
             if first_request is not None:
                 self.learned.append((name, key))
             for waiting in self._waiting.pop((name, key), ()):
@@ -145,6 +150,20 @@
         arrive = self._servers[name].arrive
         self._clock.after(distance_s, lambda: arrive(key, respond))
 
+    def _note_time(
+        self, took_s: float, position: int | None, *, is_cached: bool
+    ) -> None:
+        is_hit = was_hit(
+            took_s,
+            cached_s=self.times.cached_s(''),
+            uncached_s=self.times.uncached_s(''),
+        )
+        if position is not None and is_hit is not None:
+            self.capacity.note(position, is_hit=is_hit)
+            if not is_hit:
+                return
+        self.times.note_bounded('', took_s, is_cached=is_cached)
+
     def _distance_s(self, name: str) -> float:
         return _NEAR_S if self.backends[name].region == self.region else _FAR_S
 
