--- a/cicadadoor/decisions/expected_finish.py
+++ b/cicadadoor/decisions/expected_finish.py
@@ -25,6 +25,10 @@
 # A server loads another object only below this utilisation: a load takes several times
 # as long as a request for a cached object, and would delay all that come next.
 _MAX_LOADING_UTILISATION = 0.8
+# The first servers of an object's order load it as long as they have a free slot.
+# Otherwise its requests wander over all servers that happen to have more room, also in
+# other regions, and each copy evicts other objects.
+_HOME_SERVERS = 2
 # Another copy of an object that some server has cached is made only below this one.
 # When all servers are nearly full, such loads take the slots of several requests for
 # cached objects each, and evict other objects.
@@ -173,12 +177,16 @@
     for each in ranked:
         if each.cache_state is CacheState.LOADING and may_wait:
             return Choice(wait_for=each.name)
-    max_utilisation = (
-        _MAX_EXTRA_COPY_UTILISATION if cached else _MAX_LOADING_UTILISATION
-    )
-    chosen = _find_room_to_load(ranked, times, limits, max_utilisation) or late
-    if chosen is None and not cached:
-        chosen = _find_room_to_load(ranked, times, limits, 1.0)
+    if cached:
+        extra = _MAX_EXTRA_COPY_UTILISATION
+        chosen = _find_room_to_load(ranked, times, limits, extra) or late
+    else:
+        home = ranked[:_HOME_SERVERS]
+        chosen = (
+            _find_room_to_load(home, times, limits, 1.0)
+            or _find_room_to_load(ranked, times, limits, _MAX_LOADING_UTILISATION)
+            or _find_room_to_load(ranked, times, limits, 1.0)
+        )
     return Choice() if chosen is None else Choice(send_to=chosen.name)
 
 
