--- a/cicadadoor/entry/finish_chooser.py
+++ b/cicadadoor/entry/finish_chooser.py
@@ -20,6 +20,7 @@
 from cicadadoor.entry.backends import Backends
 from cicadadoor.entry.ranking import FIRST_COUNTS
 from cicadadoor.entry.routed_request import RoutedRequest
+from cicadadoor.entry.server_attempt import estimates_finish
 
 _MS_PER_S = 1000
 _REGION_ROUND_TRIP_S = 0.04
@@ -38,10 +39,7 @@
 
     def applies_to(self, routed: RoutedRequest) -> bool:
         """Return whether the request's servers report enough to estimate times."""
-        is_used = self._backends.steering.is_on or (
-            self._backends.shared_machines.includes(routed.service)
-        )
-        if not is_used:
+        if not estimates_finish(self._backends, routed.service):
             return False
         return self._times.cached_s(routed.route.name) > 0
 
--- a/cicadadoor/entry/server_attempt.py
+++ b/cicadadoor/entry/server_attempt.py
@@ -34,8 +34,13 @@
         )
 
 
+def estimates_finish(backends: Backends, service: str) -> bool:
+    """Return whether requests of a service are placed by expected finish."""
+    return backends.steering.is_on or backends.shared_machines.includes(service)
+
+
 class AttemptTimes:
-    """Measure routes, and learn the size of caches on shared machines."""
+    """Measure routes, and learn the size of caches where finish times are estimated."""
 
     def __init__(self, backends: Backends, times: ProcessingTimes) -> None:
         self._backends = backends
@@ -45,7 +50,7 @@
         """Add the time of an attempt that was answered without queueing."""
         took_s = now_s - attempt.sent_s
         route = routed.route.name
-        if not self._backends.shared_machines.includes(routed.service):
+        if not estimates_finish(self._backends, routed.service):
             self._times.note(route, took_s, is_cached=attempt.was_cached)
             return
         took_s /= attempt.backend.slowdown.factor(now_s)
