--- a/tests/utils/entry_hosts.py
+++ b/tests/utils/entry_hosts.py
@@ -1,6 +1,7 @@
 """Run entry hosts, a metadata store and workers in one event loop."""
 
 import time
+from collections.abc import Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
 
@@ -187,7 +188,14 @@
         await self._client.aclose()
 
 
-def host_settings(name: str, store: str, domain: str = 'muc-a') -> EntrySettings:
+def host_settings(
+    name: str,
+    store: str,
+    domain: str = 'muc-a',
+    *,
+    regions: Mapping[str, str] = _REGIONS,
+    cores: float = 1.0,
+) -> EntrySettings:
     """Return settings on free ports of the loopback interface."""
     callers, platform_address, peers = (Ports.address() for _ in range(3))
     settings = check(
@@ -195,8 +203,9 @@
         {
             'host': name,
             'failure_domain': domain,
-            'region': _REGIONS[domain],
-            'region_of_domain': _REGIONS,
+            'region': regions[domain],
+            'region_of_domain': regions,
+            'cores': cores,
             'callers': callers,
             'readiness': platform_address,
             'directory': platform_address,
@@ -217,11 +226,13 @@
     hosts: int = 1,
     faults: StoreFaults | None = None,
     domains: tuple[str, ...] = ('muc-a',),
+    cores: tuple[float, ...] = (1.0,),
+    regions: Mapping[str, str] = _REGIONS,
 ):
     """Run hosts and workers while the context is open.
 
     The store has the given faults from the start. The hosts are spread over the failure
-    domains in turn.
+    domains in turn, and have the given cores in turn.
     """
     async with AsyncExitStack() as stack:
         store = MetadataStore()
@@ -243,7 +254,13 @@
         stack.callback(stopping.set)
         for number in range(hosts):
             domain = domains[number % len(domains)]
-            settings = host_settings(f'host-{number}', server.address, domain)
+            settings = host_settings(
+                f'host-{number}',
+                server.address,
+                domain,
+                regions=regions,
+                cores=cores[number % len(cores)],
+            )
             kernel = build(settings)
             deployment.hosts.append(settings)
             deployment.kernels.append(kernel)
