--- a/cicadadoor/decisions/memory_account.py
+++ b/cicadadoor/decisions/memory_account.py
@@ -22,7 +22,7 @@
 _PROCESS_MB = 55
 _MIN_ACCOUNT_MB = 5
 # Part of the rest for fragmentation, the parsers' copies and the sockets' buffers.
-_RESERVE_FRACTION = 0.15
+_RESERVE_FRACTION = 0.2
 
 
 def account_bytes(memory_mb: float) -> int:
@@ -77,6 +77,7 @@
         'is_closed',
         'kind',
         'left_bytes',
+        'on_close',
         'on_evict',
         'owner',
     )
@@ -90,6 +91,8 @@
         self.granted_bytes = 0
         self.is_closed = False
         self.on_evict: Callable[[], None] | None = None
+        # Called by `close`, to free the memory that the bytes stand for.
+        self.on_close: Callable[[], None] | None = None
 
     def grow(self, size_bytes: int) -> bool:
         """Reserve more bytes; return False if the holder has to be refused or closed.
@@ -117,6 +120,9 @@
         """Release all bytes, and grant no more."""
         self.is_closed = True
         self.on_evict = None
+        on_close, self.on_close = self.on_close, None
+        if on_close is not None:
+            on_close()
         self._account.release(self)
 
 
--- a/cicadadoor/entry/caller_handler.py
+++ b/cicadadoor/entry/caller_handler.py
@@ -45,7 +45,6 @@
         self._open = open_requests
         self._state: EntryState = kernel.find('state')
         self._timer: TimerService = kernel.find('timer')
-        self._account = self._state.account
         self._policy: ActivePolicy = kernel.find('policy')
         self._admission: Admission = kernel.find('admission')
         self._dispatcher: Dispatcher = kernel.find('dispatcher')
@@ -81,7 +80,6 @@
     def handle(self, exchange: Exchange) -> None:
         """Answer the request in a new task."""
         exchange.scope = anyio.CancelScope()
-        exchange.response_reservation = self._account.open('response', exchange.owner)
         task = asyncio.get_running_loop().create_task(self._serve(exchange))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/cicadadoor/entry/exchange.py
+++ b/cicadadoor/entry/exchange.py
@@ -16,6 +16,8 @@
     from cicadadoor.entry.caller_connection import CallerConnection
 
 Body = bytes | bytearray
+# Objects of a running request and of its connection to a backend server.
+REQUEST_BYTES = 32_768
 
 
 class Response:
--- a/cicadadoor/entry/request_intake.py
+++ b/cicadadoor/entry/request_intake.py
@@ -12,7 +12,7 @@
 from cicadadoor.decisions.memory_account import LARGE_BYTES, Owner
 from cicadadoor.decisions.progress_limits import BodyProgress
 from cicadadoor.entry.connection_context import ConnectionContext
-from cicadadoor.entry.exchange import Exchange, Response
+from cicadadoor.entry.exchange import REQUEST_BYTES, Exchange, Response
 from cicadadoor.entry.request_reader import RequestSink, new_parser
 from cicadadoor.entry.response_queue import ResponseQueue
 from cicadadoor.entry.response_writer import ResponseWriter
@@ -119,6 +119,11 @@
 
     def receive_end(self, exchange: Exchange) -> None:
         """Hand a complete request to the handler."""
+        reservation = self._context.account.open('response', exchange.owner)
+        exchange.response_reservation = reservation
+        if not reservation.grow(REQUEST_BYTES):
+            self._refuse_for_memory(exchange)
+            return
         if exchange.body.reservation is not None:
             # The request may run from now on, so that it cannot be refused any more.
             exchange.body.reservation.on_evict = None
@@ -164,6 +169,6 @@
     def _refuse_for_memory(self, exchange: Exchange) -> None:
         delay_ms = _RETRY_MS + int(random.random() * _RETRY_JITTER_MS)
         failure = Failure(
-            ErrorKind.NO_CAPACITY, 'too little memory for the request body', delay_ms
+            ErrorKind.NO_CAPACITY, 'too little memory for the request', delay_ms
         )
         self.refuse(exchange, failure, 'memory')
--- a/cicadadoor/entry/response_queue.py
+++ b/cicadadoor/entry/response_queue.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from cicadadoor.entry.connection_context import ConnectionContext
-from cicadadoor.entry.exchange import Exchange, Response
+from cicadadoor.entry.exchange import REQUEST_BYTES, Exchange, Response
 from cicadadoor.entry.response_writer import ResponseWriter
 
 
@@ -102,7 +102,8 @@
         reservation.on_evict = self._on_evict
         reservation.note_progress(len(response.body))
         # The response of a backend server is reserved already.
-        missing_bytes = len(response.body) - reservation.held_bytes
+        needed_bytes = REQUEST_BYTES + len(response.body)
+        missing_bytes = needed_bytes - reservation.held_bytes
         if missing_bytes > 0 and not reservation.grow(missing_bytes):
             self._on_evict()
 
--- a/cicadadoor/entry/response_reader.py
+++ b/cicadadoor/entry/response_reader.py
@@ -88,11 +88,13 @@
         self._is_kept = reservation is not None
         self._reservation = reservation or self._account.open('response', Owner(''))
         self._reservation.on_evict = self.abort_response
+        self._reservation.on_close = self.discard
         self._reserved_bytes = 0
 
     def end(self, *, is_done: bool) -> None:
         """Release the bytes of the response, unless its receiver holds it."""
         self._reservation.on_evict = None
+        self._reservation.on_close = None
         if not (is_done and self._is_kept):
             self._reservation.shrink(self._reserved_bytes)
 
@@ -102,10 +104,18 @@
             f'response aborted at {self._progress.body_bytes} bytes: it holds more '
             'than others while the memory is short'
         )
+        self._free()
+        self.transport.abort()
+
+    def discard(self) -> None:
+        """Discard the response; the request is about to be cancelled."""
+        self.fault = 'the request was cancelled'
+        self._free()
+
+    def _free(self) -> None:
         # Frees the memory at once; the request's task runs only later.
         self._unread.clear()
         self._body.clear()
-        self.transport.abort()
 
     async def read_head(self) -> h11.Response:
         """Return the head of the final response, skipping interim (1xx) responses."""
--- a/tests/utils/caller_server.py
+++ b/tests/utils/caller_server.py
@@ -29,6 +29,11 @@
         self.ended: list[Exchange] = []
         self.begun = 0
         self.is_leaving = False
+        self.is_full_now = False
+
+    @property
+    def is_full(self) -> bool:
+        return self.is_full_now
 
     @property
     def must_close(self) -> bool:
