--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -163,6 +163,19 @@
 
         run(tmp_path, work)
 
+    def test_all_kinds_that_hold_memory_at_once(self, tmp_path):
+        """The connections above displace most bodies where they are bounded."""
+
+        async def work(scene: Scene) -> None:
+            crowd = scene.crowd
+            crowd.start(8, clients.whole_body(crowd, BODY_BYTES))
+            crowd.start(8, clients.chunked_body(crowd, BODY_BYTES))
+            crowd.start(16, clients.slow_reader(crowd, RESPONSE_BYTES))
+            crowd.start(8, clients.pipelined(crowd, 16, f'/look/{RESPONSE_BYTES}'))
+            assert await scene.faults() == []
+
+        run(tmp_path, work)
+
 
 class TestLegalSize:
     """Guard against limits that refuse a single request of legal size."""
