--- a/cicadadoor/entry/caller_handler.py
+++ b/cicadadoor/entry/caller_handler.py
@@ -34,13 +34,17 @@
     """Handle the requests of callers, each in a task of its own."""
 
     def __init__(
-        self, kernel: Kernel, header_codec: HeaderCodec, open_requests: OpenRequests
+        self,
+        kernel: Kernel,
+        header_codec: HeaderCodec,
+        open_requests: OpenRequests,
+        max_running: int,
     ) -> None:
+        self._max_running = max_running
         self._header_codec = header_codec
         self._open = open_requests
         self._state: EntryState = kernel.find('state')
         self._timer: TimerService = kernel.find('timer')
-        self._account = self._state.account
         self._policy: ActivePolicy = kernel.find('policy')
         self._admission: Admission = kernel.find('admission')
         self._dispatcher: Dispatcher = kernel.find('dispatcher')
@@ -48,6 +52,11 @@
         self._turns = TurnQueue(_TURNS_PER_PASS)
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def is_full(self) -> bool:
+        """Tell whether there are as many requests as connections to backend servers."""
+        return len(self._open) >= self._max_running
+
     @property
     def must_close(self) -> bool:
         """Tell whether the host is leaving.
@@ -71,7 +80,6 @@
     def handle(self, exchange: Exchange) -> None:
         """Answer the request in a new task."""
         exchange.scope = anyio.CancelScope()
-        exchange.response_reservation = self._account.open('response', exchange.owner)
         task = asyncio.get_running_loop().create_task(self._serve(exchange))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -118,6 +126,9 @@
                 await self._respond(exchange, request, received_s)
         except Exception:
             log.exception('request_fault', path=request.path)
+            if exchange.response is not None:
+                # The response could not be written.
+                exchange.connection.reset()
             status = HTTPStatus.INTERNAL_SERVER_ERROR
             exchange.respond(Response(status, [], b'', closes=True))
 
--- a/cicadadoor/entry/exchange.py
+++ b/cicadadoor/entry/exchange.py
@@ -16,6 +16,8 @@
     from cicadadoor.entry.caller_connection import CallerConnection
 
 Body = bytes | bytearray
+# Objects of a running request and of its connection to a backend server.
+REQUEST_BYTES = 32_768
 
 
 class Response:
@@ -169,6 +171,11 @@
     def end(self, exchange: Exchange) -> None:  # noqa: B027
         """Take note that a request is answered or that its caller has left."""
 
+    @property
+    def is_full(self) -> bool:
+        """Tell whether further requests of a connection wait for the earlier ones."""
+        return False
+
     @property
     def must_close(self) -> bool:
         """Tell whether connections are closed after the next response."""
--- a/cicadadoor/entry/request_intake.py
+++ b/cicadadoor/entry/request_intake.py
@@ -12,7 +12,7 @@
 from cicadadoor.decisions.memory_account import LARGE_BYTES, Owner
 from cicadadoor.decisions.progress_limits import BodyProgress
 from cicadadoor.entry.connection_context import ConnectionContext
-from cicadadoor.entry.exchange import Exchange, Response
+from cicadadoor.entry.exchange import REQUEST_BYTES, Exchange, Response
 from cicadadoor.entry.request_reader import RequestSink, new_parser
 from cicadadoor.entry.response_queue import ResponseQueue
 from cicadadoor.entry.response_writer import ResponseWriter
@@ -54,6 +54,8 @@
         last = self._queue.last
         if last.is_last or len(self._queue) >= _MAX_RUNNING:
             return False
+        if self._context.handler.is_full:
+            return False
         return self._context.may_repeat(last)
 
     def is_first(self, exchange: Exchange) -> bool:
@@ -117,6 +119,11 @@
 
     def receive_end(self, exchange: Exchange) -> None:
         """Hand a complete request to the handler."""
+        reservation = self._context.account.open('response', exchange.owner)
+        exchange.response_reservation = reservation
+        if not reservation.grow(REQUEST_BYTES):
+            self._refuse_for_memory(exchange)
+            return
         if exchange.body.reservation is not None:
             # The request may run from now on, so that it cannot be refused any more.
             exchange.body.reservation.on_evict = None
@@ -162,6 +169,6 @@
     def _refuse_for_memory(self, exchange: Exchange) -> None:
         delay_ms = _RETRY_MS + int(random.random() * _RETRY_JITTER_MS)
         failure = Failure(
-            ErrorKind.NO_CAPACITY, 'too little memory for the request body', delay_ms
+            ErrorKind.NO_CAPACITY, 'too little memory for the request', delay_ms
         )
         self.refuse(exchange, failure, 'memory')
