--- a/cicadadoor/entry/daemon.py
+++ b/cicadadoor/entry/daemon.py
@@ -34,9 +34,10 @@
 
 # A peer sends at most one snapshot request per topic at a time.
 _PEER_CONTEXTS = 4
-# Such a request has a topic, two numbers and an instance id.
-_PEER_REQUEST_BYTES = 4096
-# The largest fleets have fewer than 128 hosts; a host that is refused asks another one.
+# Such a request has a topic, two numbers and an instance id. The rest is for messages
+# that are malformed, which are answered with a refusal up to this length.
+_PEER_REQUEST_BYTES = 16_384
+# Copies are requested only while the store fails; a host that is refused asks another.
 _PEER_CONNECTIONS = 256
 
 
