--- a/cicadadoor/entry/response_writer.py
+++ b/cicadadoor/entry/response_writer.py
@@ -72,13 +72,14 @@
 
     def write(self, exchange: Exchange, response: Response) -> bool:
         """Write as much as the client takes; return whether all has been written."""
-        if self._body is None:
-            self._begin(exchange, response)
-        while self._offset < len(self._body) and self.can_write:
-            piece = self._body[self._offset : self._offset + _PIECE_BYTES]
+        body = self._body
+        if body is None:
+            body = self._begin(exchange, response)
+        while self._offset < len(body) and self.can_write:
+            piece = body[self._offset : self._offset + _PIECE_BYTES]
             self._offset += len(piece)
             self._write(piece)
-        if self._offset < len(self._body):
+        if self._offset < len(body):
             return False
         self._body = None
         return True
@@ -87,7 +88,7 @@
         """Discard the rest of the response."""
         self._body = None
 
-    def _begin(self, exchange: Exchange, response: Response) -> None:
+    def _begin(self, exchange: Exchange, response: Response) -> memoryview:
         headers = [
             *response.headers,
             (b'content-length', str(len(response.body)).encode()),
@@ -103,9 +104,10 @@
         if len(body) <= _PIECE_BYTES:
             self._body = memoryview(b'')
             self._write(head + body)
-            return
-        self._body = memoryview(body)
-        self._write(head)
+        else:
+            self._body = memoryview(body)
+            self._write(head)
+        return self._body
 
     def _write(self, piece: bytes | memoryview) -> None:
         self.written_bytes += len(piece)
