--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -50,6 +50,14 @@
     'cold_slack': 5,
     'ttl_max_s': 5,
 }
+# The machine's, as the platform fills them in.
+LIMITS = {
+    'cpu_share': 0.86,
+    'cores': 1,
+    'memory_mb': 300,
+    'max_fds': 4100,
+    'link_mbps': 1000.0,
+}
 # Front, ready and directory, as in DEPLOY.md; each machine has an address of its own.
 PORTS = (8388, 8384, 8383)
 HOST_NAME = 'ficu95.example'
@@ -161,6 +169,7 @@
             'internal_ports': [7560, 7575],
             'platform': {'address': store_address},
             'bounds': BOUNDS,
+            'limits': LIMITS,
         }
         self.settings = folder / f'{name}.yaml'
         template = (ROOT / role['template']).read_text()
@@ -171,9 +180,7 @@
         ]
 
     async def start(self):
-        kept = {
-            name: os.environ[name] for name in ('PATH', 'HOME') if name in os.environ
-        }
+        kept = {name: os.environ[name] for name in ('PATH', 'HOME') if name in os.environ}
         log = open(self._folder / f'{self.name}.log', 'ab')
         self.process = await asyncio.create_subprocess_exec(
             *self._command,
@@ -208,9 +215,7 @@
             await self.process.wait()
 
     async def is_ready(self):
-        status, _, _ = await call(
-            self.ready, 'GET', '/v1/readyz', {'Host': 'x'}, b'', 1
-        )
+        status, _, _ = await call(self.ready, 'GET', '/v1/readyz', {'Host': 'x'}, b'', 1)
         return status == 200
 
     def log_text(self):
@@ -273,9 +278,7 @@
                 return found['addresses']
         return known[1] if known else []
 
-    async def request(
-        self, zone, path, method='GET', body=b'', deadline_ms=4000, key=KEY
-    ):
+    async def request(self, zone, path, method='GET', body=b'', deadline_ms=4000, key=KEY):
         """Send one request to a front address that the directory names."""
         addresses = await self.front_addresses(zone)
         self._count += 1
--- a/review/stand_ins/store.py
+++ b/review/stand_ins/store.py
@@ -43,10 +43,8 @@
         present = self.get(kind, name)
         if present and present['spec'] == spec and present['status'] == status:
             return present
-        if (
-            present
-            and kind == 'servers'
-            and _without_seq(present['spec']) == (_without_seq(spec))
+        if present and kind == 'servers' and _without_seq(present['spec']) == (
+            _without_seq(spec)
         ):
             # An entry changes only when more than `seq` does.
             return present
--- a/review/stand_ins/worker.py
+++ b/review/stand_ins/worker.py
@@ -9,9 +9,7 @@
 class Worker:
     """Run requests in slots, queue a few more, and register in the store."""
 
-    def __init__(
-        self, store, record, name, service, zone, *, slots=8, work_s=0.2, link_s=0.0
-    ):
+    def __init__(self, store, record, name, service, zone, *, slots=8, work_s=0.2, link_s=0.0):
         self.store = store
         self.record = record
         self.name = name
