--- a/cicadadoor/agent/operator_api.py
+++ b/cicadadoor/agent/operator_api.py
@@ -14,9 +14,7 @@
 from cicadadoor.config import chunks, model
 from cicadadoor.decisions.withdrawn_keys import is_key_hash
 from cicadadoor.http_server import (
-    JSON_HEADER,
     HttpServer,
-    OpenRequests,
     Receive,
     Scope,
     Send,
@@ -26,6 +24,7 @@
 )
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.membership_messages import DomainSummary
+from cicadadoor.open_requests import JSON_HEADER, OpenRequests
 from cicadadoor.telemetry import metrics
 from cicadadoor.timer import TimerService
 
--- a/cicadadoor/entry/caller_handler.py
+++ b/cicadadoor/entry/caller_handler.py
@@ -17,8 +17,8 @@
 from cicadadoor.entry.state import EntryState
 from cicadadoor.entry.turns import TurnQueue
 from cicadadoor.errors import ERROR_RESPONSES, ErrorKind, Executed, Failure
-from cicadadoor.http_server import JSON_HEADER, OpenRequests
 from cicadadoor.kernel import Kernel
+from cicadadoor.open_requests import JSON_HEADER, OpenRequests
 from cicadadoor.telemetry import logs, tracing
 from cicadadoor.timer import TimerService
 
--- a/cicadadoor/entry/caller_server.py
+++ b/cicadadoor/entry/caller_server.py
@@ -11,7 +11,7 @@
 from cicadadoor.entry.caller_connection import CallerConnection
 from cicadadoor.entry.connection_context import ConnectionContext
 from cicadadoor.errors import Failure
-from cicadadoor.http_server import BACKLOG, open_listener
+from cicadadoor.listening import BACKLOG, open_listener
 
 # Connections accepted in one pass of the event loop.
 _ACCEPTED_PER_PASS = 32
--- a/cicadadoor/entry/quarantine.py
+++ b/cicadadoor/entry/quarantine.py
@@ -1,5 +1,6 @@
 """Detect requests that crash backend servers, and refuse them."""
 
+import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 from hashlib import blake2b
@@ -22,6 +23,8 @@
 
 # A host that has started waits this long for the quarantines that the others hold.
 _TAKEOVER_TIMEOUT_S = 1.0
+# Hosts beyond a region tell of themselves once a second at most.
+_HOSTS_INTERVAL_S = 0.5
 _DIGEST_BYTES = 6
 
 
@@ -41,6 +44,7 @@
         self._quarantine: RequestQuarantine
         self._started_s = 0.0
         self._has_heard_all = False
+        self._hosts_updated_s = -math.inf
         # Heartbeats that have been merged, by host.
         self._merged: dict[str, tuple[str, int]] = {}
 
@@ -108,7 +112,9 @@
     def on_tick(self, heartbeats: list[HostHeartbeat]) -> None:
         """Merge what the other hosts know, and forget what has ended."""
         now_s = self._timer.now_s()
-        self._update_hosts(now_s)
+        if now_s - self._hosts_updated_s >= _HOSTS_INTERVAL_S:
+            self._hosts_updated_s = now_s
+            self._update_hosts(now_s)
         unseen = [
             each
             for each in heartbeats
@@ -131,6 +137,7 @@
         membership = self._membership
         heard = membership.peers.heard(now_s)
         is_alone = membership.host_count == 1
+        is_isolated = 2 * len(heard) < len(membership.peers)
         if is_alone:
             self._has_heard_all = self._has_heard_all or membership.is_listed
         elif heard and len(heard) == len(membership.peers):
@@ -138,7 +145,7 @@
         self._quarantine.update_hosts(
             frozenset(peer.name_hash for peer in heard),
             now_s,
-            may_probe=is_alone or (bool(heard) and not membership.is_isolated),
+            may_probe=is_alone or (bool(heard) and not is_isolated),
         )
 
     def _publish_changes(self) -> None:
--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -12,8 +12,8 @@
 from cicadadoor.entry.policy import ActivePolicy
 from cicadadoor.entry.state import EntryState
 from cicadadoor.errors import ErrorKind, Failure
-from cicadadoor.http_server import OpenRequests
 from cicadadoor.kernel import Kernel, Service
+from cicadadoor.open_requests import OpenRequests
 from cicadadoor.telemetry import metrics
 from cicadadoor.timer import TimerService
 
--- a/cicadadoor/gate/app.py
+++ b/cicadadoor/gate/app.py
@@ -15,9 +15,7 @@
 from cicadadoor.gate.request import SteeredResponse
 from cicadadoor.gate.state import GateState
 from cicadadoor.http_server import (
-    JSON_HEADER,
     HttpServer,
-    OpenRequests,
     Receive,
     Scope,
     Send,
@@ -28,6 +26,7 @@
     with_connection_close,
 )
 from cicadadoor.kernel import Kernel, Service
+from cicadadoor.open_requests import JSON_HEADER, OpenRequests
 from cicadadoor.telemetry import logs, metrics, tracing
 from cicadadoor.timer import TimerService
 
--- a/cicadadoor/http_server.py
+++ b/cicadadoor/http_server.py
@@ -1,24 +1,17 @@
-"""Provide the HTTP server that entry host, gate and agent share."""
+"""Provide the HTTP server that gate and agent share."""
 
-import socket
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
-from cicadadoor.errors import AddressInUseError
+from cicadadoor.listening import BACKLOG, open_listener
 
-BACKLOG = 1024
 _KEEP_ALIVE_S = 75
 _GRACEFUL_TIMEOUT_S = 2.0
-# Time for cancelled requests to send their responses.
-_CANCEL_TIMEOUT_S = 0.2
-_CANCEL_POLL_S = 0.01
 
-JSON_HEADER = (b'content-type', b'application/json')
 _CLOSE_HEADER = (b'connection', b'close')
 
 Scope = dict[str, Any]
@@ -67,61 +60,6 @@
         await self._closed.wait()
 
 
-class OpenRequests:
-    """Track the requests in flight, and cancel them when the grace period ends.
-
-    hypercorn would answer a request that it cancels itself with status 500.
-    """
-
-    def __init__(self) -> None:
-        self._count = 0
-        self._scopes: set[anyio.CancelScope] = set()
-        # True once no further request may start.
-        self.is_cancelled = False
-
-    def __len__(self) -> int:
-        """Return the number of requests without a complete response."""
-        return self._count
-
-    def begin(self) -> None:
-        """Count a request as in flight."""
-        self._count += 1
-
-    def end(self) -> None:
-        """Stop counting a request."""
-        self._count -= 1
-
-    @contextmanager
-    def track(self) -> Iterator[None]:
-        """Count a request as in flight until the block ends."""
-        self.begin()
-        try:
-            yield
-        finally:
-            self.end()
-
-    @contextmanager
-    def cancellable(self) -> Iterator[None]:
-        """End the block early on cancellation; the code after it has to respond."""
-        with anyio.CancelScope() as scope:
-            if self.is_cancelled:
-                scope.cancel()
-            self._scopes.add(scope)
-            try:
-                yield
-            finally:
-                self._scopes.discard(scope)
-
-    async def cancel_all(self) -> None:
-        """Cancel all requests, and wait for their responses to be sent."""
-        self.is_cancelled = True
-        for scope in tuple(self._scopes):
-            scope.cancel()
-        with anyio.move_on_after(_CANCEL_TIMEOUT_S):
-            while self._count:
-                await anyio.sleep(_CANCEL_POLL_S)
-
-
 def listen(address: str) -> str:
     """Listen on an address and return the socket as a bind string for hypercorn.
 
@@ -130,26 +68,6 @@
     return f'fd://{open_listener(address).detach()}'
 
 
-def open_listener(address: str) -> socket.socket:
-    """Listen on an address.
-
-    Raise AddressInUseError if another process uses the address.
-    """
-    host_ip, _, port = address.rpartition(':')
-    host_ip = host_ip.strip('[]')
-    family = socket.AF_INET6 if ':' in host_ip else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    try:
-        listener.bind((host_ip, int(port)))
-    except OSError as error:
-        listener.close()
-        raise AddressInUseError(address) from error
-    listener.listen(BACKLOG)
-    return listener
-
-
 async def serve_forever(
     app: App,
     address: str,
--- a/tests/utils/control.py
+++ b/tests/utils/control.py
@@ -5,7 +5,8 @@
 import httpx
 import msgspec
 
-from cicadadoor.http_server import JSON_HEADER, Receive, Scope, Send, send_response
+from cicadadoor.http_server import Receive, Scope, Send, send_response
+from cicadadoor.open_requests import JSON_HEADER
 
 CONTROL_PATH = '/control'
 
