--- a/cicadadoor/platform/decoding.py
+++ b/cicadadoor/platform/decoding.py
@@ -23,6 +23,8 @@
 from cicadadoor.settings import parse_address
 
 _VERSION = re.compile(r'r(\d+)')
+# A download is a safe request with a large response.
+_IDEMPOTENT_TYPES = frozenset(('safe', 'download'))
 _LOWEST_PRIORITY = 9
 # Larger numbers are not exact in every JSON reader, and some do not fit into the
 # messages between hosts.
@@ -172,7 +174,7 @@
         host_name=decoded.host.lower(),
         path_prefix=decoded.path_prefix,
         # Requests of an unknown route type must not run twice either.
-        is_idempotent=decoded.route_type == 'safe',
+        is_idempotent=decoded.route_type in _IDEMPOTENT_TYPES,
         is_public=decoded.public,
         has_affinity=decoded.session_affinity,
         timeout_ms=decoded.timeout_ms,
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -88,13 +88,20 @@
 
         run(work)
 
-    def test_route_of_an_unknown_kind_is_not_idempotent(self):
+    @pytest.mark.parametrize(
+        ('route_type', 'is_idempotent'),
+        (('download', True), ('upload', False), ('odd', False)),
+    )
+    def test_route_is_idempotent_by_its_type(self, route_type, is_idempotent):
+        """A route of an unknown type must not run twice; downloads may."""
+
         async def work(store, source):
             spec = configuration()
-            spec['routes']['rows'][0][3] = 'odd'
+            spec['routes']['rows'][0][3] = route_type
             store.put('config', 'main', spec)
             snapshot = await source.read(Topic.POLICY)
-            assert not snapshot.records['main'].routes[0].is_idempotent
+            route = snapshot.records['main'].routes[0]
+            assert route.is_idempotent is is_idempotent
 
         run(work)
 
