--- a/tests/test_entry_cut.py
+++ b/tests/test_entry_cut.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from cicadadoor import http_server, kernel
+from cicadadoor import kernel, open_requests
 from cicadadoor.entry import server
 from tests.utils.entry_hosts import host_settings, run_deployed
 from tests.utils.waiting import until
@@ -60,7 +60,7 @@
             settings.leave_s
             + settings.grace_s
             + kernel._FLUSH_DELAY_S
-            + http_server._CANCEL_TIMEOUT_S
+            + open_requests._CANCEL_TIMEOUT_S
             + server._CLOSE_TIMEOUT_S
         )
         assert stop_s < kill_after_s
--- a/tests/test_unreadable_messages.py
+++ b/tests/test_unreadable_messages.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cicadadoor.decisions.memory_account import MemoryAccount
 from cicadadoor.entry.heartbeats import HostHeartbeat
 from cicadadoor.entry.membership import Membership
 from cicadadoor.entry.model import BackendRecord, Snapshot, Topic
@@ -166,6 +167,7 @@
     exchange = SnapshotExchange(stand_in)
     exchange._mirror = stand_in
     exchange._membership = stand_in
+    exchange._account = MemoryAccount(10_000_000)
     steps = exchange._fetch_snapshot(Topic.BACKENDS, 'host-2')
     with pytest.raises(StopIteration):
         steps.send(None)
