--- a/cicadadoor/entry/caller_connection.py
+++ b/cicadadoor/entry/caller_connection.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-import struct
 from functools import partial
 from typing import Any
 
@@ -16,11 +15,10 @@
 from cicadadoor.entry.response_queue import ResponseQueue
 from cicadadoor.entry.response_writer import ResponseWriter
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.sockets import CLOSE_WITH_RESET
 
 # Objects of a connection with one request, and the transport's buffer.
 _CONNECTION_BYTES = 24_576
-# Linger on, 0 seconds: the socket is reset when it is closed.
-_RESET = struct.pack('ii', 1, 0)
 
 
 class CallerConnection(asyncio.BufferedProtocol):
@@ -126,7 +124,7 @@
         self.stop_reading()
         raw_socket = self._transport.get_extra_info('socket')
         if raw_socket.fileno() >= 0:
-            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, CLOSE_WITH_RESET)
         self._transport.abort()
         # Frees the memory at once; the event loop reports the end only later.
         self._writer.close()
