--- a/cicadadoor/agent/operator_api.py
+++ b/cicadadoor/agent/operator_api.py
@@ -13,6 +13,7 @@
 from cicadadoor.agent.withdrawals import Withdrawals
 from cicadadoor.config import chunks, model
 from cicadadoor.decisions.withdrawn_keys import is_key_hash
+from cicadadoor.http_headers import JSON_HEADER
 from cicadadoor.http_server import (
     HttpServer,
     Receive,
@@ -24,7 +25,7 @@
 )
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.membership_messages import DomainSummary
-from cicadadoor.open_requests import JSON_HEADER, OpenRequests
+from cicadadoor.open_requests import OpenRequests
 from cicadadoor.telemetry import metrics
 from cicadadoor.timer import TimerService
 
--- a/cicadadoor/decisions/expected_finish.py
+++ b/cicadadoor/decisions/expected_finish.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 
 from cicadadoor.decisions.placement import CacheState, Choice
+from cicadadoor.decisions.queue_limits import URGENT_OBJECTIVE_FACTOR
 
 # A report of the speed is used for this long. It changes many times a second.
 _SLOWDOWN_TTL_S = 0.3
@@ -25,10 +26,11 @@
 # A server loads another object only below this utilisation: a load takes several times
 # as long as a request for a cached object, and would delay all that come next.
 _MAX_LOADING_UTILISATION = 0.8
-# The first servers of an object's order load it as long as they have a free slot.
+# The preferred servers of an object, the first of its order, load it as long as they
+# have a free slot.
 # Otherwise its requests wander over all servers that happen to have more room, also in
 # other regions, and each copy evicts other objects.
-_HOME_SERVERS = 2
+_PREFERRED_COUNT = 2
 # Another copy of an object that some server has cached is made only below this one.
 # When all servers are nearly full, such loads take the slots of several requests for
 # cached objects each, and evict other objects.
@@ -39,8 +41,6 @@
 # Estimates are uncertain by about a third, so only a server that is expected to answer
 # within this fraction of the objective counts as being in time.
 _IN_TIME_FRACTION = 0.7
-# Urgent requests may wait longer, so other requests are refused earlier.
-_URGENT_OBJECTIVE_FACTOR = 1.3
 # A request that cannot meet its objective any more may wait at a server at most for
 # this multiple of the time that the server works on it. Under lasting overload a longer
 # queue serves no more requests, and makes all of them late.
@@ -147,7 +147,7 @@
     def __init__(
         self, *, objective_s: float, deadline_s: float, is_urgent: bool
     ) -> None:
-        factor = _URGENT_OBJECTIVE_FACTOR if is_urgent else 1.0
+        factor = URGENT_OBJECTIVE_FACTOR if is_urgent else 1.0
         self.objective_s = min(deadline_s, objective_s * factor)
         self.deadline_s = deadline_s
 
@@ -181,9 +181,9 @@
         extra = _MAX_EXTRA_COPY_UTILISATION
         chosen = _find_room_to_load(ranked, times, limits, extra) or late
     else:
-        home = ranked[:_HOME_SERVERS]
+        preferred = ranked[:_PREFERRED_COUNT]
         chosen = (
-            _find_room_to_load(home, times, limits, 1.0)
+            _find_room_to_load(preferred, times, limits, 1.0)
             or _find_room_to_load(ranked, times, limits, _MAX_LOADING_UTILISATION)
             or _find_room_to_load(ranked, times, limits, 1.0)
         )
--- a/cicadadoor/decisions/queue_limits.py
+++ b/cicadadoor/decisions/queue_limits.py
@@ -13,7 +13,7 @@
 _MIN_QUEUE_LENGTH = 0.2
 _MAX_QUEUE_LENGTH = 2.0
 # Urgent requests may wait longer, so other requests are refused earlier.
-_URGENT_OBJECTIVE_FACTOR = 1.3
+URGENT_OBJECTIVE_FACTOR = 1.3
 # Queue length at which the next server is preferred.
 _SPILL_QUEUE_LENGTH = 0.6
 # Some requests take many times as long as others. One of them must not make a route
@@ -43,7 +43,7 @@
     """
     queue_length = _MAX_QUEUE_LENGTH
     if processing_s > 0:
-        objective_factor = _URGENT_OBJECTIVE_FACTOR if is_urgent else 1.0
+        objective_factor = URGENT_OBJECTIVE_FACTOR if is_urgent else 1.0
         queue_length = objective_factor * objective_s / processing_s - 1
     queue_length = min(_MAX_QUEUE_LENGTH, max(_MIN_QUEUE_LENGTH, queue_length))
     return UtilisationLimits(
--- a/cicadadoor/entry/caller_handler.py
+++ b/cicadadoor/entry/caller_handler.py
@@ -17,8 +17,9 @@
 from cicadadoor.entry.state import EntryState
 from cicadadoor.entry.turns import TurnQueue
 from cicadadoor.errors import ERROR_RESPONSES, ErrorKind, Executed, Failure
+from cicadadoor.http_headers import JSON_HEADER
 from cicadadoor.kernel import Kernel
-from cicadadoor.open_requests import JSON_HEADER, OpenRequests
+from cicadadoor.open_requests import OpenRequests
 from cicadadoor.telemetry import logs, tracing
 from cicadadoor.timer import TimerService
 
--- a/cicadadoor/entry/placement.py
+++ b/cicadadoor/entry/placement.py
@@ -125,14 +125,16 @@
     def _select_fast(self, routed: RoutedRequest) -> Backend | None:
         """Return the server that `choose` would return, if it is in the fast path."""
         now_s = self._timer.now_s()
-        limits = self._limits(routed)
+        limits = None
+        if not self._finish_chooser.applies_to(routed):
+            limits = self._limits(routed)
         for name in self._order(routed)[:_FAST_PATH_SERVERS]:
             backend = self._backends.find(name)
             if backend is None or name in routed.tried:
                 continue
             if not self._is_usable(routed, backend, now_s):
                 continue
-            if self._finish_chooser.applies_to(routed):
+            if limits is None:
                 return self._finish_chooser.find_nearest(
                     routed, backend, now_s, is_urgent=_is_urgent(routed)
                 )
--- a/cicadadoor/entry/platform_handler.py
+++ b/cicadadoor/entry/platform_handler.py
@@ -11,8 +11,8 @@
 from cicadadoor.entry.quarantine import CrashWatch
 from cicadadoor.entry.state import EntryState
 from cicadadoor.errors import ERROR_RESPONSES, Failure
+from cicadadoor.http_headers import JSON_HEADER
 from cicadadoor.kernel import Kernel
-from cicadadoor.open_requests import JSON_HEADER
 from cicadadoor.telemetry import metrics
 from cicadadoor.timer import TimerService
 
--- a/cicadadoor/entry/response_reader.py
+++ b/cicadadoor/entry/response_reader.py
@@ -199,8 +199,8 @@
     """Raise InvalidResponseError if Content-Length exceeds the limit."""
     if method == 'HEAD' or response.status_code in _NO_BODY:
         return
-    for name, text in response.headers:
-        if name == b'content-length' and int(text) > MAX_RESPONSE_BYTES:
-            raise InvalidResponseError(
-                f'Content-Length of {int(text)} bytes exceeds the limit'
-            )
+    length_bytes = _find_length(response)
+    if length_bytes > MAX_RESPONSE_BYTES:
+        raise InvalidResponseError(
+            f'Content-Length of {length_bytes} bytes exceeds the limit'
+        )
--- a/cicadadoor/gate/app.py
+++ b/cicadadoor/gate/app.py
@@ -14,6 +14,7 @@
 from cicadadoor.gate.pipeline import Pipeline, RawRequest
 from cicadadoor.gate.request import SteeredResponse
 from cicadadoor.gate.state import GateState
+from cicadadoor.http_headers import JSON_HEADER
 from cicadadoor.http_server import (
     HttpServer,
     Receive,
@@ -26,7 +27,7 @@
     with_connection_close,
 )
 from cicadadoor.kernel import Kernel, Service
-from cicadadoor.open_requests import JSON_HEADER, OpenRequests
+from cicadadoor.open_requests import OpenRequests
 from cicadadoor.telemetry import logs, metrics, tracing
 from cicadadoor.timer import TimerService
 
--- a/cicadadoor/open_requests.py
+++ b/cicadadoor/open_requests.py
@@ -5,7 +5,6 @@
 
 import anyio
 
-JSON_HEADER = (b'content-type', b'application/json')
 # Time for cancelled requests to send their responses.
 _CANCEL_TIMEOUT_S = 0.2
 _CANCEL_POLL_S = 0.01
--- a/tests/test_entry_steering.py
+++ b/tests/test_entry_steering.py
@@ -119,6 +119,11 @@
 
 
 _REGIONS = {'muc-a': 'muenchen', 'muc-b': 'muenchen', 'nue-a': 'nuernberg'}
+_SIX_HOSTS = {
+    'hosts': 6,
+    'domains': ('muc-a', 'muc-a', 'muc-b'),
+    'regions': _REGIONS,
+}
 _LOOKUPS = 400
 
 
@@ -153,13 +158,7 @@
             assert named.total() == 3 * _LOOKUPS
             assert 0.3 * _LOOKUPS <= named['host-1'] <= 0.7 * _LOOKUPS
 
-        run_deployed(
-            work,
-            hosts=6,
-            domains=('muc-a', 'muc-a', 'muc-b'),
-            cores=(2.0, 0.5, 1.0),
-            regions=_REGIONS,
-        )
+        run_deployed(work, **_SIX_HOSTS, cores=(2.0, 0.5, 1.0))
 
     def test_domain_with_few_hosts_uses_those_of_its_region(self):
         async def work(deployment):
@@ -168,13 +167,7 @@
             named = await _named(deployment, 'muc-b')
             assert set(named) == {f'host-{number}' for number in range(6)}
 
-        run_deployed(
-            work,
-            hosts=6,
-            domains=('muc-a', 'muc-a', 'muc-b'),
-            cores=(2.0, 0.5, 1.0),
-            regions=_REGIONS,
-        )
+        run_deployed(work, **_SIX_HOSTS, cores=(2.0, 0.5, 1.0))
 
     def test_equal_hosts_are_all_named(self):
         """Guard against changed placement where hosts are equal."""
@@ -185,6 +178,4 @@
             assert set(named.values()) == {_LOOKUPS}
             assert len(named) == 6
 
-        run_deployed(
-            work, hosts=6, domains=('muc-a', 'muc-a', 'muc-b'), regions=_REGIONS
-        )
+        run_deployed(work, **_SIX_HOSTS)
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -146,16 +146,21 @@
         run(tmp_path, work)
 
 
+def start_memory_holders(crowd: clients.Crowd) -> None:
+    """Start clients of each kind that makes the host hold memory."""
+    crowd.start(8, clients.whole_body(crowd, BODY_BYTES))
+    crowd.start(8, clients.chunked_body(crowd, BODY_BYTES))
+    crowd.start(16, clients.slow_reader(crowd, RESPONSE_BYTES))
+    crowd.start(8, clients.pipelined(crowd, 16, f'/look/{RESPONSE_BYTES}'))
+
+
 class TestMix:
     """Guard against limits that hold for each kind alone but not together."""
 
     def test_all_kinds_at_once(self, tmp_path):
         async def work(scene: Scene) -> None:
             crowd = scene.crowd
-            crowd.start(8, clients.whole_body(crowd, BODY_BYTES))
-            crowd.start(8, clients.chunked_body(crowd, BODY_BYTES))
-            crowd.start(16, clients.slow_reader(crowd, RESPONSE_BYTES))
-            crowd.start(8, clients.pipelined(crowd, 16, f'/look/{RESPONSE_BYTES}'))
+            start_memory_holders(crowd)
             for port, target in TARGETS.items():
                 crowd.start(100, clients.silent(crowd), port)
                 crowd.start(50, clients.dripped_head(crowd, target), port)
@@ -167,11 +172,7 @@
         """The connections above displace most bodies where they are bounded."""
 
         async def work(scene: Scene) -> None:
-            crowd = scene.crowd
-            crowd.start(8, clients.whole_body(crowd, BODY_BYTES))
-            crowd.start(8, clients.chunked_body(crowd, BODY_BYTES))
-            crowd.start(16, clients.slow_reader(crowd, RESPONSE_BYTES))
-            crowd.start(8, clients.pipelined(crowd, 16, f'/look/{RESPONSE_BYTES}'))
+            start_memory_holders(scene.crowd)
             assert await scene.faults() == []
 
         run(tmp_path, work)
--- a/tests/utils/control.py
+++ b/tests/utils/control.py
@@ -5,8 +5,8 @@
 import httpx
 import msgspec
 
+from cicadadoor.http_headers import JSON_HEADER
 from cicadadoor.http_server import Receive, Scope, Send, send_response
-from cicadadoor.open_requests import JSON_HEADER
 
 CONTROL_PATH = '/control'
 
