Reserve the ports of the review's hosts, and tell why one did not start

One run of review/8 beside four other scripts ended with 2: a host was not ready within 20 s. Ports were asked of the kernel and released again, so that an outgoing connection of another script could take one. That the port was the cause is concluded: the host's log was not kept.

--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -9,7 +9,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -17,6 +16,7 @@
 from pathlib import Path
 
 from tests.utils.metadata_store import MetadataStore
+from tests.utils.processes import Ports
 from tests.utils.raw_server import serving
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -151,13 +151,6 @@
     }
 
 
-def free_address() -> str:
-    """Return a free loopback address."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
 class EntryHost:
     """One entry host as a process, with the settings of a machine of a small site."""
 
@@ -168,11 +161,11 @@
             'failure_domain': zone,
             'region': ZONES[zone],
             'region_of_domain': ZONES,
-            'callers': free_address(),
-            'readiness': free_address(),
-            'directory': free_address(),
-            'peers': free_address(),
-            'metrics': free_address(),
+            'callers': Ports.address(),
+            'readiness': Ports.address(),
+            'directory': Ports.address(),
+            'peers': Ports.address(),
+            'metrics': Ports.address(),
             'store': store,
             'kill_after_s': 6,
             'retry_ratio': 0.2,
@@ -217,9 +210,13 @@
                 stdout=log,
                 stderr=log,
             )
-        async with asyncio.timeout(20):
-            while not await self.is_ready():
-                await asyncio.sleep(0.1)
+        try:
+            async with asyncio.timeout(20):
+                while not await self.is_ready():
+                    await asyncio.sleep(0.1)
+        except TimeoutError as error:
+            tail = ' | '.join(self.log_tail())
+            raise RuntimeError(f'{self.name} is not ready: {tail}') from error
 
     async def is_ready(self) -> bool:
         """Return whether the host says that it is ready."""
