--- a/cicadadoor/entry/daemon.py
+++ b/cicadadoor/entry/daemon.py
@@ -11,6 +11,7 @@
 from cicadadoor.entry.dispatch import Dispatcher
 from cicadadoor.entry.forwarding import Forwarder
 from cicadadoor.entry.membership import Membership
+from cicadadoor.entry.memory_watch import MemoryWatch
 from cicadadoor.entry.mirror import Mirror
 from cicadadoor.entry.placement import Placement
 from cicadadoor.entry.policy import ActivePolicy
@@ -48,6 +49,7 @@
     services: tuple[Service, ...] = (
         BootTimer(),
         state,
+        MemoryWatch(),
         build_source(str(settings.store), state.account),
         Mirror(),
         ActivePolicy(),
--- a/cicadadoor/telemetry/metrics.py
+++ b/cicadadoor/telemetry/metrics.py
@@ -43,6 +43,14 @@
     'Memory held on behalf of clients and backend servers, by kind.',
     ('kind',),
 )
+RESIDENT_BYTES = Gauge(
+    'cicadadoor_resident_bytes',
+    'Memory that the process uses.',
+)
+UNACCOUNTED_BYTES = Gauge(
+    'cicadadoor_unaccounted_bytes',
+    'Memory that the process uses beyond what it holds for other parties.',
+)
 CLIENT_CONNECTIONS = Gauge(
     'cicadadoor_client_connections',
     'Open connections of clients, by group of addresses.',
