Show that rejected responses stay in memory after the account has released them

What callers saw: a process ended by itself, and the requests in flight on it with it. Reproduced by a process of its own with the limits of the users' machines (300 MB): eight endless responses one after another, four unsafe requests running beside them.

Resident memory reaches 582 MB. The host's own log at that time: memory_unaccounted resident_bytes= held_bytes=9021530, and memory_near_limit after it, no ended_by_fault. That is hypothesis 1. Hypothesis 2 (a wrong measure) predicts a peak while many responses arrive at once: 16 at once pass, at 300 and at 152 MB. The lines of the rejected responses are those of the record, word for word.

--- a/tests/utils/watched_host.py
+++ b/tests/utils/watched_host.py
@@ -202,12 +202,16 @@
 
 
 @asynccontextmanager
-async def watched_host(folder: Path, **limits: float) -> AsyncIterator[Scene]:
+async def watched_host(
+    folder: Path,
+    backend: StreamingBackend | None = None,
+    **limits: float,
+) -> AsyncIterator[Scene]:
     """Run a host with a store and a backend server, and watch it."""
     async with AsyncExitStack() as stack:
         store = MetadataStore()
         store_server = await stack.enter_async_context(serving(store.handle))
-        backend = StreamingBackend()
+        backend = backend or StreamingBackend()
         address = await backend.start()
         stack.callback(backend.close)
         info = {'service': 'front', 'version': 'v1', 'zone': 'muc-a', 'slots': 64}
