Free the bytes of a rejected response when the account releases them

Cause: at the end of a failed exchange the reader released its bytes from the memory account and kept the buffer: the body that had grown past the limit, was cut off, or whose request was cancelled. The connection and its reader referred to each other, so that only the garbage collector freed them, and it runs for objects of this age after tens of thousands of new ones. The account granted the same bytes again: four responses of 64 MiB exceed a machine of 300 MB.

Evidence: resident memory grows by 64 MB with each rejected response while the account holds nothing of it, and falls with gc.collect(); test_rejected_responses, 9 failed and 10 passed before.

Change: what ends an exchange empties the buffers before the bytes are released, also for whoever still refers to the reader. The reader has the wake-up itself and refers to the connection no longer, so that the connection and the bytes in its parser are freed when the last user drops them. Only the path of evicted responses had emptied its buffers, which is why tests with many endless responses at once passed.

--- a/cicadadoor/entry/connections.py
+++ b/cicadadoor/entry/connections.py
@@ -56,10 +56,10 @@
     def __init__(self, account: MemoryAccount) -> None:
         self._transport: asyncio.Transport
         self._parser = h11.Connection(h11.CLIENT)
-        self._reader = ResponseReader(self._parser, account, self._wait)
-        self._wake = anyio.Event()
+        # The reader must not refer to the connection: it would be freed, with the
+        # bytes in its parser, only by the garbage collector.
+        self._reader = ResponseReader(self._parser, account)
         self._can_write = True
-        self._error: Exception | None = None
         self.is_busy = False
         self.is_broken = False
         # Set once a byte of the current request may have been sent.
@@ -93,7 +93,7 @@
             return
         self.has_received = True
         self._reader.receive(data)
-        self._notify()
+        self._reader.notify()
 
     def eof_received(self) -> bool:
         """Mark the end of the stream from the peer."""
@@ -102,15 +102,17 @@
             self._reader.has_eof = True
         else:
             self._set_linger(CLOSE_GRACEFULLY)
-        self._notify()
+        self._reader.notify()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Mark the connection as closed."""
         self.is_broken = True
         if not self._reader.has_eof:
-            self._error = exc or ConnectionResetError('connection closed by the peer')
-        self._notify()
+            self._reader.error = exc or ConnectionResetError(
+                'connection closed by the peer'
+            )
+        self._reader.notify()
 
     def pause_writing(self) -> None:
         """Stop writing until the transport has drained its buffer."""
@@ -119,7 +121,7 @@
     def resume_writing(self) -> None:
         """Resume writing."""
         self._can_write = True
-        self._notify()
+        self._reader.notify()
 
     def abort(self) -> None:
         """Reset the connection; the backend server then drops the running request.
@@ -197,7 +199,7 @@
             part = h11.Data(data=body[start : start + _WRITE_BYTES])
             self._transport.write(self._parser.send(part) or b'')
             while not self._can_write and not self._is_answered:
-                await self._wait()
+                await self._reader.wait()
             if self._is_answered:
                 # The server has responded early or closed its side: the rest of the
                 # body is not needed, and the connection cannot be reused.
@@ -208,17 +210,6 @@
     def _is_answered(self) -> bool:
         return self.has_received or self._reader.has_eof
 
-    async def _wait(self) -> None:
-        if self._reader.fault:
-            raise InvalidResponseError(self._reader.fault)
-        if self._error is not None:
-            raise ConnectionBrokenError(str(self._error))
-        await self._wake.wait()
-        self._wake = anyio.Event()
-
-    def _notify(self) -> None:
-        self._wake.set()
-
     def _set_linger(self, linger: bytes) -> None:
         raw_socket = self._transport.get_extra_info('socket')
         # The socket is closed already if the peer has reset the connection.
--- a/cicadadoor/entry/response_reader.py
+++ b/cicadadoor/entry/response_reader.py
@@ -1,6 +1,5 @@
 """Read HTTP responses from one connection to a backend server."""
 
-from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from http import HTTPStatus
 from typing import Any
@@ -38,12 +37,7 @@
 class ResponseReader:
     """Parse a response, and reject it as soon as it cannot become valid."""
 
-    def __init__(
-        self,
-        parser: h11.Connection,
-        account: MemoryAccount,
-        wait: Callable[[], Awaitable[None]],
-    ) -> None:
+    def __init__(self, parser: h11.Connection, account: MemoryAccount) -> None:
         self._parser = parser
         self._account = account
         self._reservation: Reservation
@@ -53,7 +47,7 @@
         self._reserved_bytes = 0
         # The stated length of the body, or 0.
         self._length_bytes = 0
-        self._wait = wait
+        self._wake = anyio.Event()
         self.transport: Any = None
         # Received but not yet passed to the parser.
         self._unread = bytearray()
@@ -64,6 +58,8 @@
         self.has_eof = False
         # Why the current response was rejected, or an empty string.
         self.fault = ''
+        # Why the connection ended without the peer's closing its side, if it has.
+        self.error: Exception | None = None
 
     @property
     def has_extra_bytes(self) -> bool:
@@ -95,8 +91,11 @@
         """Release the bytes of the response, unless its receiver holds it."""
         self._reservation.on_evict = None
         self._reservation.on_close = None
-        if not (is_done and self._is_kept):
-            self._reservation.shrink(self._reserved_bytes)
+        if is_done and self._is_kept:
+            return
+        if not is_done:
+            self._free()
+        self._reservation.shrink(self._reserved_bytes)
 
     def abort_response(self) -> None:
         """Reject the response and close the connection to free its memory."""
@@ -112,8 +111,22 @@
         self.fault = 'the request was cancelled'
         self._free()
 
+    def notify(self) -> None:
+        """Wake the task that waits for a change of the connection."""
+        self._wake.set()
+
+    async def wait(self) -> None:
+        """Wait for a change of the connection; raise an error if it is unusable."""
+        if self.fault:
+            raise InvalidResponseError(self.fault)
+        if self.error is not None:
+            raise ConnectionBrokenError(str(self.error))
+        await self._wake.wait()
+        self._wake = anyio.Event()
+
     def _free(self) -> None:
-        # Frees the memory at once; the request's task runs only later.
+        # Whoever still refers to the reader, such as a traceback, must not keep bytes
+        # alive that the account grants to others.
         self._unread.clear()
         self._body.clear()
 
@@ -157,6 +170,7 @@
         with suppress(h11.ProtocolError, InvalidResponseError, ConnectionBrokenError):
             with anyio.move_on_after(_SKIP_TIMEOUT_S):
                 await self.read_body(_MAX_SKIP_BYTES)
+        self._body.clear()
 
     async def _next_event(self) -> object:
         self._events += 1
@@ -178,7 +192,7 @@
 
     async def _read_more(self) -> None:
         while not self._unread and not self.has_eof:
-            await self._wait()
+            await self.wait()
         part = bytes(self._unread[:_READ_BYTES])
         del self._unread[:_READ_BYTES]
         if not self._unread:
