Bound what a host holds by the memory that it really uses

A host that finds more memory in use than its account explains now collects garbage, returns free blocks to the system, and takes what is left from the account, so that it holds less for others (refusals that are true, fewer callers by the directory) instead of being ended. A quarter of the account always stays usable.

--- a/cicadadoor/decisions/memory_account.py
+++ b/cicadadoor/decisions/memory_account.py
@@ -15,7 +15,8 @@
 # fraction of its limit and several pieces for each holder.
 _STALLED_FRACTION = 0.03
 _STALLED_BYTES_PER_HOLDER = 131_072
-
+# Part of the account that stays usable whatever else the process uses.
+_MIN_LIMIT_FRACTION = 0.25
 
 _BYTES_PER_MB = 1_000_000
 # An idle host uses 47 MB. Its own tables and averages grow by some more under load.
@@ -130,9 +131,8 @@
     """Grant bytes up to a limit, and decide who has to end when it is reached."""
 
     def __init__(self, limit_bytes: int) -> None:
+        self._full_limit_bytes = limit_bytes
         self._limit_bytes = limit_bytes
-        self._large_limit_bytes = int(limit_bytes * _LARGE_FRACTION)
-        self._stalled_bytes = int(limit_bytes * _STALLED_FRACTION)
         self._holders: dict[Reservation, None] = {}
         self._by_kind: dict[str, int] = {}
         self.held_bytes = 0
@@ -145,10 +145,19 @@
         """Return the number of bytes that all holders together may reserve."""
         return self._limit_bytes
 
+    def note_excess(self, excess_bytes: int) -> None:
+        """Lower the limit by memory that the process uses beyond its allowance."""
+        floor_bytes = int(self._full_limit_bytes * _MIN_LIMIT_FRACTION)
+        self._limit_bytes = max(floor_bytes, self._full_limit_bytes - excess_bytes)
+
     def has_room(self, size_bytes: int) -> bool:
         """Tell whether a large holder fits without reclaiming others."""
         return self.held_bytes + size_bytes <= self._large_limit_bytes
 
+    @property
+    def _large_limit_bytes(self) -> int:
+        return int(self._limit_bytes * _LARGE_FRACTION)
+
     def open(self, kind: str, owner: Owner) -> Reservation:
         """Return a reservation that holds no bytes yet."""
         return Reservation(self, kind, owner)
@@ -237,4 +246,5 @@
         usual_bytes = _STALLED_BYTES_PER_HOLDER * len(self._holders)
         idle_bytes = self.granted_bytes - holder.granted_bytes
         is_large = holder.held_bytes > LARGE_BYTES
-        return is_large and idle_bytes > self._stalled_bytes + usual_bytes
+        stalled_bytes = self._limit_bytes * _STALLED_FRACTION
+        return is_large and idle_bytes > stalled_bytes + usual_bytes
--- a/cicadadoor/entry/memory_watch.py
+++ b/cicadadoor/entry/memory_watch.py
@@ -1,4 +1,4 @@
-"""Report memory that the account of the host does not explain."""
+"""Report and reclaim memory that the account of the host does not explain."""
 
 import gc
 from collections.abc import Callable
@@ -6,6 +6,7 @@
 from cicadadoor.decisions.memory_levels import MemoryAlert, MemoryLevels
 from cicadadoor.entry.state import EntryState
 from cicadadoor.kernel import Kernel, Service
+from cicadadoor.memory_tuning import return_free_blocks
 from cicadadoor.telemetry import logs, metrics
 from cicadadoor.telemetry.process_memory import resident_bytes
 from cicadadoor.timer import TimerService
@@ -28,6 +29,8 @@
         self._timer: TimerService
         self._levels: MemoryLevels
         self._memory_bytes = 0
+        # What the account leaves for the process itself.
+        self._allowance_bytes = 0
         self._peak_bytes = 0
 
     async def start(self, kernel: Kernel) -> None:
@@ -35,7 +38,9 @@
         self._state = kernel.find('state')
         self._timer = kernel.find('timer')
         self._memory_bytes = int(self._state.settings.memory_mb * _BYTES_PER_MB)
-        self._levels = MemoryLevels(self._memory_bytes, self._state.account.limit_bytes)
+        account_limit_bytes = self._state.account.limit_bytes
+        self._allowance_bytes = self._memory_bytes - account_limit_bytes
+        self._levels = MemoryLevels(self._memory_bytes, account_limit_bytes)
         self._timer.subscribe('memory_watch', _SAMPLE_PERIOD_S, self._sample)
 
     async def stop(self, grace_s: float) -> None:
@@ -43,13 +48,28 @@
         log.info('memory_peak', resident_bytes=self._peak_bytes)
 
     async def _sample(self) -> None:
+        account = self._state.account
         used_bytes = self._read_resident_bytes()
-        held_bytes = self._state.account.held_bytes
         self._peak_bytes = max(self._peak_bytes, used_bytes)
-        metrics.RESIDENT_BYTES.set(used_bytes)
-        metrics.UNACCOUNTED_BYTES.set(used_bytes - held_bytes)
-        for alert in self._levels.update(used_bytes, held_bytes):
+        for alert in self._levels.update(used_bytes, account.held_bytes):
             self._report(alert, used_bytes)
+            if alert is MemoryAlert.UNACCOUNTED:
+                used_bytes = self._reclaim(used_bytes)
+        unaccounted_bytes = used_bytes - account.held_bytes
+        # Holding less for others is better than being ended with all of it.
+        account.note_excess(max(0, unaccounted_bytes - self._allowance_bytes))
+        metrics.RESIDENT_BYTES.set(used_bytes)
+        metrics.UNACCOUNTED_BYTES.set(unaccounted_bytes)
+
+    def _reclaim(self, used_bytes: int) -> int:
+        """Free what nothing refers to; return the memory that is used then."""
+        objects = gc.collect()
+        return_free_blocks()
+        left_bytes = self._read_resident_bytes()
+        log.warning(
+            'memory_reclaimed', objects=objects, freed_bytes=used_bytes - left_bytes
+        )
+        return left_bytes
 
     def _report(self, alert: MemoryAlert, used_bytes: int) -> None:
         account = self._state.account
--- a/cicadadoor/memory_tuning.py
+++ b/cicadadoor/memory_tuning.py
@@ -17,3 +17,10 @@
     # Other C libraries have no such function.
     if hasattr(library, 'mallopt'):
         library.mallopt(_M_MMAP_THRESHOLD, _THRESHOLD_BYTES)
+
+
+def return_free_blocks() -> None:
+    """Return the free blocks at the end and inside of the heap to the system."""
+    library = ctypes.CDLL(None)
+    if hasattr(library, 'malloc_trim'):
+        library.malloc_trim(0)
