Count a connection that a server closes within its answer as a crash

Cause: a connection that ended within an answer counted as an invalid answer; only one that ended before the first byte, or with a reset, counted as a crash.

Change: answer_truncated, with the consequences of answer_invalid for the server's health, and counted as a crash of that run of the server. A server that spoils answers at random cuts the same request at three runs without an answer in between too rarely to hold it back.

--- a/cicadadoor/entry/dispatch.py
+++ b/cicadadoor/entry/dispatch.py
@@ -34,9 +34,12 @@
     (
         ErrorKind.OUTCOME_UNKNOWN,
         ErrorKind.ANSWER_INVALID,
+        ErrorKind.ANSWER_TRUNCATED,
         ErrorKind.ANSWER_TIMED_OUT,
     )
 )
+# A server that crashes closes its connections, before an answer or within one.
+_CRASH_SIGNS = frozenset((ErrorKind.OUTCOME_UNKNOWN, ErrorKind.ANSWER_TRUNCATED))
 _NOT_RUN = frozenset(
     (ErrorKind.CONNECT_FAILED, ErrorKind.BACKEND_SHED, ErrorKind.BACKEND_MOVED)
 )
@@ -229,7 +232,7 @@
             routed.failed_connects += 1
         else:
             routed.attempts += 1
-            if answer.kind is ErrorKind.OUTCOME_UNKNOWN:
+            if answer.kind in _CRASH_SIGNS:
                 self._crashes.note_crash(routed.fingerprint, backend, took_s)
 
     def _may_retry(
--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -16,6 +16,7 @@
 from cicadadoor.entry.response_reader import (
     ConnectionBrokenError,
     InvalidResponseError,
+    ResponseCutError,
 )
 from cicadadoor.errors import ErrorKind, Executed, Failure
 from cicadadoor.kernel import Kernel, Service
@@ -39,6 +40,8 @@
     )
 )
 
+_INVALID = frozenset((ErrorKind.ANSWER_INVALID, ErrorKind.ANSWER_TRUNCATED))
+
 BuildHeaders = Callable[..., Headers]
 
 
@@ -139,7 +142,7 @@
                 backend.health.note_reset(self._timer.now_s(), sent_s)
             elif raw.kind is ErrorKind.ANSWER_TIMED_OUT:
                 backend.health.note_unreachable(self._timer.now_s(), sent_s)
-            elif raw.kind is ErrorKind.ANSWER_INVALID:
+            elif raw.kind in _INVALID:
                 self._record_response(backend, is_bad=True)
                 metrics.INVALID_ANSWERS.labels(backend.record.service).inc()
             return raw
@@ -193,7 +196,9 @@
                 return Failure(ErrorKind.CONNECT_FAILED, f'{name}: {error}')
             return Failure(ErrorKind.OUTCOME_UNKNOWN, f'{name}: {error}')
         except InvalidResponseError as error:
-            return Failure(ErrorKind.ANSWER_INVALID, f'{name}: {error}')
+            is_cut = isinstance(error, ResponseCutError)
+            kind = ErrorKind.ANSWER_TRUNCATED if is_cut else ErrorKind.ANSWER_INVALID
+            return Failure(kind, f'{name}: {error}')
 
     def _record_connect_failure(
         self,
--- a/cicadadoor/entry/response_reader.py
+++ b/cicadadoor/entry/response_reader.py
@@ -34,6 +34,10 @@
     """Signal that the received bytes are not a valid HTTP response."""
 
 
+class ResponseCutError(InvalidResponseError):
+    """Signal that the peer closed the connection within the response."""
+
+
 class ResponseReader:
     """Parse a response, and reject it as soon as it cannot become valid."""
 
@@ -49,6 +53,8 @@
         self._length_bytes = 0
         self._wake = anyio.Event()
         self.transport: Any = None
+        # Set once the parser has been told of the end of the stream.
+        self._is_ended = False
         # Received but not yet passed to the parser.
         self._unread = bytearray()
         self._progress = ResponseProgress()
@@ -176,13 +182,21 @@
         self._events += 1
         if self._events % _EVENTS_PER_YIELD == 0:
             await lowlevel.checkpoint()
-        while (event := self._parser.next_event()) is h11.NEED_DATA:
+        while (event := self._parse()) is h11.NEED_DATA:
             self._check_limits()
             await self._read_more()
         if self.fault:
             raise InvalidResponseError(self.fault)
         return event
 
+    def _parse(self) -> object:
+        try:
+            return self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            if self._is_ended and self._progress.received_bytes:
+                raise ResponseCutError(str(error)) from error
+            raise
+
     def _check_limits(self) -> None:
         fault = self.fault or self._progress.find_fault()
         if self._is_in_head and not fault:
@@ -199,6 +213,7 @@
             self.transport.resume_reading()
         self._progress.received_bytes += len(part)
         # An empty part signals the end of the stream to the parser.
+        self._is_ended = not part
         self._parser.receive_data(part)
 
 
--- a/tests/test_entry_quarantine.py
+++ b/tests/test_entry_quarantine.py
@@ -2,6 +2,8 @@
 
 from functools import partial
 
+import pytest
+
 from cicadadoor.decisions.request_quarantine import (
     CRASHES_TO_REFUSE,
     RequestQuarantine,
@@ -14,9 +16,9 @@
 _REQUESTS = 8
 
 
-async def _crash_servers(deployment: Deployment) -> None:
+async def _crash_servers(deployment: Deployment, fault: str = 'reset') -> None:
     for worker in deployment.workers.values():
-        worker.script = ['reset' for _ in range(_REQUESTS)]
+        worker.script = [fault for _ in range(_REQUESTS)]
     for number in range(_REQUESTS):
         await deployment.call('/look/crash', host=number % len(deployment.hosts))
     for worker in deployment.workers.values():
@@ -35,9 +37,10 @@
 class TestQuarantineOfAFleet:
     """Guard against a quarantine that holds at one host only."""
 
-    def test_request_is_refused_at_all_hosts(self):
+    @pytest.mark.parametrize('fault', ('reset', 'head_cut_at_40', 'head_cut_at_-1'))
+    def test_request_is_refused_at_all_hosts(self, fault):
         async def work(deployment):
-            await _crash_servers(deployment)
+            await _crash_servers(deployment, fault)
             await _hold_everywhere(deployment)
             runs = deployment.runs
             for number, _ in enumerate(deployment.hosts):
--- a/tests/utils/entry_hosts.py
+++ b/tests/utils/entry_hosts.py
@@ -54,7 +54,8 @@
         self.runs: list[RawRequest] = []
         self.arrivals = 0
         # Faults for the next requests, in order; later requests are answered normally.
-        # A key of _REFUSALS or _MALFORMED_ANSWERS, 'head_cut_at_' and a byte count,
+        # A key of _REFUSALS or _MALFORMED_ANSWERS, 'head_cut_at_' and a byte count (-1
+        # for all but the last byte of the body),
         # 'reset', 'silent' (no answer), 'fail' (signed 500), 'foreign' (the attempt id
         # of another request) or 'unsigned'.
         self.script: list[str] = []
@@ -127,7 +128,8 @@
     lines.append(f'Content-Length: {len(body)}')
     encoded = '\r\n'.join(lines).encode() + b'\r\n\r\n'
     _, _, size = fault.partition(_HEAD_CUT)
-    return encoded[: int(size or 0)]
+    end = int(size or 0)
+    return encoded[:end] if end >= 0 else (encoded + body)[:end]
 
 
 class Deployment:
