Reject responses of workers whose status is no HTTP status

Idempotent requests were retried, as after any status from 500 on.

Cause: h11 accepts every final status from 200 to 999. It rejects 000, 001 and 099, and 101 where no switch was requested; a signature in an interim response is not taken for the final response.

Change: the response reader accepts a final status of 200 to 599 only (RFC 9110, section 15). Another one is an invalid response: retried where the route allows it, 502 with run unknown otherwise, and it counts against the worker.

--- a/cicadadoor/decisions/response_limits.py
+++ b/cicadadoor/decisions/response_limits.py
@@ -1,4 +1,4 @@
-"""Limit what a backend server may send in one response besides its body.
+"""Limit what a server may send in one response besides its body, and its status.
 
 Protects against endless interim responses, header lines, chunks and chunk extensions:
 the response is aborted once it exceeds the limit, not only at its deadline.
@@ -17,6 +17,9 @@
 _BODY_BYTES_PER_OVERHEAD_BYTE = 8
 # Requests never ask for an interim response (1xx).
 _MAX_INTERIM_RESPONSES = 16
+# Of final responses (RFC 9110, section 15). HTTP parsers let 600 to 999 pass.
+_MIN_STATUS = 200
+_MAX_STATUS = 599
 
 
 class ResponseProgress:
@@ -46,6 +49,13 @@
         return ''
 
 
+def find_status_fault(status: int) -> str:
+    """Return why a status belongs to no final response, or an empty string."""
+    if _MIN_STATUS <= status <= _MAX_STATUS:
+        return ''
+    return f'status {status} is outside {_MIN_STATUS}..{_MAX_STATUS}'
+
+
 def find_head_fault(unparsed: bytes) -> str:
     """Return why an incomplete response head is invalid, or an empty string."""
     if unparsed[: len(_STATUS_START)] != _STATUS_START[: len(unparsed)]:
--- a/cicadadoor/entry/response_reader.py
+++ b/cicadadoor/entry/response_reader.py
@@ -9,7 +9,11 @@
 from anyio import lowlevel
 
 from cicadadoor.decisions.memory_account import MemoryAccount, Owner, Reservation
-from cicadadoor.decisions.response_limits import ResponseProgress, find_head_fault
+from cicadadoor.decisions.response_limits import (
+    ResponseProgress,
+    find_head_fault,
+    find_status_fault,
+)
 
 # Parsed in one step; the limits are checked between the steps.
 _READ_BYTES = 16_384
@@ -147,6 +151,9 @@
             self._progress.note_interim()
             self._check_limits()
         self._is_in_head = False
+        fault = find_status_fault(event.status_code)
+        if fault:
+            raise InvalidResponseError(fault)
         self._length_bytes = _find_length(event)
         return event
 
--- a/tests/utils/entry_hosts.py
+++ b/tests/utils/entry_hosts.py
@@ -32,6 +32,11 @@
     # An unsigned answer and a refusal whose bodies are never completed.
     'unsigned_open': b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nab',
     'shed_open': (b'HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 99\r\n\r\nab'),
+    # A signature of an interim response does not sign the final one.
+    'signed_interim': (
+        b'HTTP/1.1 103 X\r\nResponse-Signature: s\r\n\r\n'
+        b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab'
+    ),
     # More interim responses than a host reads before it gives up.
     'interim_open': b'HTTP/1.1 102 Processing\r\n\r\n' * 40_000,
     'noise': b'\x16\x03\x01 no answer in the protocol\r\n\r\n',
@@ -55,9 +60,9 @@
         self.arrivals = 0
         # Faults for the next requests, in order; later requests are answered normally.
         # A key of _REFUSALS or _MALFORMED_ANSWERS, 'head_cut_at_' and a byte count (-1
-        # for all but the last byte of the body),
-        # 'reset', 'silent' (no answer), 'fail' (signed 500), 'foreign' (the attempt id
-        # of another request) or 'unsigned'.
+        # for all but the last byte of the body), 'reset', 'silent' (no answer), 'fail'
+        # (signed 500), 'status_' and a number (signed), 'foreign' (the attempt id of
+        # another request) or 'unsigned'.
         self.script: list[str] = []
         self.work_s = 0.0
         # Added to each answer, refusals included.
@@ -106,8 +111,9 @@
             **self.extra_headers,
         }
         body = self.instance_id.encode()
-        if fault == 'fail':
-            await connection.answer(500, head, body)
+        status = '500' if fault == 'fail' else fault.removeprefix('status_')
+        if status.isdecimal():
+            await connection.answer(status, head, body)
         elif fault == 'foreign':
             await connection.answer(200, {**head, 'Attempt-Id': 'another'}, body)
         elif fault == 'unsigned':
--- a/tests/utils/raw_server.py
+++ b/tests/utils/raw_server.py
@@ -35,7 +35,7 @@
 
     async def answer(
         self,
-        status: int,
+        status: int | str,
         headers: dict[str, str] | None = None,
         body: bytes = b'',
     ) -> None:
