Reject an invalid status at gates, of backend servers and of other gates

Cause: httpx passes on what h11 accepts, and the status in a message between gates was not checked.

Change: both are failures with run unknown (502). ANSWER_INVALID now counts at gates as at entry hosts: it is retried where the request is idempotent, and ejects the backend server. 000, 001, 099 and 101 were failures before: h11 rejects them.

--- a/cicadadoor/decisions/retries.py
+++ b/cicadadoor/decisions/retries.py
@@ -13,7 +13,9 @@
         ErrorKind.DRAINING,
     )
 )
-_OUTCOME_UNKNOWN = frozenset((ErrorKind.OUTCOME_UNKNOWN, ErrorKind.ANSWER_TRUNCATED))
+_OUTCOME_UNKNOWN = frozenset(
+    (ErrorKind.OUTCOME_UNKNOWN, ErrorKind.ANSWER_TRUNCATED, ErrorKind.ANSWER_INVALID)
+)
 # If everything fails, retries add at most this share to the requests.
 _SHARE = 0.2
 _RESERVE = 10.0
--- a/cicadadoor/gate/forwarding.py
+++ b/cicadadoor/gate/forwarding.py
@@ -10,6 +10,7 @@
 
 from cicadadoor.config.model import BackendServer
 from cicadadoor.decisions.leaving import Evidence
+from cicadadoor.decisions.response_limits import find_status_fault
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.gate.connection_pool import BackendTransport
 from cicadadoor.gate.request import SteeredRequest, SteeredResponse
@@ -177,6 +178,12 @@
     response: httpx.Response,
     server: BackendServer,
 ) -> SteeredResponse | Failure:
+    fault = find_status_fault(response.status_code)
+    if fault:
+        return Failure(
+            ErrorKind.ANSWER_INVALID,
+            f'response of backend server {server.name}: {fault}',
+        )
     if _is_shed(response):
         return Failure(
             ErrorKind.BACKEND_SHED,
--- a/cicadadoor/gate/peer_forwarding.py
+++ b/cicadadoor/gate/peer_forwarding.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from contextlib import suppress
 
+from cicadadoor.decisions.response_limits import find_status_fault
 from cicadadoor.errors import ErrorKind, Executed, Failure
 from cicadadoor.gate.request import SteeredRequest, SteeredResponse
 from cicadadoor.gate.state import GateState
@@ -149,6 +150,9 @@
                 )
         except ValueError as error:
             return _outcome_unknown(f'malformed answer of host {gate.host}: {error}')
+        fault = find_status_fault(answer.status)
+        if fault:
+            return _outcome_unknown(f'malformed answer of host {gate.host}: {fault}')
         response = SteeredResponse(
             status=answer.status,
             headers=answer.headers,
--- a/cicadadoor/gate/servers.py
+++ b/cicadadoor/gate/servers.py
@@ -23,6 +23,7 @@
         ErrorKind.CONNECT_FAILED,
         ErrorKind.OUTCOME_UNKNOWN,
         ErrorKind.ANSWER_TRUNCATED,
+        ErrorKind.ANSWER_INVALID,
     )
 )
 # Evidence from probes, or that the next probe would repeat.
--- a/tests/test_invalid_statuses.py
+++ b/tests/test_invalid_statuses.py
@@ -1,8 +1,18 @@
 """Test that a status outside 100..599, and a protocol switch, reach no caller."""
 
+import anyio
 import pytest
 
+from cicadadoor.decisions.retries import is_repeatable
+from cicadadoor.errors import ERROR_RESPONSES, ErrorKind, Executed, Failure
+from cicadadoor.gate.peer_forwarding import PeerForwarder
+from cicadadoor.gate.state import GateState
+from cicadadoor.links.forward_messages import ForwardAnswer, ForwardRequest
+from cicadadoor.links.messages import GateInfo
+from cicadadoor.timer import BootTimer
+from tests.test_forwarding import VIEW, RawServer, make_request, run_exchange
 from tests.utils.entry_hosts import run_deployed
+from tests.utils.gates import FakeHub, FakeKernel, FakeNetwork, GateUnderTest, Settings
 
 # HTTP parsers reject those below 100 and accept those from 600 on.
 STATUSES = ('000', '001', '099', '101', '600', '777', '999')
@@ -40,3 +50,63 @@
             assert bad.arrivals
 
         run_deployed(work, workers=2)
+
+
+class TestGates:
+    """Guard against an invalid status that a gate passes on."""
+
+    @pytest.mark.parametrize('status', STATUSES)
+    def test_answer_of_a_backend_server_is_a_failure(self, status):
+        """Fails if it is passed on, is not retried, or does not count as bad."""
+        head = f'HTTP/1.1 {status} X\r\ncontent-length: 0\r\n\r\n'
+        server = RawServer(head.encode())
+
+        async def use(forward):
+            failure = await forward(make_request())
+            assert failure.run is Executed.UNKNOWN
+            assert ERROR_RESPONSES[failure.kind].status == 502
+            assert is_repeatable(failure.kind, failure.run, is_idempotent=True)
+            is_parsed = status >= '600'
+            assert (failure.kind is ErrorKind.ANSWER_INVALID) is is_parsed
+
+        run_exchange(server, use)
+
+    def test_backend_server_with_invalid_answers_is_ejected(self):
+        async def main() -> None:
+            settings = Settings('own', 'muenchen', 'muenchen-1')
+            gate = GateUnderTest(BootTimer(), FakeNetwork(), settings, VIEW)
+            await gate.start()
+            failure = Failure(ErrorKind.ANSWER_INVALID, 'status 600')
+            for _ in range(10):
+                gate.servers.record_result('kb-1', failure, 0.01)
+            ejected = gate.servers.ejection.ejected(('kb-1', 'kb-2', 'kb-3'))
+            assert ejected == {'kb-1'}
+
+        anyio.run(main)
+
+    @pytest.mark.parametrize('status', (0, 99, 101, 600, 999))
+    def test_answer_of_another_gate_is_a_failure(self, status):
+        async def answer(message) -> ForwardAnswer:
+            return ForwardAnswer(status=status, run='yes')
+
+        async def main() -> None:
+            network = FakeNetwork()
+            FakeHub(network, 'other', 'peer').on(ForwardRequest, answer)
+            kernel = FakeKernel()
+            state = GateState(Settings('own', 'muenchen', 'muenchen-1'))
+            for service in (BootTimer(), state, FakeHub(network, 'own', 'own')):
+                kernel.register(service)
+            forwarder = PeerForwarder()
+            await forwarder.start(kernel)
+            gate = GateInfo(
+                host='muenchen-1-1',
+                instance='other',
+                callers_url='http://peer',
+                peer_address='peer',
+                failure_domain='muenchen-1',
+                region='muenchen',
+            )
+            failure = await forwarder.forward(make_request(), gate)
+            assert failure.kind is ErrorKind.OUTCOME_UNKNOWN
+
+        anyio.run(main)
