Leave the outcome of a store's write open after an invalid status

Change: `fetch` raises an error of the protocol for a final status outside 200..599, as for any other answer that is none, and the watch of the object store checks the same.

Evidence: test_invalid_statuses, clients over sockets: the three writes failed and 32 cases passed before, 35 passed after; test_http_client, test_platform_store and test_operators pass.

--- a/cicadadoor/http_client.py
+++ b/cicadadoor/http_client.py
@@ -11,6 +11,8 @@
 import anyio
 import httpx
 
+from cicadadoor.decisions.response_limits import find_status_fault
+
 # The limit counts received bytes; a small compressed body may expand to any size.
 IDENTITY_ENCODING_HEADERS = {'accept-encoding': 'identity'}
 # A body is held as it is received, and once more as the content of the response.
@@ -27,6 +29,10 @@
     """Report a response for which there was no memory."""
 
 
+class InvalidStatusError(httpx.RemoteProtocolError):
+    """Report a response whose status is no HTTP status."""
+
+
 class FetchedResponse:
     """Hold a response whose body was read completely."""
 
@@ -64,12 +70,20 @@
             async with client.stream(
                 method, url, headers=headers, **options
             ) as response:
+                check_status(response)
                 content = await _read_body(response, limit_bytes, reserve)
     except TimeoutError as error:
         raise httpx.ReadTimeout(f'no complete response within {within_s} s') from error
     return FetchedResponse(response.status_code, response.headers, content)
 
 
+def check_status(response: httpx.Response) -> None:
+    """Raise InvalidStatusError if the status is no HTTP status."""
+    fault = find_status_fault(response.status_code)
+    if fault:
+        raise InvalidStatusError(fault)
+
+
 async def read_lines(
     response: httpx.Response,
     limit_bytes: int,
--- a/cicadadoor/object_store/http.py
+++ b/cicadadoor/object_store/http.py
@@ -8,7 +8,12 @@
 import msgspec
 
 from cicadadoor.errors import ErrorKind, Failure
-from cicadadoor.http_client import IDENTITY_ENCODING_HEADERS, fetch, read_lines
+from cicadadoor.http_client import (
+    IDENTITY_ENCODING_HEADERS,
+    check_status,
+    fetch,
+    read_lines,
+)
 from cicadadoor.object_store.base import (
     MAX_OBJECT_BYTES,
     ChangeEvent,
@@ -82,6 +87,7 @@
         path = f'{kind}?watch=1&since={since_version}'
         try:
             async with self._client.stream('GET', path, timeout=timeout) as response:
+                check_status(response)
                 if response.status_code != HTTPStatus.OK:
                     yield _status_failure(response.status_code, path, b'')
                     return
--- a/tests/test_invalid_statuses.py
+++ b/tests/test_invalid_statuses.py
@@ -3,16 +3,22 @@
 import anyio
 import pytest
 
+from cicadadoor.cli.client import withdraw
 from cicadadoor.decisions.retries import is_repeatable
 from cicadadoor.errors import ERROR_RESPONSES, ErrorKind, Executed, Failure
 from cicadadoor.gate.peer_forwarding import PeerForwarder
 from cicadadoor.gate.state import GateState
 from cicadadoor.links.forward_messages import ForwardAnswer, ForwardRequest
 from cicadadoor.links.messages import GateInfo
+from cicadadoor.object_store.base import StoredObject
+from cicadadoor.object_store.http import HttpObjectStore
+from cicadadoor.platform.answers import Metadata, StoreObject
+from cicadadoor.platform.store_client import StoreClient
 from cicadadoor.timer import BootTimer
 from tests.test_forwarding import VIEW, RawServer, make_request, run_exchange
 from tests.utils.entry_hosts import run_deployed
 from tests.utils.gates import FakeHub, FakeKernel, FakeNetwork, GateUnderTest, Settings
+from tests.utils.raw_server import serving
 
 # HTTP parsers reject those below 100 and accept those from 600 on.
 STATUSES = ('000', '001', '099', '101', '600', '777', '999')
@@ -110,3 +116,68 @@
             assert failure.kind is ErrorKind.OUTCOME_UNKNOWN
 
         anyio.run(main)
+
+
+async def write_store(address: str) -> Failure:
+    """Replace an object of the metadata store."""
+    client = StoreClient(address)
+    answer = await client.replace('hosts', StoreObject(metadata=Metadata(name='a')))
+    await client.close()
+    return answer
+
+
+async def write_object_store(address: str) -> Failure:
+    """Create an object of the object store."""
+    client = HttpObjectStore(f'http://{address}')
+    answer = await client.create(StoredObject(kind='hosts', name='a', body=b''))
+    await client.close()
+    return answer
+
+
+async def read_store(address: str) -> Failure:
+    """Read an object of the metadata store."""
+    client = StoreClient(address)
+    answer = await client.get('hosts', 'a')
+    await client.close()
+    return answer
+
+
+async def watch_object_store(address: str) -> Failure:
+    """Return the first item of a watch."""
+    client = HttpObjectStore(f'http://{address}')
+    answers = [each async for each in client.watch('hosts', 1)]
+    await client.close()
+    return answers[0]
+
+
+async def order(address: str) -> Failure:
+    """Send an operator's order to an agent."""
+    return await withdraw(f'http://{address}', 'hash')
+
+
+class TestClients:
+    """Guard against an invalid status that is taken for success or a refusal."""
+
+    @pytest.mark.parametrize('status', STATUSES)
+    @pytest.mark.parametrize(
+        ('ask', 'kind'),
+        (
+            (write_store, ErrorKind.STORE_OUTCOME_UNKNOWN),
+            (write_object_store, ErrorKind.STORE_OUTCOME_UNKNOWN),
+            (read_store, ErrorKind.STORE_UNAVAILABLE),
+            (watch_object_store, ErrorKind.STORE_UNAVAILABLE),
+            (order, ErrorKind.PEER_UNREACHABLE),
+        ),
+    )
+    def test_invalid_status_leaves_the_outcome_open(self, status, ask, kind):
+        failures = []
+
+        async def handle(request, connection) -> None:
+            await connection.answer(status, body=b'{"metadata":{"name":"a"}}')
+
+        async def main() -> None:
+            async with serving(handle) as server:
+                failures.append(await ask(server.address))
+
+        anyio.run(main)
+        assert failures[0].kind is kind
