Keep no cookies of backend servers and stores at gates and hosts

What callers saw: a request without a Cookie header reached the backend server with the cookies that it had set for other callers of the gate, so that the server could take one caller for another (MIXED).

Cause: a client of httpx keeps what Set-Cookie headers say and sends it with later requests to the same address. The clients of gates (requests, probes), of the metadata store and of the object store are shared by all requests.

Change: their jar accepts no cookie. Set-Cookie headers and the caller's own Cookie header are passed on as before.

--- a/cicadadoor/gate/forwarding.py
+++ b/cicadadoor/gate/forwarding.py
@@ -15,6 +15,7 @@
 from cicadadoor.gate.connection_pool import BackendTransport
 from cicadadoor.gate.request import SteeredRequest, SteeredResponse
 from cicadadoor.gate.servers import BackendServers
+from cicadadoor.http_client import no_cookies
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.telemetry import tracing
 from cicadadoor.timer import TimerService
@@ -84,6 +85,7 @@
         self._servers = kernel.find('servers')
         self._client = httpx.AsyncClient(
             transport=BackendTransport(_MAX_CONNECTIONS),
+            cookies=no_cookies(),
             follow_redirects=False,
             trust_env=False,
         )
--- a/cicadadoor/http_client.py
+++ b/cicadadoor/http_client.py
@@ -6,6 +6,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
+from http.cookiejar import CookieJar, DefaultCookiePolicy
 from typing import Any
 
 import anyio
@@ -49,6 +50,15 @@
         return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
 
 
+def no_cookies() -> CookieJar:
+    """Return a jar for a client of httpx that neither keeps nor sends cookies.
+
+    By default, a client keeps all cookies that it receives, without a limit, and sends
+    them with later requests, whoever these are for.
+    """
+    return CookieJar(DefaultCookiePolicy(allowed_domains=()))
+
+
 async def fetch(
     client: httpx.AsyncClient,
     method: str,
--- a/cicadadoor/object_store/http.py
+++ b/cicadadoor/object_store/http.py
@@ -12,6 +12,7 @@
     IDENTITY_ENCODING_HEADERS,
     check_status,
     fetch,
+    no_cookies,
     read_lines,
 )
 from cicadadoor.object_store.base import (
@@ -48,6 +49,7 @@
             base_url=f'{base_url}/api/v1/',
             headers=IDENTITY_ENCODING_HEADERS,
             timeout=_CALL_TIMEOUT_S,
+            cookies=no_cookies(),
             trust_env=False,
         )
 
--- a/cicadadoor/platform/store_client.py
+++ b/cicadadoor/platform/store_client.py
@@ -10,7 +10,12 @@
 
 from cicadadoor.decisions.memory_account import MemoryAccount, Owner
 from cicadadoor.errors import ErrorKind, Failure
-from cicadadoor.http_client import FetchedResponse, ResponseNotHeldError, fetch
+from cicadadoor.http_client import (
+    FetchedResponse,
+    ResponseNotHeldError,
+    fetch,
+    no_cookies,
+)
 from cicadadoor.platform.answers import (
     Answer,
     Events,
@@ -60,6 +65,7 @@
         self._client = httpx.AsyncClient(
             base_url=f'http://{address}/v1/objects/',
             timeout=CALL_TIMEOUT_S,
+            cookies=no_cookies(),
             trust_env=False,
             transport=httpx.AsyncHTTPTransport(
                 socket_options=KEEP_ALIVE_OPTIONS,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -293,6 +293,19 @@
 
         run_exchange(server, use)
 
+    def test_cookie_of_one_answer_is_not_sent_with_the_request_of_another_caller(self):
+        """The backend server would take the second caller for the first one."""
+        cookie = b'HTTP/1.1 200 OK\r\nset-cookie: sid=first\r\n'
+        server = RawServer(cookie + b'content-length: 0\r\n\r\n', COMPLETE_ANSWER)
+
+        async def use(forward):
+            first = await forward(make_request())
+            assert ('set-cookie', 'sid=first') in first.headers
+            await forward(make_request())
+            assert b'sid=first' not in server.requests[1]
+
+        run_exchange(server, use)
+
     @pytest.mark.parametrize(
         ('method', 'sent', 'length'),
         [
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -197,3 +197,36 @@
             await connection.answer(599)
 
         run(unknown, ask)
+
+
+async def ask_store_twice(address: str) -> None:
+    client = StoreClient(address)
+    for _ in range(2):
+        await client.get('config', 'main')
+    await client.close()
+
+
+async def ask_object_store_twice(address: str) -> None:
+    client = HttpObjectStore(f'http://{address}')
+    for _ in range(2):
+        await client.get('config', 'main')
+    await client.close()
+
+
+class TestCookies:
+    """Guard against cookies that a client keeps: there is no limit to their number."""
+
+    @pytest.mark.parametrize('ask', (ask_store_twice, ask_object_store_twice, probe))
+    def test_cookie_is_not_kept(self, ask):
+        sent = []
+
+        async def set_cookie(request, connection) -> None:
+            sent.append(request.headers.get('cookie'))
+            await connection.answer(599, {'Set-Cookie': f'c{len(sent)}=1'})
+
+        async def main() -> None:
+            async with serving(set_cookie) as server:
+                await ask(server.address)
+
+        anyio.run(main)
+        assert sent == [None, None]
