Give up a backend server that sends interim responses without end, at gates

Memory did not grow.

Cause: httpx skips interim responses without a limit, and parses 64 KB of them, about 4,000, in one step of the event loop.

Change: up to the end of a response head a gate reads 4 KiB at once, and gives up after 128 KiB: OUTCOME_UNKNOWN, as for other bytes that are no response. A single head is limited to 100 KiB by the HTTP client as before.

--- a/cicadadoor/gate/connection_pool.py
+++ b/cicadadoor/gate/connection_pool.py
@@ -4,11 +4,29 @@
 
 import httpx
 
+from cicadadoor.gate.head_limit import HeadLimit
+
 # Less than 5 s, after which many servers close idle connections. A request sent while
 # the server closes the connection has an unknown outcome.
 _KEEP_ALIVE_S = 4.0
 
 
+class _Connection:
+    """Limit the response heads of a transport that has one connection."""
+
+    __slots__ = ('_head_limit', '_transport', 'aclose')
+
+    def __init__(self, transport: httpx.AsyncHTTPTransport) -> None:
+        self._transport = transport
+        self._head_limit = HeadLimit(transport)
+        self.aclose = transport.aclose
+
+    async def exchange(self, request: httpx.Request) -> httpx.Response:
+        """Send a request, and return its response once the head has arrived."""
+        with self._head_limit:
+            return await self._transport.handle_async_request(request)
+
+
 class BackendTransport(httpx.AsyncBaseTransport):
     """Send each request over an idle connection to its backend server.
 
@@ -20,7 +38,7 @@
 
     def __init__(self, max_connections: int) -> None:
         self._max_connections = max_connections
-        self._idle: dict[str, list[httpx.AsyncHTTPTransport]] = {}
+        self._idle: dict[str, list[_Connection]] = {}
         self._in_use: dict[str, int] = {}
         # Shared, because creating an SSL context for each connection takes 50 ms.
         self._tls_context = httpx.create_ssl_context(trust_env=False)
@@ -30,7 +48,7 @@
         origin = _origin(request.url)
         connection = self._acquire(origin, request)
         try:
-            response = await connection.handle_async_request(request)
+            response = await connection.exchange(request)
         except BaseException:
             await self._discard(origin, connection)
             raise
@@ -52,7 +70,7 @@
     async def release(
         self,
         origin: str,
-        connection: httpx.AsyncHTTPTransport,
+        connection: _Connection,
         *,
         is_complete: bool,
     ) -> None:
@@ -67,7 +85,7 @@
         self,
         origin: str,
         request: httpx.Request,
-    ) -> httpx.AsyncHTTPTransport:
+    ) -> _Connection:
         in_use = self._in_use.get(origin, 0)
         if in_use >= self._max_connections:
             raise httpx.PoolTimeout(
@@ -83,16 +101,18 @@
             max_keepalive_connections=1,
             keepalive_expiry=_KEEP_ALIVE_S,
         )
-        return httpx.AsyncHTTPTransport(
-            verify=self._tls_context,
-            limits=limits,
-            trust_env=False,
+        return _Connection(
+            httpx.AsyncHTTPTransport(
+                verify=self._tls_context,
+                limits=limits,
+                trust_env=False,
+            )
         )
 
     async def _discard(
         self,
         origin: str,
-        connection: httpx.AsyncHTTPTransport,
+        connection: _Connection,
     ) -> None:
         self._in_use[origin] -= 1
         await connection.aclose()
@@ -105,12 +125,12 @@
         self,
         transport: BackendTransport,
         origin: str,
-        connection: httpx.AsyncHTTPTransport,
+        connection: _Connection,
         stream: httpx.AsyncByteStream,
     ) -> None:
         self._transport = transport
         self._origin = origin
-        self._connection: httpx.AsyncHTTPTransport | None = connection
+        self._connection: _Connection | None = connection
         self._stream = stream
         self._is_complete = False
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -255,6 +255,41 @@
         assert other_task_runs >= 50
 
 
+class EndlessInterim(RawServer):
+    """Send interim responses until the connection is closed."""
+
+    async def _serve(self, stream):
+        await stream.receive()
+        while True:
+            await stream.send(b'HTTP/1.1 102 X\r\n\r\n' * 4096)
+
+
+class TestInterimResponses:
+    """Guard against interim responses that occupy the gate until the deadline."""
+
+    def test_endless_interim_responses_are_given_up(self):
+        server = EndlessInterim()
+
+        async def use(forward):
+            with anyio.fail_after(20):
+                failure = await forward(make_request(left_s=60))
+                assert failure.kind is ErrorKind.OUTCOME_UNKNOWN
+                await server.was_dropped.wait()
+
+        run_exchange(server, use)
+
+    def test_final_response_after_interim_ones_is_returned(self):
+        interim = b'HTTP/1.1 102 X\r\n\r\n' * 1000
+        server = RawServer(interim + COMPLETE_ANSWER, interim + COMPLETE_ANSWER)
+
+        async def use(forward):
+            for _ in range(2):
+                assert (await forward(make_request())).body == b'book'
+            assert server.connections == 1
+
+        run_exchange(server, use)
+
+
 class TestAnswers:
     """Guard against bytes of one response that end up in another."""
 
