Hold the part of a forwarded stream in one buffer

The part was a list of its chunks; it is one buffer now, as where the first MiB of a response is read.

--- a/cicadadoor/gate/streams.py
+++ b/cicadadoor/gate/streams.py
@@ -119,12 +119,11 @@
 
 async def read_part(stream: AsyncIterator[bytes], wanted_bytes: int) -> bytes:
     """Return at least `wanted_bytes` of the stream, less only at its end."""
-    parts: list[bytes] = []
-    size_bytes = 0
-    while size_bytes < wanted_bytes:
+    # One contiguous buffer: a list of small chunks would take many times their size.
+    part = bytearray()
+    while len(part) < wanted_bytes:
         chunk = await anext(stream, None)
         if chunk is None:
             break
-        parts.append(chunk)
-        size_bytes += len(chunk)
-    return b''.join(parts)
+        part += chunk
+    return bytes(part)
