--- a/cicadadoor/object_store/http.py
+++ b/cicadadoor/object_store/http.py
@@ -1,9 +1,11 @@
 """Call the platform's object API over HTTP."""
 
 from collections.abc import AsyncIterator
+from contextlib import aclosing
 from http import HTTPStatus
 from urllib.parse import quote
 
+import anyio
 import httpx
 import msgspec
 
@@ -85,10 +87,9 @@
         since_version: int,
     ) -> AsyncIterator[ChangeEvent | Failure]:
         """Yield changes after the version; a failure ends the watch."""
-        timeout = httpx.Timeout(_CALL_TIMEOUT_S, read=_WATCH_READ_TIMEOUT_S)
         path = f'{kind}?watch=1&since={since_version}'
         try:
-            async with self._client.stream('GET', path, timeout=timeout) as response:
+            async with aclosing(await self._open_watch(path)) as response:
                 check_status(response)
                 if response.status_code != HTTPStatus.OK:
                     yield _status_failure(response.status_code, path, b'')
@@ -110,6 +111,16 @@
         """Close all connections."""
         await self._client.aclose()
 
+    async def _open_watch(self, path: str) -> httpx.Response:
+        timeout = httpx.Timeout(_CALL_TIMEOUT_S, read=_WATCH_READ_TIMEOUT_S)
+        request = self._client.build_request('GET', path, timeout=timeout)
+        # The time-out of httpx applies to each read, and a head may come byte by byte.
+        try:
+            with anyio.fail_after(_WATCH_READ_TIMEOUT_S):
+                return await self._client.send(request, stream=True)
+        except TimeoutError as error:
+            raise httpx.ReadTimeout('no complete response head') from error
+
     async def _write(
         self,
         method: str,
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -143,6 +143,20 @@
 
         run(trickling, ask)
 
+    @pytest.mark.parametrize('start', (b'HTTP/1.1 200 OK\r\nA: ', b''))
+    def test_watch_whose_head_never_ends_is_given_up(self, start, monkeypatch):
+        """An agent would learn of no change until the platform closes the watch."""
+        monkeypatch.setattr('cicadadoor.object_store.http._WATCH_READ_TIMEOUT_S', 1)
+        part = b'b' if start else b'HTTP/1.1 102 Processing\r\n\r\n'
+
+        async def trickling(request, connection) -> None:
+            await connection.write(start)
+            while True:
+                await connection.write(part)
+                await anyio.sleep(0.05)
+
+        run(trickling, watch_object_store)
+
 
 def ask_for_page(account: MemoryAccount, size_bytes: int) -> object:
     """Return what the store client makes of a valid page of this size."""
