Free a response that its caller has left

What callers saw: a process can be ended for its memory, and the requests in flight on it get no answer.

Cause: when a caller closes or resets its connection within a long response, the queue frees the response and its bytes in the account, but the writer keeps a view of the body. Connection, queue and writer refer to each other, so that only the garbage collector frees them, and the account grants the same bytes again. Only the path of reset responses had cleared the writer.

Evidence: a process with 152 MB takes 165 MB while callers fetch 60 MB one after another and leave at the first byte; the collection at memory_unaccounted frees 60 MB, but comes up to 0.25 s late. No response is rejected for it, so that the record of a host that ends for it has no line about a backend server.

--- a/cicadadoor/entry/caller_connection.py
+++ b/cicadadoor/entry/caller_connection.py
@@ -127,7 +127,6 @@
             raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, CLOSE_WITH_RESET)
         self._transport.abort()
         # Frees the memory at once; the event loop reports the end only later.
-        self._writer.close()
         self._queue.drop_all()
 
     def abort(self) -> None:
--- a/cicadadoor/entry/response_queue.py
+++ b/cicadadoor/entry/response_queue.py
@@ -84,6 +84,8 @@
 
     def drop_all(self) -> None:
         """Cancel all requests, and discard their responses."""
+        # It refers to the body that is being written.
+        self._writer.close()
         while self._exchanges:
             self._end(self._exchanges.popleft())
 
