Free a response whose write failed

What callers saw: a process can be ended for its memory, and the requests in flight on it get no answer.

Cause: asyncio keeps the error of a write to a connection that the caller has just reset, with the frames of the writer and of the request, until garbage is collected; it reports such an end twice. The frames refer to views of the whole body.

Change: the writer refers to a body only where it can be dropped, and gives the transport copies of the pieces. Versions of Python from 3.12 on hold the piece itself until the client has taken it.

Before: test_error_does_not_keep_the_response failed with 4.3 MB left.

--- a/cicadadoor/entry/caller_handler.py
+++ b/cicadadoor/entry/caller_handler.py
@@ -155,9 +155,12 @@
                 exchange.respond(self._failure_response(answer))
             else:
                 outcome = str(answer.head.status)
-                exchange.respond(
-                    Response(answer.head.status, answer.head.headers, answer.body)
+                response = Response(
+                    answer.head.status, answer.head.headers, answer.body
                 )
+                # The exchange frees the body from now on.
+                answer.body = b''
+                exchange.respond(response)
         finally:
             if not outcome and exchange.is_dropped:
                 outcome, detail = 'left', 'the caller disconnected'
--- a/cicadadoor/entry/response_writer.py
+++ b/cicadadoor/entry/response_writer.py
@@ -72,14 +72,13 @@
 
     def write(self, exchange: Exchange, response: Response) -> bool:
         """Write as much as the client takes; return whether all has been written."""
-        body = self._body
-        if body is None:
-            body = self._begin(exchange, response)
-        while self._offset < len(body) and self.can_write:
-            piece = body[self._offset : self._offset + _PIECE_BYTES]
-            self._offset += len(piece)
-            self._write(piece)
-        if self._offset < len(body):
+        # No local variable refers to the body: the traceback of a failed write keeps
+        # the frames of its callers, in some cases until garbage is collected.
+        if self._body is None:
+            self._begin(exchange, response)
+        while self.left_bytes and self.can_write:
+            self._write(self._next_piece())
+        if self.left_bytes:
             return False
         self._body = None
         return True
@@ -88,7 +87,7 @@
         """Discard the rest of the response."""
         self._body = None
 
-    def _begin(self, exchange: Exchange, response: Response) -> memoryview:
+    def _begin(self, exchange: Exchange, response: Response) -> None:
         headers = [
             *response.headers,
             (b'content-length', str(len(response.body)).encode()),
@@ -99,16 +98,21 @@
             headers.append((b'connection', b'close'))
         event = h11.Response(status_code=int(response.status), headers=headers)
         head = exchange.parser.send(event) or b''
-        body = response.body if response.has_body(exchange.method) else b''
+        has_body = response.has_body(exchange.method)
+        self._body = memoryview(response.body if has_body else b'')
         self._offset = 0
-        if len(body) <= _PIECE_BYTES:
-            self._body = memoryview(b'')
-            self._write(head + body)
-        else:
-            self._body = memoryview(body)
-            self._write(head)
-        return self._body
-
-    def _write(self, piece: bytes | memoryview) -> None:
+        if self.left_bytes <= _PIECE_BYTES:
+            head += self._next_piece()
+        self._write(head)
+
+    def _next_piece(self) -> bytes:
+        if self._body is None:
+            return b''
+        # A copy, so that whoever holds a piece does not hold the body.
+        piece = bytes(self._body[self._offset : self._offset + _PIECE_BYTES])
+        self._offset += len(piece)
+        return piece
+
+    def _write(self, piece: bytes) -> None:
         self.written_bytes += len(piece)
         self._transport.write(piece)
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -9,6 +9,7 @@
 import anyio
 import pytest
 
+from cicadadoor.entry.caller_connection import CallerConnection
 from cicadadoor.entry.exchange import Response
 from tests.utils.caller_server import run_served
 from tests.utils.entry_hosts import Deployment, run_deployed
@@ -70,6 +71,34 @@
             run_served(work)
 
 
+class TestFailedWrites:
+    """Guard against responses that the error of a failed write keeps in memory."""
+
+    def test_error_does_not_keep_the_response(self, monkeypatch):
+        errors = []
+        lose = CallerConnection.connection_lost
+
+        def keep_error(connection, error):
+            errors.append(error)
+            lose(connection, error)
+
+        async def work(scene):
+            client = await scene.connect()
+            before_bytes = traced_bytes()
+            await client.request('/book')
+            exchange = (await scene.handled(1))[0]
+            client.reset()
+            # The event loop has not noticed the reset.
+            exchange.respond(Response(200, [], bytearray(_BODY_BYTES)))
+            await until(lambda: not scene.context.connections)
+            assert traced_bytes() - before_bytes < _LEFT_BYTES
+            assert isinstance(errors[0], ConnectionResetError)
+
+        monkeypatch.setattr(CallerConnection, 'connection_lost', keep_error)
+        with uncollected():
+            run_served(work)
+
+
 def traced_body_bytes() -> int:
     """Return the memory that request bodies take."""
     bodies = tracemalloc.Filter(inclusive=True, filename_pattern='*request_intake.py')
--- a/tests/utils/caller_server.py
+++ b/tests/utils/caller_server.py
@@ -13,6 +13,7 @@
 from cicadadoor.entry.exchange import Exchange, RequestHandler, Response
 from cicadadoor.entry.model import ClientLimits
 from cicadadoor.errors import ERROR_RESPONSES, Failure
+from cicadadoor.sockets import CLOSE_WITH_RESET
 from tests.utils.processes import Ports
 from tests.utils.waiting import until
 
@@ -144,6 +145,11 @@
         """Close the connection."""
         self._socket.close()
 
+    def reset(self) -> None:
+        """Close the connection with a reset."""
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, CLOSE_WITH_RESET)
+        self._socket.close()
+
     async def _receive_more(self) -> None:
         received = await self.receive()
         if not received:
