Keep digests instead of long affinity keys in the caches

Cause: the rankings of servers and the hashes of names are cached by the whole key of an object, up to 20,000 and 16,384 of them, outside of the memory account.

Change: a digest of 16 bytes stands for a key of more than 64 characters. Hosts of the version before rank the objects of such keys differently while both versions run; their requests then find some objects not cached.

Before: test_long_keys_take_little_memory failed with 4.1 MB for 1,000 keys of 4,000 characters. After: test_entry_backends, 22 passed.

--- a/cicadadoor/entry/routed_request.py
+++ b/cicadadoor/entry/routed_request.py
@@ -1,12 +1,18 @@
 """Hold the state of an admitted request, and split a route over its services."""
 
 import random
+from hashlib import blake2b
 
 from cicadadoor.decisions.memory_account import Reservation
 from cicadadoor.entry.messages import BackendResponse, CallerRequest
 from cicadadoor.entry.model import OrganisationPolicy, RoutePolicy
 from cicadadoor.entry.quarantine import fingerprint_of
 
+# Rankings and hashes are cached by the keys of objects, tens of thousands of each and
+# outside of the memory account. A digest stands for a longer key.
+_MAX_KEY_CHARACTERS = 64
+_DIGEST_BYTES = 16
+
 
 class RoutedRequest:
     """Hold one admitted request and the state of its attempts."""
@@ -99,7 +105,10 @@
     """Return the key of the object that the request concerns, or an empty string."""
     if not route.has_affinity or not request.affinity_key:
         return ''
-    return f'{route.name}:{request.affinity_key}'
+    key = request.affinity_key
+    if len(key) > _MAX_KEY_CHARACTERS:
+        key = blake2b(key.encode(), digest_size=_DIGEST_BYTES).hexdigest()
+    return f'{route.name}:{key}'
 
 
 class WeightedRoundRobin:
--- a/tests/test_entry_backends.py
+++ b/tests/test_entry_backends.py
@@ -1,5 +1,7 @@
 """Test the table of backend servers, regions of requests and service weights."""
 
+import tracemalloc
+
 import pytest
 
 from cicadadoor.decisions.placement import CacheState
@@ -174,19 +176,55 @@
         assert not homes.intersection(REGIONS.values())
 
 
-def home_regions_of(route_homes, organisation_homes) -> frozenset[str]:
-    request = CallerRequest(
+def object_key_of(affinity_key: str) -> str:
+    return RoutedRequest(
+        request=request_with(affinity_key),
+        body=b'',
+        route=route_of(('front', 1)),
+        organisation=None,
+        service='front',
+        received_s=0,
+        deadline_s=3,
+    ).object_key
+
+
+class TestObjectKeys:
+    """Guard against callers whose keys fill the memory through the caches."""
+
+    def test_long_keys_take_little_memory(self):
+        numbers = range(1000)
+        tracemalloc.start()
+        try:
+            kept = {object_key_of(f'{number:04000}') for number in numbers}
+            taken_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert len(kept) == len(numbers)
+        assert taken_bytes < 1_000_000
+
+    def test_equal_long_keys_concern_one_object(self):
+        assert object_key_of('é' * 4000) == object_key_of('é' * 4000)
+
+    def test_short_key_is_kept(self):
+        assert object_key_of('patient-7') == 'look:patient-7'
+
+
+def request_with(affinity_key: str) -> CallerRequest:
+    return CallerRequest(
         request_id='x',
         method='GET',
         target=b'/look/1',
         host_name='a',
-        affinity_key='7',
+        affinity_key=affinity_key,
         api_key='key',
         deadline_ms=None,
         headers=[],
     )
+
+
+def home_regions_of(route_homes, organisation_homes) -> frozenset[str]:
     return RoutedRequest(
-        request=request,
+        request=request_with('7'),
         body=b'',
         route=route_of(('front', 1), homes=route_homes),
         organisation=OrganisationPolicy(
