Free the connection of a response that is no HTTP

What callers saw: a process can be ended for its memory, and the requests in flight on it get no answer.

Cause: a frame of h11 refers to the error that it raises. The traceback keeps the connection to the backend server, the bytes in its parser and the request, until garbage is collected; the account has released them.

Evidence: with the collector off, the frames of ResponseReader, BackendConnection and h11 are left after each such response.

Before: test_bytes_in_the_parser_of_a_rejected_head_are_freed failed for a response that is no HTTP. After: the eight tests of TestUnusableResponses passed.

--- a/cicadadoor/entry/connections.py
+++ b/cicadadoor/entry/connections.py
@@ -168,6 +168,9 @@
             response = await self._run(method, head, body, wants_body)
             is_done = True
         except h11.ProtocolError as error:
+            # A frame of h11 refers to its error. The traceback would keep the
+            # connection and its bytes until garbage is collected.
+            error.with_traceback(None)
             if self.has_received:
                 raise InvalidResponseError(str(error)) from error
             raise ConnectionBrokenError(
--- a/tests/test_rejected_responses.py
+++ b/tests/test_rejected_responses.py
@@ -107,9 +107,12 @@
         handler = respond(SIZED, 'open')
         assert measure_left_bytes(handler, work) < _LEFT_BYTES
 
-    def test_bytes_in_the_parser_of_a_rejected_head_are_freed(self, traced):
+    @pytest.mark.parametrize(
+        'start', (b'HTTP/1.1 200 OK\r\nA: ', b'no response\r\n\r\n')
+    )
+    def test_bytes_in_the_parser_of_a_rejected_head_are_freed(self, traced, start):
         async def endless_line(request, connection) -> None:
-            await connection.write(b'HTTP/1.1 200 OK\r\nA: ')
+            await connection.write(start)
             await connection.write(_PIECE)
             await connection.write(_PIECE)
             await connection.closed()
