--- a/cicadadoor/entry/memory_watch.py
+++ b/cicadadoor/entry/memory_watch.py
@@ -1,6 +1,7 @@
 """Report and reclaim memory that the account of the host does not explain."""
 
 import gc
+import math
 from collections.abc import Callable
 
 from cicadadoor.decisions.memory_levels import MemoryAlert, MemoryLevels
@@ -15,6 +16,8 @@
 
 # A host receives about 30 MB in this time.
 _SAMPLE_PERIOD_S = 0.25
+# A collection holds up the event loop for tens of milliseconds.
+_RECLAIM_INTERVAL_S = 5.0
 _BYTES_PER_MB = 1_000_000
 
 
@@ -32,6 +35,7 @@
         # What the account leaves for the process itself.
         self._allowance_bytes = 0
         self._peak_bytes = 0
+        self._next_reclaim_s = -math.inf
 
     async def start(self, kernel: Kernel) -> None:
         """Sample periodically."""
@@ -53,7 +57,8 @@
         self._peak_bytes = max(self._peak_bytes, used_bytes)
         for alert in self._levels.update(used_bytes, account.held_bytes):
             self._report(alert, used_bytes)
-            if alert is MemoryAlert.UNACCOUNTED:
+            is_unaccounted = alert is MemoryAlert.UNACCOUNTED
+            if is_unaccounted and self._timer.now_s() >= self._next_reclaim_s:
                 used_bytes = self._reclaim(used_bytes)
         unaccounted_bytes = used_bytes - account.held_bytes
         # Holding less for others is better than being ended with all of it.
@@ -65,6 +70,7 @@
         """Free what nothing refers to; return the memory that is used then."""
         objects = gc.collect()
         return_free_blocks()
+        self._next_reclaim_s = self._timer.now_s() + _RECLAIM_INTERVAL_S
         left_bytes = self._read_resident_bytes()
         log.warning(
             'memory_reclaimed', objects=objects, freed_bytes=used_bytes - left_bytes
--- a/tests/test_memory_watch.py
+++ b/tests/test_memory_watch.py
@@ -103,6 +103,19 @@
             gc.enable()
         assert any('event=memory_reclaimed' in line for line in lines)
 
+    def test_memory_that_swings_is_collected_every_few_seconds_at_most(self):
+        async def main() -> list[str]:
+            used = [100]
+            watch, timer, _ = await started(lambda: used[-1] * _MB)
+            with captured_logs() as lines:
+                for number in range(40):
+                    used.append(130 if number % 2 else 50)
+                    await timer.advance(_PERIOD_S)
+            return lines
+
+        lines = anyio.run(main)
+        assert sum('event=memory_reclaimed' in line for line in lines) == 2
+
     def test_unexplained_memory_is_taken_from_the_account(self):
         async def main() -> None:
             used = [100]
