Hand the bytes that a parser has not used to the next request

Cause: a request that may not run beside others is held after its head, with up to 16 KB of the requests behind it in its parser. Its end was then read by `_continue`, which ignored the unused bytes; only `_parse` returned them. If bytes arrived between the response to A and the next pass of the event loop, `_parse` found more unused bytes than it had been given and returned a negative count.

Change: the unused bytes return to the front of the unread ones in the one place where a request ends, on whichever path its end is read. Any other way out of a parser closes the reader, so that nothing behind a refused request is parsed. Bytes in the parser of a held request are reserved in the account.

--- a/cicadadoor/entry/request_reader.py
+++ b/cicadadoor/entry/request_reader.py
@@ -65,7 +65,13 @@
 
 
 class RequestReader:
-    """Parse requests one after the other, and hold what cannot be parsed yet."""
+    """Parse requests one after the other, and hold what cannot be parsed yet.
+
+    Each received byte is either in the parser of the request that is being received, or
+    in `_unread`. A request leaves its parser in one of two ways: at its end, when the
+    bytes that the parser has not used return to the front of `_unread`, or by closing
+    the reader for good.
+    """
 
     def __init__(
         self,
@@ -79,6 +85,8 @@
         self._reservation = reservation
         self._context = context
         self._unread = bytearray()
+        # What is reserved for these bytes and those of a held request.
+        self._reserved_bytes = 0
         self._is_resuming = False
         self._is_closed = False
         self.is_paused = False
@@ -92,14 +100,10 @@
 
     def receive(self, received: memoryview) -> None:
         """Parse received bytes as far as the sink allows, and keep the others."""
-        used = 0 if self._unread else self._parse(received)
-        if used == len(received) or self._is_closed:
-            return
-        rest = received[used:]
-        if not self._reservation.grow(len(rest)):
-            self._sink.reject_memory()
+        if self._is_closed:
             return
-        self._unread += rest
+        used = 0 if self._unread else self._parse(received)
+        self._keep(received[used:])
         if len(self._unread) >= MAX_UNREAD_BYTES and not self.is_paused:
             self.is_paused = True
             self._transport.pause_reading()
@@ -121,7 +125,8 @@
     def close(self) -> None:
         """Stop parsing, and discard the kept bytes."""
         self._is_closed = True
-        self._reservation.shrink(len(self._unread))
+        self._reservation.shrink(self._reserved_bytes)
+        self._reserved_bytes = 0
         self._unread = bytearray()
         self.receiving = None
         self._resume_transport()
@@ -130,35 +135,47 @@
         self._is_resuming = False
         if self._is_closed:
             return
-        if self.receiving is not None:
+        if self.receiving is not None and self._may_read():
             # Events of a request that was held until it became the first.
+            self.receiving.is_held = False
             self._read_events(self.receiving)
-        if not self._unread or not self._may_read():
-            self._resume_transport()
-            return
         unread, self._unread = self._unread, bytearray()
         used = self._parse(memoryview(unread))
-        if self._is_closed:
-            self._reservation.shrink(len(unread))
-            return
-        self._reservation.shrink(used)
-        self._unread += memoryview(unread)[used:]
+        self._keep(memoryview(unread)[used:])
         self._resume_transport()
         self.resume()
 
+    def _keep(self, rest: memoryview) -> None:
+        """Keep bytes behind those that a parser has returned."""
+        if self._is_closed:
+            return
+        self._unread += rest
+        kept_bytes = len(self._unread)
+        if self.receiving is not None and self.receiving.is_held:
+            kept_bytes += len(self.receiving.parser.trailing_data[0])
+        missing_bytes = kept_bytes - self._reserved_bytes
+        if missing_bytes < 0:
+            self._reservation.shrink(-missing_bytes)
+        elif missing_bytes and not self._reservation.grow(missing_bytes):
+            self._sink.reject_memory()
+            return
+        self._reserved_bytes = kept_bytes
+
     def _resume_transport(self) -> None:
         if self.is_paused and len(self._unread) < MAX_UNREAD_BYTES // 2:
             self.is_paused = False
             self._transport.resume_reading()
 
     def _may_read(self) -> bool:
+        if self._is_closed:
+            return False
         receiving = self.receiving
         if receiving is None:
             return self._sink.may_begin()
         return not receiving.is_held or self._sink.is_first(receiving)
 
     def _parse(self, received: memoryview) -> int:
-        """Parse up to the end of one request; return how many bytes were used."""
+        """Parse up to the end of one request; return how many bytes a parser took."""
         used = 0
         while used < len(received) and self._may_read():
             exchange = self.receiving
@@ -176,7 +193,7 @@
             used += len(piece)
             self._read_events(exchange)
             if exchange.is_whole:
-                return used - len(exchange.parser.trailing_data[0])
+                return used
         return used
 
     def _read_events(self, exchange: Exchange) -> None:
@@ -185,21 +202,22 @@
                 if not self._handle_event(exchange, exchange.parser.next_event()):
                     return
         except h11.RemoteProtocolError as error:
-            self._end()
+            self.close()
             self._sink.reject(exchange, error.error_status_hint)
 
     def _handle_event(self, exchange: Exchange, event: object) -> bool:
         """Handle one event of the parser; return whether there may be another one."""
         if isinstance(event, h11.Data):
             if not self._sink.receive_body(exchange, event.data):
-                self._end()
+                self.close()
         elif isinstance(event, h11.Request):
             _store_head(exchange, event)
             self._sink.receive_head(exchange)
         elif isinstance(event, h11.EndOfMessage):
             exchange.is_whole = True
             exchange.is_last = exchange.parser.their_state is h11.MUST_CLOSE
-            self._end()
+            self.receiving = None
+            self._unread = bytearray(exchange.parser.trailing_data[0]) + self._unread
             self._sink.receive_end(exchange)
         else:
             self._handle_pause(exchange)
@@ -209,15 +227,12 @@
     def _handle_pause(self, exchange: Exchange) -> None:
         if not exchange.has_head:
             if exchange.head_bytes >= self._context.max_head_bytes:
-                self._end()
+                self.close()
                 status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
                 self._sink.reject(exchange, status)
         elif exchange.parser.they_are_waiting_for_100_continue:
             if not self._sink.send_continue(exchange):
-                self._end()
-
-    def _end(self) -> None:
-        self.receiving = None
+                self.close()
 
 
 def _store_head(exchange: Exchange, event: h11.Request) -> None:
--- a/tests/utils/caller_server.py
+++ b/tests/utils/caller_server.py
@@ -27,6 +27,8 @@
 
     def __init__(self) -> None:
         self.handled: list[Exchange] = []
+        # A body is released with the response.
+        self.bodies: list[bytes] = []
         self.ended: list[Exchange] = []
         self.begun = 0
         self.is_leaving = False
@@ -48,6 +50,7 @@
     def handle(self, exchange: Exchange) -> None:
         exchange.scope = anyio.CancelScope()
         self.handled.append(exchange)
+        self.bodies.append(bytes(exchange.body.content))
         if exchange.target.startswith(b'/now'):
             exchange.respond(Response(200, [], exchange.target))
 
