Refuse requests that state both a length and chunks

Found by reading while the sequence test was written; it draws such requests. With `Transfer-Encoding: chunked` before `Content-Length: 0`, h11 read the chunks while the host took the body for empty: its first part ended the reception without a refusal, and the request got no answer. RFC 9112, 6.3 calls such a request an error, since others may see its end at another place. It is now refused with 400 before it is handled, and its connection is closed with nothing behind it read.

--- a/cicadadoor/entry/request_reader.py
+++ b/cicadadoor/entry/request_reader.py
@@ -211,6 +211,10 @@
             if not self._sink.receive_body(exchange, event.data):
                 self.close()
         elif isinstance(event, h11.Request):
+            if _has_two_lengths(event):
+                self.close()
+                self._sink.reject(exchange, HTTPStatus.BAD_REQUEST)
+                return False
             _store_head(exchange, event)
             self._sink.receive_head(exchange)
         elif isinstance(event, h11.EndOfMessage):
@@ -235,6 +239,12 @@
                 self.close()
 
 
+def _has_two_lengths(event: h11.Request) -> bool:
+    """Tell whether others could see the end of the body at another place."""
+    names = {name for name, _ in event.headers}
+    return names >= {b'content-length', b'transfer-encoding'}
+
+
 def _store_head(exchange: Exchange, event: h11.Request) -> None:
     exchange.method = event.method.decode('ascii').upper()
     exchange.target = bytes(event.target)
--- a/tests/test_requests_sent_ahead.py
+++ b/tests/test_requests_sent_ahead.py
@@ -85,3 +85,28 @@
             assert scene.handler.bodies[2] == hidden
 
         run_served(work)
+
+
+class TestTwoLengths:
+    """Guard against a body whose end another server could see at another place."""
+
+    @pytest.mark.parametrize('target', ('/safe', '/book'))
+    @pytest.mark.parametrize('length', (0, 5, 17_000))
+    @pytest.mark.parametrize('is_first', (True, False))
+    def test_request_with_length_and_chunks_is_refused(self, target, length, is_first):
+        async def work(scene):
+            client = await scene.connect()
+            fields = ['Transfer-Encoding: chunked', f'Content-Length: {length}']
+            if is_first:
+                fields.reverse()
+            await client.request(target, *fields, method='POST')
+            hidden = b'GET /now/hidden HTTP/1.1\r\nHost: a\r\n\r\n' * 1000
+            chunk = b'%x\r\n%b\r\n0\r\n\r\n' % (len(hidden), hidden)
+            await client.send(chunk)
+            status, headers, _ = await client.response()
+            assert status == 400
+            assert headers['connection'] == 'close'
+            assert await client.is_closed()
+            assert not scene.handler.handled
+
+        run_served(work)
