Send no body with the refusal of a head that is not complete

Found by the sequence test: a HEAD request that was refused before its head was complete (408) got the body of the refusal, since its method was not known yet. Its client reads no body, and finds bytes of no response before the connection closes. Such refusals now state a length of 0 and have no body.

--- a/cicadadoor/entry/request_intake.py
+++ b/cicadadoor/entry/request_intake.py
@@ -146,6 +146,9 @@
         self._connection.stop_reading()
         response = self._context.handler.refuse(exchange, failure)
         response.closes = True
+        if not exchange.has_head:
+            # The method may be HEAD, whose client reads no body.
+            response.body = b''
         self._connection.respond(exchange, response)
 
     @property
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -61,6 +61,20 @@
 
         run_served(work, header_timeout_ms=3000)
 
+    def test_refusal_of_a_head_that_is_not_complete_has_no_body(self):
+        """It may be one of a HEAD request, whose client reads no body."""
+
+        async def work(scene):
+            client = await scene.connect()
+            await client.send(b'HEAD /now HTTP/1.1\r\n')
+            await until(lambda: scene.context.connections[0].use.moved_bytes)
+            await scene.pass_time(4)
+            status, headers, body = await client.response()
+            assert (status, headers['content-length'], body) == (408, '0', b'')
+            assert await client.is_closed()
+
+        run_served(work, header_timeout_ms=3000)
+
     def test_bytes_that_are_no_request_are_refused(self):
         async def work(scene):
             client = await scene.connect()
