--- a/cicadadoor/entry/request_reader.py
+++ b/cicadadoor/entry/request_reader.py
@@ -246,7 +246,7 @@
 
 
 def _store_head(exchange: Exchange, event: h11.Request) -> None:
-    exchange.method = event.method.decode('ascii').upper()
+    exchange.method = event.method.decode('ascii')
     exchange.target = bytes(event.target)
     exchange.headers = list(event.headers)
     for name, text in exchange.headers:
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -75,6 +75,17 @@
 
         run_served(work, header_timeout_ms=3000)
 
+    def test_method_in_small_letters_is_kept(self):
+        """Methods are case-sensitive; it was passed on in capitals."""
+
+        async def work(scene):
+            client = await scene.connect()
+            await client.request('/now', method='head')
+            assert (await client.response())[2] == b'/now'
+            assert scene.handler.handled[0].method == 'head'
+
+        run_served(work)
+
     def test_bytes_that_are_no_request_are_refused(self):
         async def work(scene):
             client = await scene.connect()
