Answer all requests passed on before a leaving host closes

Cause: the response queue closed the connection with the next response as soon as the host left. It now closes with the last one whose request is whole, and reads no further request on the connection meanwhile. A request that is held or still arriving behind them is not passed on and counts as not read, as before.

Evidence: test_caller_server (test_host_that_leaves_answers_what_it_has_passed_on), failed before in the one of its two cases that ran (stopped at the first failure); test_requests_behind_a_response_that_closes_the_connection_are_cancelled told the host to leave in order to get a closing response in front of running requests, which can't happen any more; a handler's closing response takes its place, with the same checks. The sequence test no longer excuses answers cancelled by a leaving host.

--- a/cicadadoor/entry/request_intake.py
+++ b/cicadadoor/entry/request_intake.py
@@ -54,7 +54,8 @@
         last = self._queue.last
         if last.is_last or len(self._queue) >= _MAX_RUNNING:
             return False
-        if self._context.handler.is_full:
+        handler = self._context.handler
+        if handler.is_full or handler.must_close:
             return False
         return self._context.may_repeat(last)
 
--- a/cicadadoor/entry/response_queue.py
+++ b/cicadadoor/entry/response_queue.py
@@ -60,7 +60,7 @@
             response = exchange.response
             if response is None:
                 return
-            if exchange.is_last or self._context.handler.must_close:
+            if exchange.is_last or self._must_close:
                 response.closes = True
             is_written = self._writer.write(exchange, response)
             if not is_written:
@@ -72,6 +72,13 @@
                 self.drop_all()
                 self._on_last()
 
+    @property
+    def _must_close(self) -> bool:
+        """Tell whether the host leaves, and no request behind has been passed on."""
+        if not self._context.handler.must_close:
+            return False
+        return len(self._exchanges) == 1 or not self._exchanges[1].is_whole
+
     def drop_unanswered(self) -> None:
         """Cancel the requests from the first one without a response on."""
         kept = 0
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -322,14 +322,35 @@
             for number in range(3):
                 await client.request(f'/safe/{number}')
             first, *others = await scene.handled(3)
-            scene.handler.is_leaving = True
-            first.respond(Response(200, [], b''))
+            first.respond(Response(200, [], b'', closes=True))
             assert (await client.response())[1]['connection'] == 'close'
             assert await client.is_closed()
             assert all(other.scope.cancel_called for other in others)
 
         run_served(work)
 
+    @pytest.mark.parametrize('is_in_order', (True, False))
+    def test_host_that_leaves_answers_what_it_has_passed_on(self, is_in_order):
+        """Only the last response closes, and nothing is read behind it."""
+
+        async def work(scene):
+            client = await scene.connect()
+            for number in range(3):
+                await client.request(f'/safe/{number}')
+            exchanges = list(await scene.handled(3))
+            scene.handler.is_leaving = True
+            await client.request('/safe/late')
+            for exchange in exchanges if is_in_order else reversed(exchanges):
+                exchange.respond(Response(200, [], exchange.target))
+            for number in range(3):
+                _, headers, body = await client.response()
+                assert body == f'/safe/{number}'.encode()
+                assert ('connection' in headers) is (number == 2)
+            assert await client.is_closed()
+            assert len(scene.handler.handled) == 3
+
+        run_served(work)
+
     def test_input_that_cannot_be_parsed_yet_is_bounded(self):
         async def work(scene):
             client = await scene.connect()
--- a/tests/test_request_sequences.py
+++ b/tests/test_request_sequences.py
@@ -290,8 +290,7 @@
             assert closes
             assert play.is_refused or status == request.status
     answered = sum(response[0] == 200 for response in responses)
-    # A host that is leaving cancels requests behind the closing response.
-    assert answered == len(ran) or handler.is_leaving and answered < len(ran)
+    assert answered == len(ran)
     if not play.transport.has_ended:
         assert len(responses) == len(sent)
     elif not (play.is_refused or handler.is_leaving):
