Reset a lingering connection only once its client takes nothing more

Cause: `_linger` counted its 2 s from the moment at which the transport was done. The kernel then still holds up to 128 KB for the client, which the reset discards.

Change: while the client's kernel has not acknowledged the whole response, the limit for a client that takes nothing applies (10 s). The 2 s in which the client's further bytes are discarded begin after that. The end of the stream, which the kernel counts as a byte, is not waited for.

Test: TestResponses.test_slow_client_is_not_reset_while_it_takes_the_last_response, failed before by a reset; test_client_that_takes_nothing_of_the_last_response_is_reset, failed before by a reset after 2 s in place of 10 s.

--- a/cicadadoor/entry/caller_connection.py
+++ b/cicadadoor/entry/caller_connection.py
@@ -179,9 +179,8 @@
         if self._has_eof:
             self._transport.close()
             return
+        self._writer.end()
         self.timeouts.begin_linger()
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
 
     def note_phase(self) -> None:
         """Take note of what the connection does now."""
--- a/cicadadoor/entry/connection_timeouts.py
+++ b/cicadadoor/entry/connection_timeouts.py
@@ -9,7 +9,7 @@
 
 # A client that takes nothing of its response for this time is disconnected.
 _WRITE_TIMEOUT_S = 10.0
-# Time to discard what a client still sends after the last response.
+# Time to discard what a client still sends once it has the last response.
 _LINGER_S = 2.0
 _CHECK_PERIOD_S = 0.5
 
@@ -59,14 +59,14 @@
     def begin_linger(self) -> None:
         """Take note that the last response has been written."""
         self._linger_due_s = self._context.now_s() + _LINGER_S
-        self.due_s = min(self.due_s, self._linger_due_s)
+        self.begin_wait()
 
     def find_overdue(self, now_s: float, receiving: Exchange | None) -> Overdue | None:
         """Return what took too long; otherwise set the time of the next check."""
+        if self._linger_due_s is not None:
+            return self._find_linger_end(now_s, self._linger_due_s)
         if not self._writer.can_write:
             return self._find_stall(now_s)
-        if self._linger_due_s is not None:
-            return self._compare(now_s, self._linger_due_s, Overdue.LINGER)
         if not self._queue:
             due_s = self._idle_since_s + self._context.idle_timeout_s
             return self._compare(now_s, due_s, Overdue.IDLE)
@@ -84,6 +84,13 @@
             return self._compare(now_s, receiving.head_due_s, Overdue.HEAD)
         return self._compare(now_s, receiving.body.progress.due_s, Overdue.BODY)
 
+    def _find_linger_end(self, now_s: float, due_s: float) -> Overdue | None:
+        if not self._writer.unacknowledged_bytes():
+            return self._compare(now_s, due_s, Overdue.LINGER)
+        # Closing now would discard bytes that the kernel holds for a slow client.
+        self._linger_due_s = now_s + _LINGER_S
+        return self._find_stall(now_s)
+
     def _find_stall(self, now_s: float) -> Overdue | None:
         taken_bytes = self._writer.taken_bytes()
         if taken_bytes != self._taken_bytes:
--- a/cicadadoor/entry/response_writer.py
+++ b/cicadadoor/entry/response_writer.py
@@ -37,13 +37,22 @@
 class ResponseWriter:
     """Write one response after the other; each call continues where it stopped."""
 
-    __slots__ = ('_body', '_offset', '_transport', 'can_write', 'written_bytes')
+    __slots__ = (
+        '_body',
+        '_has_ended',
+        '_offset',
+        '_transport',
+        'can_write',
+        'written_bytes',
+    )
 
     def __init__(self, transport: asyncio.Transport) -> None:
         self._transport = transport
         transport.set_write_buffer_limits(high=0)
         self._body: memoryview | None = None
         self._offset = 0
+        # True once the sending side of the connection is closed.
+        self._has_ended = False
         # False while the transport holds bytes that the kernel has not taken.
         self.can_write = True
         self.written_bytes = 0
@@ -54,11 +63,18 @@
         The kernel takes further bytes only when a third of its buffer is free, which a
         slow client needs more than the time limit for.
         """
+        return self.written_bytes - self.unacknowledged_bytes()
+
+    def unacknowledged_bytes(self) -> int:
+        """Return the number of written bytes that the client's kernel may not have."""
         raw_socket = self._transport.get_extra_info('socket')
         unsent = fcntl.ioctl(raw_socket.fileno(), termios.TIOCOUTQ, _ZERO)
         waiting_bytes = int.from_bytes(unsent, sys.byteorder)
         buffered_bytes = self._transport.get_write_buffer_size()
-        return self.written_bytes - buffered_bytes - waiting_bytes
+        if self._has_ended and waiting_bytes and not buffered_bytes:
+            # The kernel counts the end of the stream as one byte.
+            waiting_bytes -= 1
+        return waiting_bytes + buffered_bytes
 
     @property
     def left_bytes(self) -> int:
@@ -83,6 +99,12 @@
         self._body = None
         return True
 
+    def end(self) -> None:
+        """Close the sending side of the connection behind what is written."""
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+            self._has_ended = True
+
     def close(self) -> None:
         """Discard the rest of the response."""
         self._body = None
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -9,6 +9,8 @@
 from tests.utils.waiting import until
 
 _LONG = b'a' * 8_000_000
+# Fits into the kernel's buffers.
+_LAST = b'b' * 100_000
 _LONG_HELD_BYTES = REQUEST_BYTES + len(_LONG)
 
 
@@ -500,6 +502,42 @@
 
         run_served(work)
 
+    def test_slow_client_is_not_reset_while_it_takes_the_last_response(self):
+        """The kernel holds the end of the response long before the client has it."""
+
+        async def work(scene):
+            client = await scene.connect(receive_bytes=8192)
+            await client.request('/book', 'Connection: close')
+            exchange = (await scene.handled(1))[0]
+            exchange.respond(Response(200, [], _LAST))
+            received = b''
+            while len(received) < len(_LAST):
+                part = await client.receive(8000)
+                assert part
+                received += part
+                await scene.pass_time(1)
+            assert received.endswith(_LAST)
+            await scene.pass_time(3)
+            await until(lambda: not scene.context.connections)
+
+        run_served(work)
+
+    def test_client_that_takes_nothing_of_the_last_response_is_reset(self):
+        async def work(scene):
+            client = await scene.connect(receive_bytes=4096)
+            await client.request('/book', 'Connection: close')
+            exchange = (await scene.handled(1))[0]
+            exchange.respond(Response(200, [], _LAST))
+            await anyio.sleep(0.2)
+            await scene.pass_time(0.5)
+            await scene.pass_time(9)
+            assert len(scene.table) == 1
+            await scene.pass_time(2.5)
+            await until(lambda: not scene.context.connections)
+            assert await client.is_reset()
+
+        run_served(work)
+
     def test_response_that_does_not_fit_closes_its_own_connection(self):
         async def work(scene):
             slow = [await scene.connect(receive_bytes=4096) for _ in range(4)]
