Let a stop wait for clients that still take written responses

Cause: a request counts as answered once the transport has its last piece. With no request left the stop ends, and `CallerServer.close` discards what the transport holds, up to 32 KB behind a full socket buffer.

Change: a connection counts as work of the stop until its client has acknowledged all that was written. The grace period bounds the wait as before, so that the process ends by itself. A client that takes nothing now keeps a stopping host until the end of its grace period, also if the rest of its response is in the kernel.

--- a/cicadadoor/entry/caller_connection.py
+++ b/cicadadoor/entry/caller_connection.py
@@ -164,6 +164,11 @@
         """Tell whether the connection has no request and nothing left to write."""
         return self.use.phase is Phase.IDLE and self._writer.can_write
 
+    @property
+    def is_delivering(self) -> bool:
+        """Tell whether the client has yet to take responses that are all written."""
+        return not self._queue and self._writer.unacknowledged_bytes() > 0
+
     def stop_reading(self) -> None:
         """Discard what the client still sends."""
         self.is_closing = True
--- a/cicadadoor/entry/caller_server.py
+++ b/cicadadoor/entry/caller_server.py
@@ -77,6 +77,11 @@
             if now_s >= connection.timeouts.due_s:
                 connection.check(now_s)
 
+    @property
+    def delivering_count(self) -> int:
+        """Return how many connections wait for clients to take the last response."""
+        return sum(connection.is_delivering for connection in self._connections())
+
     def refuse_unread(self, failure: Failure) -> None:
         """Refuse the requests that have been received in part."""
         for connection in self._connections():
--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -87,8 +87,11 @@
         self._timer.subscribe('client_connections', _CHECK_PERIOD_S, self._check)
 
     def work_left(self) -> int:
-        """Return how many requests have not been answered completely."""
-        return len(self._open)
+        """Return how many requests have not been answered completely.
+
+        A response that has been written counts until its client has acknowledged it.
+        """
+        return len(self._open) + self._server.delivering_count
 
     async def stop(self, grace_s: float) -> None:
         """Answer the remaining requests, stop listening and close the connections."""
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import pytest
 
 from tests.utils.watched_host import Scene, watched_host
 
@@ -90,6 +91,25 @@
 class TestStop:
     """Guard against a stop that cuts responses early, or takes too long."""
 
+    @pytest.mark.parametrize(
+        ('bytes_per_s', 'size_bytes'), ((30_000, 280_000), (45_000, 320_000))
+    )
+    def test_stopping_host_waits_for_clients_that_read(
+        self, tmp_path, bytes_per_s, size_bytes
+    ):
+        """The end of each response is in the transport when no request is left."""
+
+        async def work(scene: Scene) -> None:
+            readers = [SlowReader(scene, size_bytes) for _ in range(READER_COUNT)]
+            async with anyio.create_task_group() as tasks:
+                for reader in readers:
+                    tasks.start_soon(reader.read, bytes_per_s)
+                took_s = await stop(scene)
+            assert took_s < KILL_AFTER_S - MARGIN_S
+            assert all(reader.is_whole for reader in readers)
+
+        run(tmp_path, work)
+
     def test_stop_ends_in_time_beside_clients_that_take_nothing(self, tmp_path):
         async def work(scene: Scene) -> None:
             readers = [SlowReader(scene, RESPONSE_BYTES) for _ in range(READER_COUNT)]
