Decide whether a body fits before anything is ended for it

Cause: the account made room for 16 KB of the body at a time, although the declared length was known. Each step ended one stalled holder, until only the body itself was left to end.

Change: a growing holder states how much it will still need. The account lists whom it would end, in the order of before, until all of that fits, and ends the first one only if the list suffices. The list is made once for each eviction: holders are grouped and ranked once, since a whole body may need many of them. Of a body in chunks, only the arriving part is known.

--- a/cicadadoor/decisions/memory_account.py
+++ b/cicadadoor/decisions/memory_account.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Callable, Hashable
 
+from cicadadoor.decisions.eviction_plan import EvictionPlan
+
 # Holders of more bytes than this count as large. The last part of the account is kept
 # for the others, since the bytes of a running request cannot be reclaimed.
 LARGE_BYTES = 131_072
@@ -95,14 +97,15 @@
         # Called by `close`, to free the memory that the bytes stand for.
         self.on_close: Callable[[], None] | None = None
 
-    def grow(self, size_bytes: int) -> bool:
+    def grow(self, size_bytes: int, rest_bytes: int = 0) -> bool:
         """Reserve more bytes; return False if the holder has to be refused or closed.
 
-        The reservation is unchanged then.
+        The reservation is unchanged then. No other holder is ended unless room can be
+        made for `rest_bytes` as well, which the holder is known to need later.
         """
         if self.is_closed:
             return False
-        return self._account.grow(self, size_bytes)
+        return self._account.grow(self, size_bytes, rest_bytes)
 
     def shrink(self, size_bytes: int) -> None:
         """Release a part of the bytes."""
@@ -166,13 +169,18 @@
         """Return the reserved bytes of each kind of holder."""
         return dict(self._by_kind)
 
-    def grow(self, reservation: Reservation, size_bytes: int) -> bool:
+    def grow(
+        self, reservation: Reservation, size_bytes: int, rest_bytes: int = 0
+    ) -> bool:
         """Reserve bytes, and reclaim those of other holders where that is fair."""
         is_large = reservation.held_bytes + size_bytes > LARGE_BYTES
         limit_bytes = self._large_limit_bytes if is_large else self._limit_bytes
         while self.held_bytes + size_bytes > limit_bytes:
-            victim = self._find_victim(reservation, size_bytes)
-            if victim is reservation:
+            # Decided before anything is ended: a body whose rest does not fit would be
+            # refused later, and what had been ended for it would be lost for nothing.
+            missing_bytes = self.held_bytes + size_bytes + rest_bytes - limit_bytes
+            victim = self._find_victim(reservation, size_bytes, missing_bytes)
+            if victim is None:
                 return False
             self._evict(victim)
             if reservation.is_closed:
@@ -206,41 +214,27 @@
         if on_evict is not None:
             on_evict()
 
-    def _find_victim(self, grower: Reservation, size_bytes: int) -> Reservation:
-        """Return the holder to end; the grower is one of the candidates."""
-        groups: dict[tuple[str, str], list[Reservation]] = {}
-        totals: dict[tuple[str, str], int] = {grower.owner.group: size_bytes}
-        # A grower that holds nothing yet is a candidate as well.
-        candidates = {**self._holders, grower: None}
-        for holder in candidates:
-            group = holder.owner.group
-            totals[group] = totals.get(group, 0) + holder.held_bytes
-            if holder.on_evict is not None or holder is grower:
-                groups.setdefault(group, []).append(holder)
-        heaviest = max(groups, key=totals.__getitem__)
-        return self._select(groups[heaviest], grower, size_bytes)
-
-    def _select(
-        self,
-        holders: list[Reservation],
-        grower: Reservation,
-        size_bytes: int,
-    ) -> Reservation:
-        wanted = {holder: holder.held_bytes for holder in holders}
-        if grower in wanted:
-            wanted[grower] += size_bytes
-        average_bytes = sum(wanted.values()) / len(wanted)
-        candidates = [
-            holder
-            for holder in holders
-            if wanted[holder] >= average_bytes or self._is_stalled(holder)
-        ]
-        return max(candidates, key=self._rank)
-
-    def _rank(self, holder: Reservation) -> tuple[bool, int, int]:
-        # Stalled holders first, then those that are furthest from their end, so that
-        # of many bodies that do not fit together some become complete.
-        return self._is_stalled(holder), holder.left_bytes, holder.held_bytes
+    def _find_victim(
+        self, grower: Reservation, size_bytes: int, missing_bytes: int
+    ) -> Reservation | None:
+        """Return the holder to end first; None if the grower itself has to end.
+
+        The holders that give way to the grower must hold all bytes that are missing.
+        """
+        plan = EvictionPlan(
+            self._holders,
+            grower,
+            size_bytes,
+            is_stalled=self._is_stalled,
+        )
+        first = None
+        while missing_bytes > 0:
+            victim = plan.take()
+            if victim is grower:
+                return None
+            first = first or victim
+            missing_bytes -= victim.held_bytes
+        return first
 
     def _is_stalled(self, holder: Reservation) -> bool:
         usual_bytes = _STALLED_BYTES_PER_HOLDER * len(self._holders)
--- a/cicadadoor/entry/request_intake.py
+++ b/cicadadoor/entry/request_intake.py
@@ -100,9 +100,12 @@
         if size_bytes > self._body_limit_bytes:
             self.refuse(exchange, self._too_large())
             return False
-        expected_bytes = exchange.body.declared_bytes or self._body_limit_bytes
+        declared_bytes = exchange.body.declared_bytes
+        expected_bytes = declared_bytes or self._body_limit_bytes
         reservation.left_bytes = expected_bytes - size_bytes
-        if not reservation.grow(len(part)):
+        # The rest of a body in chunks is not known.
+        rest_bytes = reservation.left_bytes if declared_bytes else 0
+        if not reservation.grow(len(part), rest_bytes):
             self._refuse_for_memory(exchange)
             return False
         exchange.body.progress.note(len(part), self._context.now_s())
