Spare responses that are read in time when a large body arrives

Cause: a holder counts as stalled by the bytes that the account has granted since its last progress. A body of 60 MB is granted within tenths of a second, in which a slow client takes nothing.

Change: a client counts as reading while its kernel acknowledges 8 KB/s over 5 s, and something within each 5 s. Its response does not count as stalled, and large holders of the same group do not end it; they are refused instead, a body with 503 from its first bytes on. Other groups displace it as before. The threshold is half of the rate for bodies, since kernels acknowledge in steps of up to 64 KB, which at 16 KB/s come each 4 s.

Test: test_body_room, test_no_response_that_is_read_in_time_is_cut_for_a_body, failed before (the body got 200 and readers were reset); test_responses_that_are_not_read_give_way_to_a_body guards the other side.

--- a/cicadadoor/decisions/eviction_plan.py
+++ b/cicadadoor/decisions/eviction_plan.py
@@ -12,7 +12,7 @@
 class _Candidate:
     """Hold what a plan has to know of one holder."""
 
-    __slots__ = ('holder', 'is_stalled', 'wanted_bytes')
+    __slots__ = ('holder', 'is_spared', 'is_stalled', 'wanted_bytes')
 
     def __init__(
         self, holder: 'Reservation', wanted_bytes: int, *, is_stalled: bool
@@ -20,6 +20,7 @@
         self.holder = holder
         self.wanted_bytes = wanted_bytes
         self.is_stalled = is_stalled
+        self.is_spared = False
 
     @property
     def rank(self) -> tuple[bool, int, int]:
@@ -54,7 +55,7 @@
         average_bytes = self.wanted_bytes / len(self.candidates)
         for position, candidate in enumerate(self.candidates):
             is_above = candidate.wanted_bytes >= average_bytes
-            if is_above or candidate.is_stalled:
+            if not candidate.is_spared and (is_above or candidate.is_stalled):
                 self.candidates.pop(position)
                 self.wanted_bytes -= candidate.wanted_bytes
                 self.total_bytes -= candidate.holder.held_bytes
@@ -78,6 +79,7 @@
         size_bytes: int,
         *,
         is_stalled: Callable[['Reservation'], bool],
+        is_spared: Callable[['Reservation'], bool],
     ) -> None:
         self._grower = grower
         self._shares: dict[Group, _Share] = {}
@@ -93,6 +95,7 @@
                 candidate = _Candidate(
                     holder, wanted_bytes, is_stalled=is_stalled(holder)
                 )
+                candidate.is_spared = is_spared(holder)
                 share.add(candidate)
 
     def take(self) -> 'Reservation':
--- a/cicadadoor/decisions/memory_account.py
+++ b/cicadadoor/decisions/memory_account.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Hashable
+from functools import partial
 
 from cicadadoor.decisions.eviction_plan import EvictionPlan
 
@@ -34,6 +35,10 @@
     return int(free_mb * (1 - _RESERVE_FRACTION) * _BYTES_PER_MB)
 
 
+def _never() -> bool:
+    return False
+
+
 class Owner:
     """Name the party that bytes are held for.
 
@@ -78,6 +83,7 @@
         'granted_bytes',
         'held_bytes',
         'is_closed',
+        'is_moving',
         'kind',
         'left_bytes',
         'on_close',
@@ -94,6 +100,8 @@
         self.granted_bytes = 0
         self.is_closed = False
         self.on_evict: Callable[[], None] | None = None
+        # Tells whether a client takes the bytes within the stated rate.
+        self.is_moving: Callable[[], bool] = _never
         # Called by `close`, to free the memory that the bytes stand for.
         self.on_close: Callable[[], None] | None = None
 
@@ -124,6 +132,7 @@
         """Release all bytes, and grant no more."""
         self.is_closed = True
         self.on_evict = None
+        self.is_moving = _never
         on_close, self.on_close = self.on_close, None
         if on_close is not None:
             on_close()
@@ -173,13 +182,16 @@
         self, reservation: Reservation, size_bytes: int, rest_bytes: int = 0
     ) -> bool:
         """Reserve bytes, and reclaim those of other holders where that is fair."""
-        is_large = reservation.held_bytes + size_bytes > LARGE_BYTES
+        wanted_bytes = reservation.held_bytes + size_bytes + rest_bytes
+        is_large = wanted_bytes > LARGE_BYTES
         limit_bytes = self._large_limit_bytes if is_large else self._limit_bytes
         while self.held_bytes + size_bytes > limit_bytes:
             # Decided before anything is ended: a body whose rest does not fit would be
             # refused later, and what had been ended for it would be lost for nothing.
             missing_bytes = self.held_bytes + size_bytes + rest_bytes - limit_bytes
-            victim = self._find_victim(reservation, size_bytes, missing_bytes)
+            victim = self._find_victim(
+                reservation, size_bytes, missing_bytes, is_large=is_large
+            )
             if victim is None:
                 return False
             self._evict(victim)
@@ -215,7 +227,12 @@
             on_evict()
 
     def _find_victim(
-        self, grower: Reservation, size_bytes: int, missing_bytes: int
+        self,
+        grower: Reservation,
+        size_bytes: int,
+        missing_bytes: int,
+        *,
+        is_large: bool,
     ) -> Reservation | None:
         """Return the holder to end first; None if the grower itself has to end.
 
@@ -226,6 +243,7 @@
             grower,
             size_bytes,
             is_stalled=self._is_stalled,
+            is_spared=partial(_is_spared, grower) if is_large else _is_never_spared,
         )
         first = None
         while missing_bytes > 0:
@@ -241,4 +259,14 @@
         idle_bytes = self.granted_bytes - holder.granted_bytes
         is_large = holder.held_bytes > LARGE_BYTES
         stalled_bytes = self._limit_bytes * _STALLED_FRACTION
-        return is_large and idle_bytes > stalled_bytes + usual_bytes
+        has_competed = is_large and idle_bytes > stalled_bytes + usual_bytes
+        return has_competed and not holder.is_moving()
+
+
+def _is_spared(grower: Reservation, holder: Reservation) -> bool:
+    """Tell whether the holder need not give way to a large one of its group."""
+    return holder.owner.group == grower.owner.group and holder.is_moving()
+
+
+def _is_never_spared(holder: Reservation) -> bool:
+    return False
--- a/cicadadoor/entry/caller_connection.py
+++ b/cicadadoor/entry/caller_connection.py
@@ -48,7 +48,11 @@
         self._reservation = context.account.open('connection', owner)
         self._writer = ResponseWriter(transport)
         self._queue = ResponseQueue(
-            context, self._writer, self._linger, partial(self.reset, 'memory')
+            context,
+            self._writer,
+            self._linger,
+            partial(self.reset, 'memory'),
+            lambda: self.timeouts.is_read_in_time(),
         )
         self._intake = RequestIntake(context, self, self._queue, self._writer, owner)
         self._reader = RequestReader(
--- a/cicadadoor/entry/connection_timeouts.py
+++ b/cicadadoor/entry/connection_timeouts.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from cicadadoor.decisions.progress_limits import ReadingProgress
 from cicadadoor.entry.connection_context import ConnectionContext
 from cicadadoor.entry.exchange import Exchange
 from cicadadoor.entry.response_queue import ResponseQueue
@@ -41,6 +42,7 @@
         self._idle_since_s = now_s
         self._waits_since_s = now_s
         self._taken_bytes = 0
+        self._reading = ReadingProgress()
         self._linger_due_s: float | None = None
         # The connection is checked at this time at the latest.
         self.due_s = now_s + context.idle_timeout_s
@@ -54,8 +56,14 @@
         now_s = self._context.now_s()
         self._waits_since_s = now_s
         self._taken_bytes = self._writer.taken_bytes()
+        self._reading.note(self._taken_bytes, now_s)
         self.due_s = min(self.due_s, now_s + _CHECK_PERIOD_S)
 
+    def is_read_in_time(self) -> bool:
+        """Tell whether the client reads its responses within the stated rate."""
+        self._reading.note(self._writer.taken_bytes(), self._context.now_s())
+        return self._reading.is_in_time
+
     def begin_linger(self) -> None:
         """Take note that the last response has been written."""
         self._linger_due_s = self._context.now_s() + _LINGER_S
@@ -93,6 +101,7 @@
 
     def _find_stall(self, now_s: float) -> Overdue | None:
         taken_bytes = self._writer.taken_bytes()
+        self._reading.note(taken_bytes, now_s)
         if taken_bytes != self._taken_bytes:
             self._taken_bytes = taken_bytes
             self._waits_since_s = now_s
--- a/cicadadoor/entry/response_queue.py
+++ b/cicadadoor/entry/response_queue.py
@@ -17,12 +17,15 @@
         writer: ResponseWriter,
         on_last: Callable[[], None],
         on_evict: Callable[[], None],
+        is_moving: Callable[[], bool],
     ) -> None:
         self._context = context
         self._writer = writer
         # Called after a response that closes the connection.
         self._on_last = on_last
         self._on_evict = on_evict
+        # Whether the client reads within the stated rate.
+        self._is_moving = is_moving
         self._exchanges: deque[Exchange] = deque()
 
     def __len__(self) -> int:
@@ -109,6 +112,7 @@
             reservation = self._context.account.open('response', exchange.owner)
             exchange.response_reservation = reservation
         reservation.on_evict = self._on_evict
+        reservation.is_moving = self._is_moving
         reservation.note_progress(len(response.body))
         # The response of a backend server is reserved already.
         needed_bytes = REQUEST_BYTES + len(response.body)
