Leave what the kernel holds to it at the end of a stop

What callers saw: nothing.

Cause: after the grace period, the server waited another 0.2 s for lingering connections of which the kernel held all bytes. It sends them without the process as well, and the time is needed to end the process.

Test: test_slow_readers, test_end_of_a_stop_leaves_what_the_kernel_holds_to_it, failed before by its time limit.

--- a/cicadadoor/entry/caller_server.py
+++ b/cicadadoor/entry/caller_server.py
@@ -92,7 +92,7 @@
         for server in self._servers:
             server.close()
         with anyio.move_on_after(timeout_s):
-            while connections := self._connections():
+            while connections := self._find_unfinished():
                 for connection in connections:
                     if connection.is_idle:
                         connection.close()
@@ -100,6 +100,14 @@
         for connection in self._connections():
             connection.abort()
 
+    def _find_unfinished(self) -> list[CallerConnection]:
+        """Return the connections that the process has to go on for."""
+        return [
+            connection
+            for connection in self._connections()
+            if not connection.timeouts.is_left_to_kernel
+        ]
+
     def _connections(self) -> list[CallerConnection]:
         return [
             connection
--- a/cicadadoor/entry/connection_timeouts.py
+++ b/cicadadoor/entry/connection_timeouts.py
@@ -47,6 +47,12 @@
         # The connection is checked at this time at the latest.
         self.due_s = now_s + context.idle_timeout_s
 
+    @property
+    def is_left_to_kernel(self) -> bool:
+        """Tell whether the kernel has all that the client has yet to take."""
+        is_written = self._linger_due_s is not None and self._writer.can_write
+        return is_written and self._writer.unacknowledged_bytes() > 0
+
     def begin_idle(self, now_s: float) -> None:
         """Take note that no request is left."""
         self._idle_since_s = now_s
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -9,6 +9,9 @@
 import anyio
 import pytest
 
+from cicadadoor.entry.exchange import Response
+from tests.utils.caller_server import Scene as ServedScene
+from tests.utils.caller_server import run_served
 from tests.utils.watched_host import Scene, watched_host
 
 LIMITS = {'memory_mb': 300, 'max_descriptors': 400}
@@ -19,6 +22,8 @@
 # More than the kernel and the transport hold for one client.
 RESPONSE_BYTES = 280_000
 READER_COUNT = 8
+# Fits into the kernel's buffers.
+_KERNEL_BYTES = 80_000
 _RECEIVE_BUFFER_BYTES = 16_384
 _STEP_S = 0.05
 _POLL_S = 0.02
@@ -110,6 +115,20 @@
 
         run(tmp_path, work)
 
+    def test_end_of_a_stop_leaves_what_the_kernel_holds_to_it(self):
+        """Under load, the rest of the stop's time is needed to end the process."""
+
+        async def work(scene: ServedScene) -> None:
+            client = await scene.connect(receive_bytes=_RECEIVE_BUFFER_BYTES)
+            await client.request('/book', 'Connection: close')
+            exchange = (await scene.handled(1))[0]
+            exchange.respond(Response(200, [], bytes(_KERNEL_BYTES)))
+            with anyio.fail_after(1):
+                await scene.server.close(_TEST_TIMEOUT_S)
+            assert len((await client.response())[2]) == _KERNEL_BYTES
+
+        run_served(work)
+
     def test_stop_ends_in_time_beside_clients_that_take_nothing(self, tmp_path):
         async def work(scene: Scene) -> None:
             readers = [SlowReader(scene, RESPONSE_BYTES) for _ in range(READER_COUNT)]
