Ignore SIGHUP until the process has exited

Cause: the event loop's signal receiver restores the default action of SIGHUP when it closes, which is when the background tasks end. A SIGHUP between then and the exit ended the process. All services have stopped by then, so no request was lost.

Change: the listener sets its handler itself, and sets the signal to be ignored when it ends.

--- a/cicadadoor/entry/reload.py
+++ b/cicadadoor/entry/reload.py
@@ -1,10 +1,9 @@
 """Apply changed settings without a restart."""
 
+import asyncio
 import signal
 from pathlib import Path
 
-import anyio
-
 from cicadadoor.entry import settings as entry_settings
 from cicadadoor.entry.settings import EntrySettings
 from cicadadoor.entry.state import EntryState
@@ -53,10 +52,23 @@
         self._timer.subscribe('check_settings', _CHECK_INTERVAL_S, self._check)
 
     async def _listen(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-            async for _ in signals:
+        asked = asyncio.Event()
+        loop = asyncio.get_running_loop()
+
+        def ask(*_: object) -> None:
+            loop.call_soon_threadsafe(asked.set)
+
+        signal.signal(signal.SIGHUP, ask)
+        try:
+            while True:
+                await asked.wait()
+                asked.clear()
                 log.info('reload_asked', path=self._path)
                 await self._check()
+        finally:
+            # A signal receiver of the event loop would restore the default action, with
+            # which a SIGHUP ends the process while it exits.
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     async def _check(self) -> None:
         content = self._read()
--- a/tests/test_entry_start.py
+++ b/tests/test_entry_start.py
@@ -1,13 +1,15 @@
-"""Test signals that reach the entry host daemon before it has started."""
+"""Test signals that reach the entry host daemon while it starts and stops."""
 
 import os
 import signal
 import subprocess
 import sys
 
+import anyio
 import pytest
 
 from cicadadoor.errors import ExitStatus
+from tests.utils.watched_host import watched_host
 
 # Stops the process at the first import of the daemon's modules until a line arrives.
 _PAUSE_AT_IMPORT = """
@@ -48,3 +50,24 @@
         process.send_signal(signal.SIGHUP)
         _, errors = process.communicate(b'\n', timeout=_TIMEOUT_S)
         assert process.returncode == ExitStatus.USAGE, errors
+
+
+class TestSignalDuringStop:
+    """Guard against a SIGHUP that ends a process which is being stopped."""
+
+    def test_sighup_until_the_end_does_not_change_the_exit_code(self, tmp_path):
+        """Soak seed 3025: the process was ended after its last service had stopped."""
+
+        async def main() -> None:
+            async with watched_host(
+                tmp_path, memory_mb=300, max_descriptors=400
+            ) as scene:
+                process = scene.host.process
+                process.send(signal.SIGTERM)
+                with anyio.fail_after(_TIMEOUT_S):
+                    while process.is_running():
+                        process.send(signal.SIGHUP)
+                        await anyio.sleep(0.001)
+                assert process.wait() == ExitStatus.SUCCESS, process.log_text()[-500:]
+
+        anyio.run(main)
