Leave a stopping host time to end beside clients that read

What callers saw: nothing. On a busy machine (load 26 on 8 cores) one of two stops of test_slow_readers beside clients that read took 6.11 s, later than SIGKILL.

Cause: the wait for clients that take responses lasted until the grace period ended, and the rest of the stop's time is short under load. In that time the kernel sends what it has without the process.

Change: responses that are wholly in the kernel count as work of the stop until 0.3 s before the end of the grace period, those of which the transport still holds a part until its end.

--- a/cicadadoor/entry/caller_server.py
+++ b/cicadadoor/entry/caller_server.py
@@ -77,10 +77,13 @@
             if now_s >= connection.timeouts.due_s:
                 connection.check(now_s)
 
-    @property
-    def delivering_count(self) -> int:
-        """Return how many connections wait for clients to take the last response."""
-        return sum(connection.is_delivering for connection in self._connections())
+    def count_delivering(self, *, with_kernel: bool) -> int:
+        """Return how many connections wait for clients to take the last response.
+
+        Without `with_kernel`, those of which the kernel has all bytes do not count.
+        """
+        connections = self._connections() if with_kernel else self._find_unfinished()
+        return sum(connection.is_delivering for connection in connections)
 
     def refuse_unread(self, failure: Failure) -> None:
         """Refuse the requests that have been received in part."""
--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -1,5 +1,7 @@
 """Serve callers, directory lookups, readiness checks and metrics over HTTP."""
 
+import math
+
 from cicadadoor.decisions.connection_limits import ConnectionBounds, ConnectionTable
 from cicadadoor.decisions.memory_account import MemoryAccount
 from cicadadoor.entry.caller_handler import CallerHandler
@@ -19,6 +21,9 @@
 
 # Time limit for the last responses and for closing connections.
 _CLOSE_TIMEOUT_S = 0.2
+# The wait for clients to take what the kernel has ends so long before the grace period.
+# The kernel sends it without the process, which needs the time to end under load.
+_DELIVERY_MARGIN_S = 0.3
 _CHECK_PERIOD_S = 0.25
 # Received in one step from one connection.
 _BUFFER_BYTES = 65_536
@@ -54,6 +59,8 @@
         self._tables: dict[str, ConnectionTable] = {}
         self._buffer = memoryview(bytearray(_BUFFER_BYTES))
         self._open = OpenRequests()
+        # Set when the stop begins.
+        self._delivery_due_s = math.inf
 
     async def start(self, kernel: Kernel) -> None:
         """Listen on all addresses."""
@@ -91,7 +98,14 @@
 
         A response that has been written counts until its client has acknowledged it.
         """
-        return len(self._open) + self._server.delivering_count
+        is_due = self._timer.now_s() >= self._delivery_due_s
+        delivering = self._server.count_delivering(with_kernel=not is_due)
+        return len(self._open) + delivering
+
+    def refuse(self) -> None:
+        """Limit the wait for clients that take responses."""
+        wait_s = self._state.settings.grace_s - _DELIVERY_MARGIN_S
+        self._delivery_due_s = self._timer.now_s() + wait_s
 
     async def stop(self, grace_s: float) -> None:
         """Answer the remaining requests, stop listening and close the connections."""
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -119,6 +119,24 @@
 
         run_deployed(work)
 
+    def test_steps_after_the_grace_period_share_their_time(self, monkeypatch):
+        """Beside clients that take nothing, the process would end after SIGKILL."""
+
+        async def work(deployment):
+            server = deployment.find('server')
+            timeouts_s: list[float] = []
+
+            async def close(timeout_s: float) -> None:
+                timeouts_s.append(timeout_s)
+
+            with monkeypatch.context() as patch, server._open.track():
+                patch.setattr(server._server, 'close', close)
+                await server.stop(1)
+            assert len(timeouts_s) == 1
+            assert timeouts_s[0] < 0.1
+
+        run_deployed(work)
+
 
 class TestBackgroundTaskErrors:
     """Check that errors in background tasks do not affect requests."""
