Keep quarantines in the records of hosts, beyond the death of all of them

Cause: the counts were only in memory and in heartbeats, and ended with the last host.

No kind of object, read or watch is added; a write only while something is quarantined. What was ruled out: an object of its own, which costs each host a read and a watch.

--- a/cicadadoor/entry/model.py
+++ b/cicadadoor/entry/model.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from cicadadoor.decisions.request_quarantine import CrashReport
+
 
 @enum.unique
 class Topic(enum.Enum):
@@ -121,6 +123,8 @@
     """Describe a host: its identity, and its addresses for callers and for peers.
 
     `capacity` is the share of requests that it should get, relative to other hosts.
+    `quarantines` are the requests that crash backend servers, by fingerprint, as the
+    host knew them at `written_s` (seconds since the epoch).
     """
 
     host: str
@@ -130,6 +134,8 @@
     failure_domain: str
     region: str
     capacity: float = 1.0
+    quarantines: dict[int, CrashReport] = {}
+    written_s: float = 0
 
 
 Record = RequestPolicy | BackendRecord | Evacuation | HostRecord
--- a/cicadadoor/entry/quarantine.py
+++ b/cicadadoor/entry/quarantine.py
@@ -5,6 +5,8 @@
 from contextlib import contextmanager
 from hashlib import blake2b
 
+import msgspec
+
 from cicadadoor.decisions.request_quarantine import (
     CRASHES_TO_REFUSE,
     CrashReport,
@@ -14,6 +16,7 @@
 from cicadadoor.entry.heartbeats import HostHeartbeat, name_hash, runs_of
 from cicadadoor.entry.membership import HeartbeatPart, Membership
 from cicadadoor.entry.messages import CallerRequest
+from cicadadoor.entry.model import HostRecord
 from cicadadoor.entry.state import EntryState
 from cicadadoor.kernel import Kernel
 from cicadadoor.telemetry import logs, metrics
@@ -26,6 +29,8 @@
 # Hosts beyond a region tell of themselves once a second at most.
 _HOSTS_INTERVAL_S = 0.5
 _DIGEST_BYTES = 6
+# Of the record that a host keeps in the store; a quarantine takes about 60 bytes.
+_MAX_STORED = 8
 
 
 class CrashWatch(HeartbeatPart):
@@ -47,6 +52,8 @@
         self._hosts_updated_s = -math.inf
         # Heartbeats that have been merged, by host.
         self._merged: dict[str, tuple[str, int]] = {}
+        # Requests that crashed a server while this host waited for the answer.
+        self._crashed_here: set[int] = set()
 
     async def start(self, kernel: Kernel) -> None:
         """Register for heartbeats."""
@@ -95,6 +102,7 @@
         """Record a connection that broke `took_s` after a request was sent."""
         run = name_hash(backend.pool_key)
         now_s = self._timer.now_s()
+        self._crashed_here.add(fingerprint)
         self._quarantine.note_crash(fingerprint, run, now_s, now_s - took_s)
         self._publish_changes()
 
@@ -103,6 +111,35 @@
         self._quarantine.note_response(fingerprint, self._timer.now_s())
         self._publish_changes()
 
+    @property
+    def has_quarantines(self) -> bool:
+        """Tell whether any request is quarantined."""
+        return self._quarantine.active_count > 0
+
+    def quarantines(self, *, only_seen: bool) -> dict[int, CrashReport]:
+        """Return the worst quarantines, of crashes that this host saw or of all."""
+        reports = self._quarantine.reports(self._timer.now_s())
+        self._crashed_here.intersection_update(reports)
+        held = [
+            (fingerprint, report)
+            for fingerprint, report in reports.items()
+            if report.probe_age_s is not None
+            and (fingerprint in self._crashed_here or not only_seen)
+        ]
+        return dict(held[:_MAX_STORED])
+
+    def adopt_stored(self, record: HostRecord) -> None:
+        """Merge the quarantines that a host has stored, perhaps before it ended."""
+        away_s = max(0.0, self._timer.wall_s() - record.written_s)
+        reports = {
+            fingerprint: msgspec.structs.replace(
+                report, seen_age_s=report.seen_age_s + away_s
+            )
+            for fingerprint, report in record.quarantines.items()
+        }
+        self._quarantine.merge(reports, self._timer.now_s())
+        self._publish_changes()
+
     def add_fields(self, fields: dict[str, object]) -> None:
         """Add what this host knows of crashes to the heartbeat."""
         reports = self._quarantine.reports(self._timer.now_s())
--- a/cicadadoor/entry/source.py
+++ b/cicadadoor/entry/source.py
@@ -37,6 +37,10 @@
     async def publish_host(self, record: HostRecord) -> None | Failure:
         """Create or replace the record of a host."""
 
+    @abc.abstractmethod
+    async def update_host(self, record: HostRecord) -> None | Failure:
+        """Replace the record of a host; fail if there is none."""
+
     @abc.abstractmethod
     async def remove_host(self, host: str) -> None | Failure:
         """Remove the record of a host; succeed if it does not exist."""
--- a/cicadadoor/platform/source.py
+++ b/cicadadoor/platform/source.py
@@ -106,16 +106,18 @@
 
     async def publish_host(self, record: HostRecord) -> None | Failure:
         """Create or replace the record of a host."""
-        new_object = StoreObject(
-            metadata=Metadata(name=record.host),
-            spec=msgspec.Raw(msgspec.json.encode(record)),
-        )
+        new_object = _host_object(record)
         answer = await self._client.create(_HOST_KIND, new_object)
         if isinstance(answer, Failure) and answer.kind is ErrorKind.STORE_CONFLICT:
             # The record of an earlier run of this host.
             answer = await self._client.replace(_HOST_KIND, new_object)
         return answer if isinstance(answer, Failure) else None
 
+    async def update_host(self, record: HostRecord) -> None | Failure:
+        """Replace the record of a host; fail if there is none."""
+        answer = await self._client.replace(_HOST_KIND, _host_object(record))
+        return answer if isinstance(answer, Failure) else None
+
     async def remove_host(self, host: str) -> None | Failure:
         """Remove the record of a host; succeed if it does not exist."""
         present = await self._client.get(_HOST_KIND, host)
@@ -128,6 +130,13 @@
         return None if is_gone else answer
 
 
+def _host_object(record: HostRecord) -> StoreObject:
+    return StoreObject(
+        metadata=Metadata(name=record.host),
+        spec=msgspec.Raw(msgspec.json.encode(record)),
+    )
+
+
 def _last_name(page: Page) -> str:
     names = (object_name(item) for item in reversed(page.items))
     return next(filter(None, names), '')
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -42,6 +42,7 @@
         'is_key_forwarded',
         'method',
         'organisation',
+        'path',
         'worker',
     )
 
@@ -51,6 +52,7 @@
         self.answered_s = math.inf
         self.attempt = request.headers.get('attempt-id', '')
         self.method = request.method
+        self.path = request.target
         self.organisation = request.headers.get('tenant', '')
         self.is_key_forwarded = 'authorization' in request.headers
         self.worker = request.headers.get('target-instance', '')
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -53,6 +53,7 @@
 def _run(attempt: str, method: str = 'POST', **headers: str) -> Run:
     request = RawRequest.__new__(RawRequest)
     request.method = method
+    request.target = ''
     request.headers = {'attempt-id': attempt, 'tenant': 'school', **headers}
     return Run(request)
 
--- a/tests/utils/metadata_store.py
+++ b/tests/utils/metadata_store.py
@@ -74,6 +74,10 @@
         self.revision += 1
         self._append_event(kind, stored, is_deleted=True)
 
+    def get(self, kind: str, name: str) -> dict | None:
+        """Return an object, or None if there is none."""
+        return self._objects.get(kind, {}).get(name)
+
     def names(self, kind: str) -> list[str]:
         """Return the names of a kind's objects."""
         return sorted(self._objects.get(kind, {}))
