Reserve a kept server error apart from the next attempt

What callers would see: a process can be ended for its memory, and the requests in flight on it get no answer.

Cause: a server error that is kept while a safe request is tried at another server shared one reservation with the next attempt. If that attempt was evicted, the account released the bytes of both, while the kept response stayed in memory during further attempts. A second server error replaced the first one in memory, but the account counted both.

Evidence: with the collector off, 4.4 MB of a kept response of 4.2 MB are left in memory after the eviction, and the account counts 8.4 MB for one kept response of 4.2 MB after the second server error.

Change: a kept response has a reservation of its own, to which the bytes of its body move, and from which they move back when the response is returned.

Before: test_kept_response_is_freed_with_its_reservation and test_replaced_response_is_not_reserved failed.

--- a/cicadadoor/decisions/memory_account.py
+++ b/cicadadoor/decisions/memory_account.py
@@ -119,6 +119,14 @@
         """Release a part of the bytes."""
         self._account.shrink(self, size_bytes)
 
+    def move(self, size_bytes: int, target: 'Reservation') -> None:
+        """Let another reservation hold a part of the bytes, unless it is closed."""
+        self._account.move(self, size_bytes, target)
+
+    def open_other(self) -> 'Reservation':
+        """Return a reservation of the same kind and owner that holds no bytes yet."""
+        return self._account.open(self.kind, self.owner)
+
     def note_progress(self, left_bytes: int) -> None:
         """Record that the holder came closer to its end."""
         self.left_bytes = left_bytes
@@ -208,6 +216,15 @@
         """Release a part of the bytes of a reservation."""
         self._add(reservation, -min(size_bytes, reservation.held_bytes))
 
+    def move(self, source: Reservation, size_bytes: int, target: Reservation) -> None:
+        """Move reserved bytes; none are granted, so that nobody has to end for them."""
+        moved_bytes = min(size_bytes, source.held_bytes)
+        self._add(source, -moved_bytes)
+        if not target.is_closed:
+            self._add(target, moved_bytes)
+            self._holders[target] = None
+            target.granted_bytes = max(source.granted_bytes, target.granted_bytes)
+
     def release(self, reservation: Reservation) -> None:
         """Release all bytes of a reservation."""
         self._add(reservation, -reservation.held_bytes)
--- a/cicadadoor/entry/dispatch.py
+++ b/cicadadoor/entry/dispatch.py
@@ -88,26 +88,33 @@
         while True:
             backend = await self._placement.select_server(routed)
             if backend is None:
-                return routed.failed_response or self._with_retry_after(
+                return routed.take_kept_response() or self._with_retry_after(
                     reported_failure or self._placement.no_server_failure(routed)
                 )
             answer = await self._attempt(routed, backend)
             if isinstance(answer, BackendResponse):
                 if not self._may_retry_server_error(routed, answer, budget):
                     return answer
-                routed.failed_response = answer
+                routed.keep_response(answer)
+                # Reported if the response is evicted before it is returned.
+                reported_failure = Failure(
+                    ErrorKind.ANSWER_INVALID,
+                    f'{backend.record.instance_id}: server error dropped: too little '
+                    'memory',
+                )
                 continue
             self._log_failure(routed, answer)
             reported_failure = _failure_to_report(reported_failure, answer)
             if not self._may_retry(routed, answer, budget):
-                return routed.failed_response or self._with_retry_after(
+                return routed.take_kept_response() or self._with_retry_after(
                     reported_failure
                 )
 
     def answer_at_shutdown(self, routed: RoutedRequest) -> BackendResponse | Failure:
         """Return the answer to a request that the shutdown of the host aborts."""
-        if routed.failed_response is not None:
-            return routed.failed_response
+        kept = routed.take_kept_response()
+        if kept is not None:
+            return kept
         if routed.may_have_run:
             return Failure(
                 ErrorKind.CUT_BY_STOP,
--- a/cicadadoor/entry/routed_request.py
+++ b/cicadadoor/entry/routed_request.py
@@ -4,6 +4,7 @@
 from hashlib import blake2b
 
 from cicadadoor.decisions.memory_account import Reservation
+from cicadadoor.entry.exchange import REQUEST_BYTES
 from cicadadoor.entry.messages import BackendResponse, CallerRequest
 from cicadadoor.entry.model import OrganisationPolicy, RoutePolicy
 from cicadadoor.entry.quarantine import fingerprint_of
@@ -18,10 +19,11 @@
     """Hold one admitted request and the state of its attempts."""
 
     __slots__ = (
+        '_kept_reservation',
+        '_kept_response',
         'attempts',
         'body',
         'deadline_s',
-        'failed_response',
         'fingerprint',
         'is_probe',
         'may_have_run',
@@ -64,18 +66,52 @@
         # False only while every attempt so far is known not to have run.
         self.may_have_run = False
         # A server error to return if the retry does not succeed.
-        self.failed_response: BackendResponse | None = None
-        # Holds the bytes of the responses until the caller has taken one.
+        self._kept_response: BackendResponse | None = None
+        # Separate, since a later attempt may be ended for its memory.
+        self._kept_reservation: Reservation | None = None
+        # Holds the bytes of the current response until the caller has taken it.
         self.reservation: Reservation | None = None
 
+    def keep_response(self, response: BackendResponse) -> None:
+        """Keep a server error instead of an earlier one, and reserve its bytes."""
+        self._drop_kept()
+        self._kept_response = response
+        if self.reservation is None:
+            return
+        kept = self.reservation.open_other()
+        self.reservation.move(len(response.body), kept)
+        # What is left beyond a request stood for the head and the framing.
+        self.reservation.shrink(max(0, self.reservation.held_bytes - REQUEST_BYTES))
+        kept.on_evict = self._drop_kept
+        self._kept_reservation = kept
+
+    def take_kept_response(self) -> BackendResponse | None:
+        """Return the kept server error, if it has not been evicted.
+
+        Its bytes are then part of `reservation`.
+        """
+        response, self._kept_response = self._kept_response, None
+        kept = self._kept_reservation
+        if response is not None and kept is not None and self.reservation is not None:
+            kept.move(kept.held_bytes, self.reservation)
+        self._drop_kept()
+        return response
+
     def close(self) -> None:
         """Free the bytes of a request that needs no further attempt.
 
         Others may still refer to them, such as the traceback of a cancelled task.
         """
-        if isinstance(self.body, bytearray):
-            self.body.clear()
-        self.failed_response = None
+        _clear(self.body)
+        self._drop_kept()
+
+    def _drop_kept(self) -> None:
+        response, self._kept_response = self._kept_response, None
+        if response is not None:
+            _clear(response.body)
+        reservation, self._kept_reservation = self._kept_reservation, None
+        if reservation is not None:
+            reservation.close()
 
     @property
     def organisation_name(self) -> str:
@@ -101,6 +137,11 @@
         return homes & self.organisation.home_regions or frozenset(('-',))
 
 
+def _clear(body: bytes | bytearray) -> None:
+    if isinstance(body, bytearray):
+        body.clear()
+
+
 def _object_key(route: RoutePolicy, request: CallerRequest) -> str:
     """Return the key of the object that the request concerns, or an empty string."""
     if not route.has_affinity or not request.affinity_key:
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -5,14 +5,17 @@
 import tracemalloc
 from collections.abc import Iterator
 from contextlib import contextmanager
+from functools import partial
 
 import anyio
 import pytest
 
+from cicadadoor.decisions.memory_account import MemoryAccount, Owner, Reservation
 from cicadadoor.entry.caller_connection import CallerConnection
 from cicadadoor.entry.exchange import Response
 from tests.utils.caller_server import run_served
 from tests.utils.entry_hosts import Deployment, run_deployed
+from tests.utils.metadata_store import configuration
 from tests.utils.waiting import until
 from tests.utils.watched_host import SITE, Scene, watched_host
 
@@ -99,9 +102,9 @@
             run_served(work)
 
 
-def traced_body_bytes() -> int:
-    """Return the memory that request bodies take."""
-    bodies = tracemalloc.Filter(inclusive=True, filename_pattern='*request_intake.py')
+def traced_body_bytes(module: str = 'request_intake') -> int:
+    """Return the memory that the bodies take which the module receives."""
+    bodies = tracemalloc.Filter(inclusive=True, filename_pattern=f'*{module}.py')
     found = tracemalloc.take_snapshot().filter_traces((bodies,))
     return sum(trace.size for trace in found.statistics('filename'))
 
@@ -167,6 +170,84 @@
     assert traced_body_bytes() < _POST_BYTES / 2
 
 
+async def configure_attempts(deployment: Deployment, max_attempts: int) -> None:
+    """Let the hosts send a request of the route `look` that many times."""
+    spec = configuration(2)
+    columns = spec['routes']['columns']
+    for route in spec['routes']['rows']:
+        route[columns.index('max_attempts')] = max_attempts
+    deployment.store.put('config', 'main', spec)
+    policy = deployment.find('policy')
+    await until(lambda: policy.find_route(SITE, '/look/1').max_attempts == max_attempts)
+
+
+def run_kept(faults: tuple[str, ...], work) -> None:
+    """Run the work beside a safe request whose attempts meet these faults in turn."""
+    script = list(faults)
+
+    async def run(deployment: Deployment) -> None:
+        await configure_attempts(deployment, len(faults))
+        for worker in deployment.workers.values():
+            worker.body = bytes(_BODY_BYTES)
+            worker.script = script
+        with uncollected():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(partial(deployment.call, '/look/1', deadline_ms=9000))
+                await work(deployment.find('state').account, script)
+                tasks.cancel_scope.cancel()
+
+    run_deployed(run, workers=len(faults))
+
+
+@contextmanager
+def filled(account: MemoryAccount) -> Iterator[None]:
+    """Let others with little each take what large holders of the account have."""
+    others: list[Reservation] = []
+    while account.held_by_kind()['response'] > _LEFT_BYTES:
+        others.append(account.open('other', Owner(f'other-{len(others)}')))
+        assert others[-1].grow(_LEFT_BYTES)
+    yield
+    for other in others:
+        other.close()
+
+
+class TestKeptResponses:
+    """Guard against a server error that is kept beside the account for its caller."""
+
+    def test_kept_response_is_freed_with_its_reservation(self):
+        async def evict(account: MemoryAccount, script: list[str]) -> None:
+            await until(lambda: account.held_bytes > 2 * _BODY_BYTES)
+            with filled(account):
+                assert account.held_by_kind()['response'] < _LEFT_BYTES
+            await until(lambda: not script)
+            assert traced_body_bytes('response_reader') < _LEFT_BYTES
+
+        run_kept(('fail', 'fail_open', 'silent'), evict)
+
+    def test_replaced_response_is_not_reserved(self):
+        async def compare(account: MemoryAccount, script: list[str]) -> None:
+            await until(lambda: not script)
+            taken_bytes = traced_body_bytes('response_reader')
+            assert _BODY_BYTES <= taken_bytes < _BODY_BYTES + _LEFT_BYTES
+            held_bytes = account.held_by_kind()['response']
+            assert _BODY_BYTES <= held_bytes < _BODY_BYTES + _LEFT_BYTES
+
+        run_kept(('fail', 'fail', 'silent'), compare)
+
+    def test_kept_response_is_returned_if_the_next_attempt_fails(self):
+        async def work(deployment: Deployment) -> None:
+            script = ['fail', 'reset']
+            for worker in deployment.workers.values():
+                worker.body = bytes(_BODY_BYTES)
+                worker.script = script
+            answer = await deployment.call('/look/1')
+            assert (answer.status_code, len(answer.content)) == (500, _BODY_BYTES)
+            account = deployment.find('state').account
+            await until(lambda: not account.held_by_kind()['response'])
+
+        run_deployed(work, workers=2)
+
+
 async def leave_within_response(scene: Scene) -> None:
     """Ask for a long response, take its first bytes and reset the connection."""
     host_ip, _, port = scene.host.addresses['callers'].rpartition(':')
--- a/tests/utils/entry_hosts.py
+++ b/tests/utils/entry_hosts.py
@@ -62,8 +62,11 @@
         # A key of _REFUSALS or _MALFORMED_ANSWERS, 'head_cut_at_' and a byte count (-1
         # for all but the last byte of the body), 'reset', 'silent' (no answer), 'fail'
         # (signed 500), 'status_' and a number (signed), 'foreign' (the attempt id of
-        # another request) or 'unsigned'.
+        # another request), 'unsigned' or 'fail_open' (a signed 500, half of whose body
+        # is never sent).
         self.script: list[str] = []
+        # Sent instead of the instance id.
+        self.body = b''
         self.work_s = 0.0
         # Added to each answer, refusals included.
         self.extra_headers: dict[str, str] = {}
@@ -110,7 +113,14 @@
             'Server-Load': '1,0,8',
             **self.extra_headers,
         }
-        body = self.instance_id.encode()
+        body = self.body or self.instance_id.encode()
+        if fault == 'fail_open':
+            await connection.write(b'HTTP/1.1 500 X\r\n')
+            fields = {**head, 'Content-Length': str(2 * len(body))}
+            await connection.write(_encode_fields(fields) + body)
+            await connection.closed()
+            connection.close()
+            return
         status = '500' if fault == 'fail' else fault.removeprefix('status_')
         if status.isdecimal():
             await connection.answer(status, head, body)
@@ -128,6 +138,11 @@
             await connection.answer(200, head, body)
 
 
+def _encode_fields(fields: dict[str, str]) -> bytes:
+    lines = [f'{name}: {text}\r\n' for name, text in fields.items()]
+    return ''.join(lines).encode() + b'\r\n'
+
+
 def _cut_head(head: dict[str, str], body: bytes, fault: str) -> bytes:
     lines = ['HTTP/1.1 200 OK']
     lines.extend(f'{name}: {text}' for name, text in head.items())
