Free the connection of a caller at its end

What callers would see: more memory in use than the account explains while many connections end, and so refusals before the account is full.

Cause: a connection, its response queue, its intake and the owner of its bytes referred to each other, so that an ended connection stayed until garbage was collected.

Change: at its end the queue and the intake drop their references. The owner had one that nothing read; it is gone.

Before: the eight cases of test_connection_is_freed_at_its_end failed. After: they pass, and so do test_caller_memory, test_caller_server, test_memory_account, test_body_room, test_requests_sent_ahead, test_request_sequences, test_connection_limits, test_entry_disconnects, test_entry_stop, test_http_client, test_readers, test_answer_budget and test_host_pressure (1 run each).

--- a/cicadadoor/decisions/memory_account.py
+++ b/cicadadoor/decisions/memory_account.py
@@ -5,7 +5,7 @@
 requests of the same group are still served.
 """
 
-from collections.abc import Callable, Hashable
+from collections.abc import Callable
 from functools import partial
 
 from cicadadoor.decisions.eviction_plan import EvictionPlan
@@ -46,21 +46,15 @@
     owners with the same address do.
     """
 
-    __slots__ = ('address', 'connection', 'organisation')
+    __slots__ = ('address', 'organisation')
 
-    def __init__(
-        self,
-        address: str,
-        connection: Hashable = None,
-        organisation: str = '',
-    ) -> None:
+    def __init__(self, address: str, organisation: str = '') -> None:
         self.address = address
-        self.connection = connection
         self.organisation = organisation
 
     def with_organisation(self, organisation: str) -> 'Owner':
         """Return the same owner with its organisation."""
-        return Owner(self.address, self.connection, organisation)
+        return Owner(self.address, organisation)
 
     @property
     def group(self) -> tuple[str, str]:
--- a/cicadadoor/entry/caller_connection.py
+++ b/cicadadoor/entry/caller_connection.py
@@ -43,7 +43,7 @@
         context = self._context
         self._transport = transport
         peer = transport.get_extra_info('peername')
-        owner = Owner(str(peer[0]) if peer else '', self)
+        owner = Owner(str(peer[0]) if peer else '')
         self.use = ConnectionUse(owner.address, context.now_s())
         self._reservation = context.account.open('connection', owner)
         self._writer = ResponseWriter(transport)
@@ -89,7 +89,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of the client."""
         self.stop_reading()
-        self._queue.drop_all()
+        # Without references to the connection, it is freed before garbage is collected.
+        self._queue.close()
+        self._intake.close()
         self._reservation.release()
         self._context.remove(self)
 
--- a/cicadadoor/entry/request_intake.py
+++ b/cicadadoor/entry/request_intake.py
@@ -45,6 +45,10 @@
         self._writer = writer
         self._owner = owner
 
+    def close(self) -> None:
+        """Do not refer to the ended connection any more; the reader is closed."""
+        del self._connection
+
     def may_begin(self) -> bool:
         """Tell whether the next request may be read."""
         if self._connection.is_closing:
--- a/cicadadoor/entry/response_queue.py
+++ b/cicadadoor/entry/response_queue.py
@@ -8,6 +8,10 @@
 from cicadadoor.entry.response_writer import ResponseWriter
 
 
+def _ignore() -> None:
+    """Do nothing for a connection that has ended."""
+
+
 class ResponseQueue:
     """Hold the requests of a connection that have not been answered completely."""
 
@@ -99,6 +103,13 @@
         while self._exchanges:
             self._end(self._exchanges.popleft())
 
+    def close(self) -> None:
+        """Cancel all requests, and do not refer to the ended connection any more."""
+        self.drop_all()
+        self._on_last = _ignore
+        self._on_evict = _ignore
+        self._is_moving = bool
+
     def _end(self, exchange: Exchange) -> None:
         exchange.release()
         if exchange.scope is not None and exchange.response is None:
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import tracemalloc
+import weakref
 from collections.abc import Iterator
 from contextlib import contextmanager
 from functools import partial
@@ -13,7 +14,7 @@
 from cicadadoor.decisions.memory_account import MemoryAccount, Owner, Reservation
 from cicadadoor.entry.caller_connection import CallerConnection
 from cicadadoor.entry.exchange import Response
-from tests.utils.caller_server import run_served
+from tests.utils.caller_server import StubHandler, run_served
 from tests.utils.entry_hosts import Deployment, run_deployed
 from tests.utils.metadata_store import configuration
 from tests.utils.waiting import until
@@ -312,3 +313,53 @@
                     assert await scene.faults() == []
 
         anyio.run(main)
+
+
+def forget(handler: StubHandler) -> None:
+    """Drop the requests that the handler has recorded, apart from their number."""
+    handler.handled.clear()
+    handler.ended = [None for _ in handler.ended]
+
+
+class TestEndedConnections:
+    """Guard against ended connections that only the garbage collector frees."""
+
+    @pytest.mark.parametrize(
+        ('sent', 'end'),
+        (
+            (b'', 'close'),
+            (b'', 'reset'),
+            (b'GET /now HTTP/1.1\r\nHost: a\r\n\r\n', 'close'),
+            (b'GET /now HTTP/1.1\r\nHost: a\r\n\r\n', 'stop'),
+            (b'GET /book HTTP/1.1\r\nHost: a\r\n\r\n', 'close'),
+            (b'GET /book HTTP/1.1\r\nHost: a\r\n\r\n', 'stop'),
+            (b'POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n1', 'reset'),
+            (b'no request\r\n\r\n', 'close'),
+        ),
+        ids=(
+            'idle_closed',
+            'idle_reset',
+            'answered_closed',
+            'answered_stopped',
+            'running_closed',
+            'running_stopped',
+            'body_reset',
+            'malformed',
+        ),
+    )
+    def test_connection_is_freed_at_its_end(self, sent, end):
+        async def work(scene):
+            client = await scene.connect()
+            connection = weakref.ref(scene.context.connections[0])
+            await client.send(sent)
+            await anyio.sleep(0.1)
+            if end == 'stop':
+                await scene.server.close(0)
+            else:
+                getattr(client, end)()
+            await until(lambda: not scene.context.connections)
+            forget(scene.handler)
+            await until(lambda: connection() is None, 5)
+
+        with uncollected():
+            run_served(work)
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -14,7 +14,7 @@
     """Hold one reservation that can be reclaimed."""
 
     def __init__(self, account: MemoryAccount, address: str, left_bytes: int) -> None:
-        self.reservation = account.open('body', Owner(address, self))
+        self.reservation = account.open('body', Owner(address))
         self.reservation.left_bytes = left_bytes
         self.reservation.on_evict = self.end
         self.is_ended = False
