Test what a caller gets if a kept server error is evicted

Guards against a refusal that says that a request has not run, where a server has answered it with an error that was evicted while the next server refused it. The caller gets a 502 with `run` unknown.

--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -4,6 +4,7 @@
 import gc
 import tracemalloc
 import weakref
+from collections import UserList
 from collections.abc import Iterator
 from contextlib import contextmanager
 from functools import partial
@@ -246,6 +247,21 @@
         other.close()
 
 
+class EvictingScript(UserList[str]):
+    """Evict the kept server error before the second server refuses the request."""
+
+    def __init__(self, account: MemoryAccount) -> None:
+        super().__init__(('fail', 'shed'))
+        self._account = account
+
+    def pop(self, position: int = -1) -> str:
+        if len(self) == 1:
+            assert self._account.held_bytes > _BODY_BYTES
+            with filled(self._account):
+                assert self._account.held_bytes > _LEFT_BYTES
+        return super().pop(position)
+
+
 class TestKeptResponses:
     """Guard against a server error that is kept beside the account for its caller."""
 
@@ -269,6 +285,18 @@
 
         run_kept(('fail', 'fail', 'silent'), compare)
 
+    def test_caller_learns_that_an_evicted_request_may_have_run(self):
+        async def work(deployment: Deployment) -> None:
+            script = EvictingScript(deployment.find('state').account)
+            for worker in deployment.workers.values():
+                worker.body = bytes(_BODY_BYTES)
+                worker.script = script
+            answer = await deployment.call('/look/1')
+            assert not script
+            assert (answer.status_code, answer.json()['run']) == (502, 'unknown')
+
+        run_deployed(work, workers=2)
+
     def test_kept_response_is_returned_if_the_next_attempt_fails(self):
         async def work(deployment: Deployment) -> None:
             script = ['fail', 'reset']
