End a departure in the soak when the worker restarts

The crashing request had crashed i-2 0.2 s before it was announced as draining, and 0.8 s after that the soak announced its new run as ready; the hosts logged backend_known and sent to it, as they should. A departure now ends with the announcement of a new run and begins anew when that one drains; all other requests in it count as before. The new tests did not exist before, and the former code has no record of restarts.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -167,6 +167,8 @@
         self._folder = folder
         # Start of the current run of each worker.
         self._born: dict[str, int] = {}
+        # When each worker was announced as draining, or as ready after a restart.
+        self._turns: list[tuple[str, str, float]] = []
         self._stack = AsyncExitStack()
 
     async def start(self, hosts: int, workers: int) -> None:
@@ -215,6 +217,8 @@
         born: int = 0,
     ) -> None:
         """Write a worker's registration with its state, and the start of its run."""
+        if born or state == 'draining':
+            self._turns.append((instance_id, state, time.monotonic()))
         self._born[instance_id] = born or self._born.get(instance_id, 1)
         number = self.next_sequence() if sequence is None else sequence
         entry = worker_entry(
@@ -224,6 +228,20 @@
         )
         self.store.put('servers', instance_id, entry)
 
+    def record_departure(self, worker: str, left_s: float) -> None:
+        """Record that a worker has left, apart from times after it restarted."""
+        is_away = True
+        for name, state, at_s in self._turns:
+            if name != worker or at_s <= left_s:
+                continue
+            if is_away and state == 'ready':
+                self.departures.append(Departure(worker, left_s, at_s))
+            if not is_away and state == 'draining':
+                left_s = at_s
+            is_away = state == 'draining'
+        if is_away:
+            self.departures.append(Departure(worker, left_s, time.monotonic()))
+
     async def _add_worker(self, instance_id: str) -> None:
         worker = SoakWorker(instance_id, self.runs)
         server = await self._stack.enter_async_context(serving(worker.handle))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,7 @@
     max_runs_in_window,
 )
 from tests.soak.events import BOUNDED_EVENTS, Event, choose_events
-from tests.soak.fleet import Departure, Host, Run
+from tests.soak.fleet import Departure, Fleet, Host, Run
 from tests.soak.host_process import SentSignal, SoakProcess
 from tests.soak.host_watch import HostWatch
 from tests.soak.relay import Relay
@@ -144,6 +144,32 @@
         assert not find_late_runs([Departure('i-2', run.at_s - 3, run.at_s + 1)], [run])
         assert not find_late_runs([Departure('i-1', run.at_s - 2, run.at_s + 1)], [run])
 
+    def test_departure_ends_when_the_worker_restarts(self, tmp_path):
+        """A crashed worker that is announced again may get requests until it drains."""
+        fleet = Fleet(tmp_path)
+        fleet.worker_relays['i-1'] = SimpleNamespace(address='127.0.0.1:9')
+        left_s = time.monotonic()
+        times_s = [left_s]
+        for state, born in (('ready', 0), ('ready', 2), ('draining', 0)):
+            time.sleep(0.01)
+            fleet.announce('i-1', state, born=born)
+            times_s.append(time.monotonic())
+        fleet.record_departure('i-1', left_s)
+        first, second = fleet.departures
+        assert first.left_s == left_s
+        assert times_s[1] < first.back_s <= times_s[2]
+        assert times_s[2] < second.left_s <= times_s[3]
+        assert second.back_s >= times_s[3]
+
+    def test_departure_lasts_beside_restarts_of_other_workers(self, tmp_path):
+        fleet = Fleet(tmp_path)
+        fleet.worker_relays['i-1'] = SimpleNamespace(address='127.0.0.1:9')
+        left_s = time.monotonic()
+        fleet.announce('i-1', 'ready', born=2)
+        restarted_s = time.monotonic()
+        fleet.record_departure('i-2', left_s)
+        assert fleet.departures[0].back_s >= restarted_s
+
     def test_window_slides(self):
         assert max_runs_in_window([0.0, 4.0, 6.0, 8.9, 9.5]) == 3
 
