--- a/cicadadoor/entry/caller_connection.py
+++ b/cicadadoor/entry/caller_connection.py
@@ -52,6 +52,7 @@
             self._writer,
             self._linger,
             partial(self.reset, 'memory'),
+            # The time limits are created below, and refer to the queue.
             lambda: self.timeouts.is_read_in_time(),
         )
         self._intake = RequestIntake(context, self, self._queue, self._writer, owner)
--- a/cicadadoor/entry/forwarding.py
+++ b/cicadadoor/entry/forwarding.py
@@ -39,8 +39,8 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     )
 )
-
-_INVALID = frozenset((ErrorKind.ANSWER_INVALID, ErrorKind.ANSWER_TRUNCATED))
+# Failures that show a fault of the server's answer, not of the connection to it.
+_INVALID_KINDS = frozenset((ErrorKind.ANSWER_INVALID, ErrorKind.ANSWER_TRUNCATED))
 
 BuildHeaders = Callable[..., Headers]
 
@@ -142,7 +142,7 @@
                 backend.health.note_reset(self._timer.now_s(), sent_s)
             elif raw.kind is ErrorKind.ANSWER_TIMED_OUT:
                 backend.health.note_unreachable(self._timer.now_s(), sent_s)
-            elif raw.kind in _INVALID:
+            elif raw.kind in _INVALID_KINDS:
                 self._record_response(backend, is_bad=True)
                 metrics.INVALID_ANSWERS.labels(backend.record.service).inc()
             return raw
--- a/cicadadoor/entry/response_queue.py
+++ b/cicadadoor/entry/response_queue.py
@@ -12,6 +12,11 @@
     """Do nothing for a connection that has ended."""
 
 
+def _never() -> bool:
+    """Return that the client of an ended connection reads no more."""
+    return False
+
+
 class ResponseQueue:
     """Hold the requests of a connection that have not been answered completely."""
 
@@ -108,7 +113,7 @@
         self.drop_all()
         self._on_last = _ignore
         self._on_evict = _ignore
-        self._is_moving = bool
+        self._is_moving = _never
 
     def _end(self, exchange: Exchange) -> None:
         exchange.release()
