Tell in heartbeats how much of its machine's memory a host uses

Cause: a process that its machine ends writes no line, and its heartbeats told others only whether its account was nearly full (is_pressed), which leaves out memory that the account does not explain. Change: memory_percent, the last field, None from older builds and before the first sample. Summaries between failure domains have their reporter's. Tests that failed before: the four of test_heartbeat_memory; builds with and without the field read each other's heartbeats.

--- a/cicadadoor/entry/heartbeats.py
+++ b/cicadadoor/entry/heartbeats.py
@@ -40,8 +40,10 @@
     within the region. `limits` holds, by backend server, the requests per second that
     it takes from all hosts together, as it told the sender (None if the limit has
     ended), and the seconds since then. `is_served` is whether the store answers the
-    sender, and `is_pressed` whether the sender is short of memory. Names are sent as
-    `name_hash`, since traffic between regions is billed.
+    sender, and `is_pressed` whether the sender is short of memory. `memory_percent` is
+    the part of its machine's memory that the sender uses, None if unknown; a summary
+    has its reporter's. Names are sent as `name_hash`, since traffic between regions is
+    billed.
 
     In the summary of a failure domain, `members` are the live hosts of the domain and
     `leaving` and `pressed` those of them that are about to stop or short of memory;
@@ -67,6 +69,7 @@
     quarantines: dict[int, CrashReport] | None = None
     is_pressed: bool = False
     pressed: frozenset[int] = frozenset()
+    memory_percent: int | None = None
 
     def revision(self, topic: Topic) -> int:
         """Return the revision of the sender's copy of a topic."""
--- a/cicadadoor/entry/memory_watch.py
+++ b/cicadadoor/entry/memory_watch.py
@@ -34,6 +34,7 @@
         self._memory_bytes = 0
         # What the account leaves for the process itself.
         self._allowance_bytes = 0
+        self._used_bytes = 0
         self._peak_bytes = 0
         self._next_reclaim_s = -math.inf
 
@@ -47,6 +48,13 @@
         self._levels = MemoryLevels(self._memory_bytes, account_limit_bytes)
         self._timer.subscribe('memory_watch', _SAMPLE_PERIOD_S, self._sample)
 
+    @property
+    def used_percent(self) -> int | None:
+        """Return the used part of the machine's memory, or None if it is unknown."""
+        if not self._used_bytes:
+            return None
+        return round(100 * self._used_bytes / self._memory_bytes)
+
     async def stop(self, grace_s: float) -> None:
         """Log the highest sample."""
         log.info('memory_peak', resident_bytes=self._peak_bytes)
@@ -63,6 +71,7 @@
         unaccounted_bytes = used_bytes - account.held_bytes
         # Holding less for others is better than being ended with all of it.
         account.note_excess(max(0, unaccounted_bytes - self._allowance_bytes))
+        self._used_bytes = used_bytes
         metrics.RESIDENT_BYTES.set(used_bytes)
         metrics.UNACCOUNTED_BYTES.set(unaccounted_bytes)
 
--- a/cicadadoor/entry/pressure.py
+++ b/cicadadoor/entry/pressure.py
@@ -1,8 +1,9 @@
-"""Report to other hosts that this one is short of memory."""
+"""Report to other hosts how much memory this one uses, and whether it is short."""
 
 from cicadadoor.decisions.host_pressure import PressureGauge
 from cicadadoor.entry.heartbeats import HostHeartbeat, name_hash, pressed_hosts
 from cicadadoor.entry.membership import HeartbeatPart, Membership
+from cicadadoor.entry.memory_watch import MemoryWatch
 from cicadadoor.entry.state import EntryState
 from cicadadoor.kernel import Kernel
 from cicadadoor.telemetry import logs, metrics
@@ -19,6 +20,7 @@
     def __init__(self) -> None:
         self._state: EntryState
         self._timer: TimerService
+        self._memory_watch: MemoryWatch
         self._gauge = PressureGauge()
         # The other hosts that report pressure, by the hash of their name.
         self._pressed: frozenset[int] = frozenset()
@@ -27,6 +29,7 @@
         """Add this host's state to its heartbeats."""
         self._state = kernel.find('state')
         self._timer = kernel.find('timer')
+        self._memory_watch = kernel.find('memory_watch')
         membership: Membership = kernel.find('membership')
         membership.add_part(self)
 
@@ -37,8 +40,9 @@
         return name_hash(host) in self._pressed
 
     def add_fields(self, fields: dict[str, object]) -> None:
-        """Add whether this host is short of memory."""
+        """Add whether this host is short of memory, and how much it uses."""
         fields['is_pressed'] = self._gauge.is_pressed
+        fields['memory_percent'] = self._memory_watch.used_percent
 
     def on_tick(self, heartbeats: list[HostHeartbeat]) -> None:
         """Sample the account, and collect what other hosts and domains report."""
