Log how the runs of other hosts end

Cause: what the other hosts had heard last of a run was not kept, and whether it had announced its leave was not compared when the next run was heard. Change: host_ended_unannounced (a warning, and a counter) when a new run is heard whose former run had not announced that it leaves, with the memory and the pressure of the former run's last heartbeat; host_silent with the same fields, once for each silence, for a host that never returns. Neither after SIGTERM; no host_ended_unannounced for a late heartbeat or a suspended host, and no host_silent by a host that was suspended itself. Runs are followed beside the table of hosts, whose decisions do not read them. Where summaries replace heartbeats, a host that others report on is not followed, as its leave may not be heard.

--- a/cicadadoor/entry/membership.py
+++ b/cicadadoor/entry/membership.py
@@ -184,6 +184,9 @@
         self._last_heartbeat_s = now_s
         if elapsed_s - self.peers.heartbeat_interval_s > _SUSPENSION_THRESHOLD_S:
             self._reread_after_suspension(elapsed_s)
+        else:
+            heard = {peer.record.host for peer in self.peers.heard(now_s)}
+            self.peers.runs.log_silent(heard, now_s)
         self.peers.prune(now_s)
         for part in self._parts:
             _call_part(part.on_heartbeats, heartbeats)
--- a/cicadadoor/entry/peers.py
+++ b/cicadadoor/entry/peers.py
@@ -4,6 +4,7 @@
 
 from cicadadoor.decisions.domain_summaries import uses_summaries
 from cicadadoor.entry.heartbeats import TOPICS, HostHeartbeat, name_hash
+from cicadadoor.entry.host_runs import HostRuns
 from cicadadoor.entry.model import HostRecord
 from cicadadoor.entry.reported_hosts import (
     SUMMARY_TIMEOUT_S,
@@ -76,6 +77,7 @@
         self._peers: dict[str, Peer] = {}
         self._summaries = SummaryTable()
         self.unlisted = UnlistedHosts()
+        self.runs = HostRuns()
         # Whether domains exchange summaries instead of heartbeats.
         self.uses_summaries = False
         # Time between heartbeats to hosts of the own region, and to those of others.
@@ -217,6 +219,7 @@
             return False
         if not is_same_run or not self.is_heard(peer, now_s):
             log.info('host_heard', host=heartbeat.host, instance=heartbeat.instance)
+        self.runs.record(heartbeat, now_s)
         peer.heard_s = now_s
         peer.heartbeat = heartbeat
         if heartbeat.members and not self.is_in_own_domain(peer):
@@ -224,6 +227,8 @@
             for member in self._peers.values():
                 if member.name_hash in heartbeat.members:
                     member.heard_s = now_s
+                    if member is not peer:
+                        self.runs.discard(member.record.host)
         return True
 
     def _timeout_s(self, peer: Peer) -> float:
--- a/cicadadoor/telemetry/metrics.py
+++ b/cicadadoor/telemetry/metrics.py
@@ -70,6 +70,10 @@
     'cicadadoor_memory_pressure',
     'Whether this host is short of memory, so that the directory names it less often.',
 )
+HOSTS_ENDED_UNANNOUNCED = Counter(
+    'cicadadoor_hosts_ended_unannounced_total',
+    'Runs of other hosts that ended without an announcement, seen at the next run.',
+)
 EVENT_LOOP_DELAY_SECONDS = Histogram(
     'cicadadoor_event_loop_delay_seconds',
     'Time by which timer callbacks ran late, as the event loop was busy or suspended.',
