Try a server with one slow response again after 5 s

Cause: a gate takes the lower score of two servers, the average latency counts in it, and an average without new samples was never outdated. A server that gets no request gives no sample.

The weight of an average falls to 0 within 5 s after its last sample. The typical latency is the median of averages that still have weight. The first sample after that replaces the average.

Failed before, with the clock argument removed: the tests of TestOutdatedLatency.

--- a/cicadadoor/decisions/balancing.py
+++ b/cicadadoor/decisions/balancing.py
@@ -10,9 +10,15 @@
 # request count and expires unless it is renewed.
 REPORT_WEIGHT = 0.25
 REPORT_MAX_AGE_S = 5.0
+# Without a limit, a server with one slow response gets no request that could correct
+# its average while another server has a free slot.
+LATENCY_MAX_AGE_S = 5.0
 RAMP_S = 10.0
 _RAMP_START_SHARE = 0.2
 _LATENCY_GAIN = 0.2
+# Smaller ratios are noise. Without the tolerance, the server with the lower average
+# gets all requests at a low rate until the other average is outdated.
+_LATENCY_TOLERANCE = 1.5
 _MIN_LATENCY_FACTOR = 0.5
 _MAX_LATENCY_FACTOR = 4.0
 _SHED_PAUSE_S = 0.2
@@ -24,6 +30,7 @@
     __slots__ = (
         'in_flight',
         'latency_s',
+        'latency_sampled_s',
         'paused_until_s',
         'ramp_from_s',
         'reported',
@@ -33,17 +40,21 @@
     def __init__(self) -> None:
         self.in_flight = 0
         self.latency_s = 0.0
+        self.latency_sampled_s = -math.inf
         self.paused_until_s = -math.inf
         self.ramp_from_s = -math.inf
         self.reported = 0.0
         self.reported_s = -math.inf
 
-    def note_latency(self, took_s: float) -> None:
-        """Add a sample to the average latency."""
-        if self.latency_s <= 0:
-            self.latency_s = took_s
-            return
-        self.latency_s += _LATENCY_GAIN * (took_s - self.latency_s)
+    def note_latency(self, took_s: float, now_s: float) -> None:
+        """Add a sample to the average latency; it replaces an outdated average."""
+        gain = max(_LATENCY_GAIN, 1 - self.latency_weight(now_s))
+        self.latency_s += gain * (took_s - self.latency_s)
+        self.latency_sampled_s = now_s
+
+    def latency_weight(self, now_s: float) -> float:
+        """Return the weight of the average latency, from 1 (new) to 0 (outdated)."""
+        return max(0.0, 1 - (now_s - self.latency_sampled_s) / LATENCY_MAX_AGE_S)
 
     def note_report(self, load: float, now_s: float) -> None:
         """Record the load that the server reports, from 0 (idle) to 1 (full)."""
@@ -69,13 +80,17 @@
         own_load = (self.in_flight + 1) / slots
         freshness = 1 - (now_s - self.reported_s) / REPORT_MAX_AGE_S
         reported_part = REPORT_WEIGHT * self.reported * max(0.0, freshness)
-        return own_load * self._latency_factor(typical_latency_s) + reported_part
+        return own_load * self._latency_factor(typical_latency_s, now_s) + reported_part
 
-    def _latency_factor(self, typical_latency_s: float) -> float:
-        if self.latency_s <= 0 or typical_latency_s <= 0:
+    def _latency_factor(self, typical_latency_s: float, now_s: float) -> float:
+        weight = self.latency_weight(now_s)
+        if weight <= 0 or typical_latency_s <= 0:
             return 1.0
         factor = self.latency_s / typical_latency_s
-        return min(_MAX_LATENCY_FACTOR, max(_MIN_LATENCY_FACTOR, factor))
+        if 1 / _LATENCY_TOLERANCE < factor < _LATENCY_TOLERANCE:
+            return 1.0
+        limited = min(_MAX_LATENCY_FACTOR, max(_MIN_LATENCY_FACTOR, factor))
+        return 1 + weight * (limited - 1)
 
 
 class Candidate:
@@ -108,7 +123,11 @@
     pool = preferred or free
     if not pool:
         return None
-    known = [each.load.latency_s for each in candidates if each.load.latency_s > 0]
+    known = [
+        each.load.latency_s
+        for each in candidates
+        if each.load.latency_weight(now_s) > 0
+    ]
     typical_s = median(known) if known else 0.0
     pair = rng.sample(pool, min(2, len(pool)))
     return min(pair, key=lambda each: each.load.score(each.slots, typical_s, now_s))
--- a/cicadadoor/gate/servers.py
+++ b/cicadadoor/gate/servers.py
@@ -121,7 +121,7 @@
         now_s = self._timer.now_s()
         load = self.load(server)
         if isinstance(response, SteeredResponse):
-            load.note_latency(took_s)
+            load.note_latency(took_s, now_s)
             is_bad = response.status in _FAILURE_STATUSES
             self.ejection.note_result(server, is_bad=is_bad, now_s=now_s)
             return
@@ -130,7 +130,7 @@
             return
         is_late = response.kind is ErrorKind.ANSWER_TIMED_OUT
         if is_late:
-            load.note_latency(took_s)
+            load.note_latency(took_s, now_s)
         if response.kind in _FAILURE_KINDS or (is_late and took_s >= _MIN_TIMEOUT_S):
             self.ejection.note_result(server, is_bad=True, now_s=now_s)
 
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from cicadadoor.decisions.balancing import (
+    LATENCY_MAX_AGE_S,
     REPORT_MAX_AGE_S,
     Candidate,
     ServerLoad,
@@ -88,7 +89,7 @@
     def test_slow_server_gets_fewer_requests(self):
         candidates = self.make_candidates(count=3, slots=100)
         for each, took_s in zip(candidates, (0.1, 0.1, 1), strict=True):
-            each.load.note_latency(took_s)
+            each.load.note_latency(took_s, 0)
         for _ in range(150):
             choose(candidates, 0, random.Random(_)).load.in_flight += 1
         in_flight = [each.load.in_flight for each in candidates]
@@ -108,6 +109,66 @@
         assert choose(candidates, 0.1, rng) is None
 
 
+class TestOutdatedLatency:
+    """Guard against a server that gets no requests after one slow response."""
+
+    def run_requests(self, until_s, slow_s) -> list[tuple[float, str]]:
+        """Return the time and the server of requests that are sent each 0.075 s.
+
+        The first response of the slow server takes 45.7 ms, its later ones about
+        `slow_s`. Those of the other server take about 3 ms.
+        """
+        candidates = [Candidate(name, 8, ServerLoad()) for name in ('slow', 'fast')]
+        candidates[0].load.note_latency(0.0457, 0)
+        candidates[1].load.note_latency(0.003, 0)
+        mean_s = {'slow': slow_s, 'fast': 0.003}
+        rng = random.Random(1)
+        sent = []
+        for step in range(1, int(until_s / 0.075)):
+            now_s = step * 0.075
+            chosen = choose(candidates, now_s, rng)
+            took_s = mean_s[chosen.name] * rng.uniform(0.5, 1.5)
+            chosen.load.note_latency(took_s, now_s + took_s)
+            sent.append((now_s, chosen.name))
+        return sent
+
+    def test_server_with_one_slow_response_gets_its_part_again(self):
+        sent = self.run_requests(until_s=60, slow_s=0.003)
+        first_s = next(now_s for now_s, name in sent if name == 'slow')
+        assert first_s < LATENCY_MAX_AGE_S + 1
+        late = [name for now_s, name in sent if now_s > LATENCY_MAX_AGE_S + 1]
+        assert 0.4 < late.count('slow') / len(late) < 0.6
+
+    def test_small_differences_do_not_starve_a_server(self):
+        sent = self.run_requests(until_s=60, slow_s=0.004)
+        late = [name for now_s, name in sent if now_s > LATENCY_MAX_AGE_S + 1]
+        assert 0.3 < late.count('slow') / len(late) < 0.6
+
+    def test_server_that_stays_slow_is_only_tried_now_and_then(self):
+        sent = self.run_requests(until_s=60, slow_s=0.0457)
+        tried_s = [now_s for now_s, name in sent if name == 'slow']
+        assert tried_s[0] >= LATENCY_MAX_AGE_S
+        assert 5 <= len(tried_s) <= 60 / LATENCY_MAX_AGE_S
+
+    def test_gate_tries_the_server_again(self):
+        """Sampling times must reach the decision through the gate's clock."""
+
+        async def check(gate, timer):
+            answer = SteeredResponse(status=200, headers=[])
+            gate.servers.record_result('kb-m-1-0', answer, 0.0457)
+            gate.servers.record_result('kb-m-1-1', answer, 0.003)
+            used = []
+            for _ in range(100):
+                timer.jump(0.1)
+                target = gate.router.try_acquire(gate.request())
+                gate.router.release(target, answer, 0.003)
+                used.append(target.server.name)
+            assert 'kb-m-1-0' not in used[:45]
+            assert 'kb-m-1-0' in used[45:]
+
+        run_gate(check, servers=2)
+
+
 class TestEjection:
     """Guard against use of bad servers, and against ejection of all servers."""
 
