Let a request wait for a credit when its domain has no usable server

Callers at a low rate were refused with no_backend_server although another region had room: a credit is returned 0.05 to 0.1 s after it was asked for if nobody uses it, the request that asked for it was refused at once, and the next one came too late.

Such a request now waits in the queue, within its deadline, until 0.6 s after it was received. It is refused sooner when all gates that it may go to have refused, and at once when holds and drains leave none. A grant assigns the queued requests immediately, because the next period could return it. Credits are not kept longer, so that an idle caller takes no room from others; the issuer and the pool of credits are unchanged.

The stand-in for the router in test_queueing accepts the callback for capacity.

Failed before: test_all_requests_cross at 0.05, 0.1, 0.15, 1 and 5 s, and test_idle_caller_takes_no_room. Now 20 of 20 requests cross at each interval after at most 0.1 s, with 10 ms for each message, and 0.3 s after a request that crossed no credit is outstanding.

--- a/cicadadoor/decisions/credits.py
+++ b/cicadadoor/decisions/credits.py
@@ -8,6 +8,8 @@
 RESERVE_SHARE = 0.2
 MAX_PER_GRANT = 32
 _PEAK_WINDOW_S = 2.0
+# Pause before the next request to a gate that granted nothing.
+REFUSAL_PAUSE_S = 0.25
 
 
 class RecentPeakLoad:
@@ -194,6 +196,23 @@
         return live
 
 
+class RefusalPauses:
+    """Track the gates that granted nothing and are not asked again for a while."""
+
+    __slots__ = ('_until_s',)
+
+    def __init__(self) -> None:
+        self._until_s: dict[tuple[str, str], float] = {}
+
+    def note(self, gate: str, service: str, now_s: float) -> None:
+        """Start the pause of a gate for a service."""
+        self._until_s[gate, service] = now_s + REFUSAL_PAUSE_S
+
+    def is_paused(self, gate: str, service: str, now_s: float) -> bool:
+        """Return whether the gate must not be asked for credits of the service."""
+        return now_s < self._until_s.get((gate, service), -math.inf)
+
+
 def headroom(slots: int, in_use: int, own_peak: int) -> int:
     """Return the slots of a service that other gates may use.
 
--- a/cicadadoor/gate/credits.py
+++ b/cicadadoor/gate/credits.py
@@ -4,6 +4,7 @@
 """
 
 import math
+from collections.abc import Iterable
 
 from cicadadoor.config.model import Service as ConfiguredService
 from cicadadoor.decisions.credits import (
@@ -11,6 +12,7 @@
     CreditIssuer,
     CreditPool,
     HeldCredit,
+    RefusalPauses,
 )
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.gate.directory import GateDirectory
@@ -35,8 +37,9 @@
 CREDIT_LIFETIME_S = 2.0
 _PERIOD_S = 0.05
 _ANSWER_TIMEOUT_S = 0.5
-# Pause before the next request to a gate that granted nothing.
-_REFUSAL_PAUSE_S = 0.25
+# Covers the period and one answer. A longer wait would delay the refusal of requests
+# that no gate has room for.
+CREDIT_WAIT_S = 0.6
 _MAX_GATES_ASKED = 6
 _MS_PER_S = 1000
 
@@ -57,7 +60,7 @@
         self._pool = CreditPool()
         self._unmet_demand: dict[str, int] = {}
         self._used: dict[str, int] = {}
-        self._paused_until_s: dict[tuple[str, str], float] = {}
+        self._pauses = RefusalPauses()
         self._is_requesting = False
         self._response_regions: dict[str, str] = {}
 
@@ -109,6 +112,17 @@
         self._used[service.name] = self._used.get(service.name, 0) + 1
         return Target(gate=gate, credit_id=credit.credit_id, service=service.name)
 
+    def is_awaited(self, request: SteeredRequest, avoid: frozenset[str]) -> bool:
+        """Return whether the request may wait for an answer from another gate."""
+        now_s = self._timer.now_s()
+        if now_s >= request.received_s + CREDIT_WAIT_S:
+            return False
+        return any(
+            gate.host not in avoid
+            and not self._pauses.is_paused(gate.instance, request.service.name, now_s)
+            for gate in self._candidates(request.service.name)
+        )
+
     def redeem(self, message: ForwardRequest) -> Failure | None:
         """Consume the credit of a forwarded request, or return CREDIT_REFUSED."""
         is_valid = self._issuer.redeem(
@@ -197,18 +211,7 @@
         open_gates = [
             gate for gate in gates if not self._is_on_hold(service, gate.region)
         ]
-        return sorted(open_gates, key=self._distance)
-
-    def _distance(self, gate: GateInfo) -> tuple[bool, bool, float, str]:
-        settings = self._state.settings
-        view = self._state.view
-        link = view.links.get((settings.region, gate.region)) if view else None
-        return (
-            gate.failure_domain != settings.failure_domain,
-            gate.region != settings.region,
-            link.delay_us if link else math.inf,
-            gate.instance,
-        )
+        return _nearest_first(open_gates, self._state)
 
     async def _update_credits(self) -> None:
         wanted = self._missing_credits()
@@ -249,9 +252,8 @@
             for service in wanted
             for gate in self._candidates(service)
         }
-        nearest_first = sorted(gates.values(), key=self._distance)
         asked = 0
-        for gate in nearest_first:
+        for gate in _nearest_first(gates.values(), self._state):
             missing = self._missing_at(gate, wanted)
             if missing and asked < _MAX_GATES_ASKED:
                 asked += 1
@@ -261,8 +263,8 @@
         now_s = self._timer.now_s()
         missing = {}
         for service, count in wanted.items():
-            pause = self._paused_until_s.get((gate.instance, service), -math.inf)
-            if count > 0 and now_s >= pause and gate in self._candidates(service):
+            is_paused = self._pauses.is_paused(gate.instance, service, now_s)
+            if count > 0 and not is_paused and gate in self._candidates(service):
                 missing[service] = count
         return missing
 
@@ -282,8 +284,7 @@
         for service in missing:
             grant = grants.get(service)
             if grant is None:
-                pause_end_s = self._timer.now_s() + _REFUSAL_PAUSE_S
-                self._paused_until_s[gate.instance, service] = pause_end_s
+                self._pauses.note(gate.instance, service, self._timer.now_s())
                 continue
             wanted[service] -= grant.count
             self._pool.add(
@@ -315,5 +316,21 @@
                 )
 
 
+def _nearest_first(gates: Iterable[GateInfo], state: GateState) -> list[GateInfo]:
+    settings = state.settings
+    links = state.view.links if state.view else {}
+
+    def distance(gate: GateInfo) -> tuple[bool, bool, float, str]:
+        link = links.get((settings.region, gate.region))
+        return (
+            gate.failure_domain != settings.failure_domain,
+            gate.region != settings.region,
+            link.delay_us if link else math.inf,
+            gate.instance,
+        )
+
+    return sorted(gates, key=distance)
+
+
 def _halved(counts: dict[str, int]) -> dict[str, int]:
     return {name: count // 2 for name, count in counts.items() if count > 1}
--- a/cicadadoor/gate/queueing.py
+++ b/cicadadoor/gate/queueing.py
@@ -83,6 +83,8 @@
         self._router = kernel.find('router')
         self._state = kernel.find('state')
         self._timer = kernel.find('timer')
+        # Credits that no request uses within a few periods are returned.
+        self._router.on_capacity(self._assign_targets)
         self._timer.subscribe('request_queue', _POLL_S, self.poll)
 
     async def acquire(
--- a/cicadadoor/gate/routing.py
+++ b/cicadadoor/gate/routing.py
@@ -87,6 +87,10 @@
     ) -> Target | Failure:
         """Use a credit of the nearest gate that granted one, or return NO_CAPACITY."""
 
+    @abc.abstractmethod
+    def is_awaited(self, request: SteeredRequest, avoid: frozenset[str]) -> bool:
+        """Return whether the request may wait for an answer from another gate."""
+
 
 class TwoChoicesRouter(Router):
     """Use a backend server of this failure domain, or else a credit of another gate.
@@ -190,6 +194,8 @@
                 return found
             if found.kind is not ErrorKind.NO_CAPACITY:
                 return found
+            if not has_local and self._credits.is_awaited(request, avoid):
+                return found
         domain = self._state.settings.failure_domain
         if has_local:
             return Failure(
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -13,6 +13,7 @@
     headroom,
 )
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.gate.queueing import FairRequestQueue
 from cicadadoor.links.forward_messages import ForwardRequest
 from cicadadoor.links.steering_messages import BackendUpdate
 from tests.utils.gates import (
@@ -294,3 +295,125 @@
             assert receiver.credits._issuer.outstanding('kursbuchung', now_s) == 0
 
         run_gates(check)
+
+
+class LowRateCaller:
+    """Send single requests to a gate whose domain has no usable backend server."""
+
+    def __init__(self, gates) -> None:
+        self.gates = gates
+        self.gate = gates.by_domain['m-1']
+        self.queue = FairRequestQueue()
+
+    async def start(self) -> None:
+        await self.queue.start(self.gate.kernel)
+        drained = BackendUpdate(drained=['kb-m-1-0', 'kb-m-1-1'])
+        await self.gate.link.deliver(drained)
+
+    async def pass_time(self, duration_s) -> None:
+        """Deliver messages 10 ms after they are sent."""
+        for _ in range(round(duration_s / 0.01)):
+            await self.gates.timer.advance(0.01)
+            await self.gate.kernel.run_spawned()
+            await anyio.wait_all_tasks_blocked()
+
+    async def call(self, left_s=10.0, limit_s=1.0):
+        """Return the target or failure of one request, and how long it waited."""
+        start_s = self.gates.timer.now_s()
+        request = self.gate.request()
+        request.received_s = start_s
+        request.deadline_s = start_s + left_s
+        outcomes = []
+
+        async def acquire() -> None:
+            outcomes.append(await self.queue.acquire(request))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(acquire)
+            await anyio.wait_all_tasks_blocked()
+            while not outcomes and self.gates.timer.now_s() < start_s + limit_s:
+                await self.pass_time(0.01)
+            tasks.cancel_scope.cancel()
+        assert outcomes, f'no outcome within {limit_s} s'
+        return outcomes[0], self.gates.timer.now_s() - start_s
+
+
+class TestLowRate:
+    """Guard against refusals of a caller that uses no credit before it is returned."""
+
+    def run_caller(self, check) -> None:
+        async def run(gates):
+            caller = LowRateCaller(gates)
+            await caller.start()
+            await check(gates, caller)
+
+        run_gates(run)
+
+    @pytest.mark.parametrize('interval_s', [0.05, 0.1, 0.15, 1, 5])
+    def test_all_requests_cross(self, interval_s):
+        async def check(gates, caller):
+            for _ in range(20):
+                target, waited_s = await caller.call()
+                assert not isinstance(target, Failure), target
+                receiver = gates.by_domain[target.gate.failure_domain]
+                assert redeem(receiver, caller.gate, target) is None
+                assert waited_s <= 0.1
+                await caller.pass_time(max(0, interval_s - waited_s))
+
+        self.run_caller(check)
+
+    def test_idle_caller_takes_no_room(self):
+        """A caller at a low rate must not hold credits that others could use."""
+
+        async def check(gates, caller):
+            target, _ = await caller.call()
+            receiver = gates.by_domain[target.gate.failure_domain]
+            assert redeem(receiver, caller.gate, target) is None
+            await caller.pass_time(0.3)
+            issuer = receiver.credits._issuer
+            assert issuer.outstanding('kursbuchung', gates.timer.now_s()) == 0
+
+        self.run_caller(check)
+
+    def test_refusal_comes_soon_if_no_gate_has_room(self):
+        async def check(gates, caller):
+            for domain in ('m-2', 'n-1'):
+                gates.by_domain[domain].acquire_all()
+            refused, waited_s = await caller.call()
+            assert refused.kind is ErrorKind.NO_BACKEND_SERVER
+            assert waited_s <= 0.2
+
+        self.run_caller(check)
+
+    @pytest.mark.parametrize('fault', ['lose_requests', 'lose_answers'])
+    def test_refusal_comes_soon_if_no_gate_answers(self, fault):
+        async def check(gates, caller):
+            setattr(gates.network, fault, True)
+            refused, waited_s = await caller.call()
+            assert refused.kind is ErrorKind.NO_BACKEND_SERVER
+            assert waited_s <= 0.7
+
+        self.run_caller(check)
+
+    def test_deadline_ends_the_wait(self):
+        async def check(gates, caller):
+            refused, waited_s = await caller.call(left_s=0.03)
+            assert isinstance(refused, Failure)
+            assert waited_s <= 0.1
+
+        self.run_caller(check)
+
+    def test_hold_refuses_at_once(self):
+        async def check(gates, caller):
+            held = BackendUpdate(
+                version=1,
+                drained=['kb-m-1-0', 'kb-m-1-1'],
+                drained_domains=['m-2'],
+                held_regions=['m'],
+            )
+            await caller.gate.link.deliver(held)
+            refused, waited_s = await caller.call()
+            assert refused.kind is ErrorKind.NO_BACKEND_SERVER
+            assert waited_s == 0
+
+        self.run_caller(check)
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -22,6 +22,9 @@
     def __init__(self) -> None:
         self.taken: set[str] = set()
 
+    def on_capacity(self, callback):
+        """Ignore the callback, because capacity appears only by a release."""
+
     def try_acquire(self, request, avoid, *, is_local_only=False):
         """Take the slot of the request's service."""
         if request.service.name in self.taken or avoid:
