Pass redirects on whose Location the HTTP client does not accept

What callers saw: a backend server of a gate answered 302 with a Location such as `app:signed-in` or `mailto:a`; the caller got a failure in its place, though the request had run. A store that answers so raised httpx.InvalidURL in whoever asked. Cause: httpx parses the Location of each redirect, also if it follows none. For an address with a scheme but no host it raises InvalidURL, which is no HTTPError, so that nobody who calls a server or a store caught it; for others it raises RemoteProtocolError. Change: DirectClient leaves the Location alone, in gates, probes, store clients and the client of agents.

--- a/cicadadoor/cli/client.py
+++ b/cicadadoor/cli/client.py
@@ -5,7 +5,7 @@
 
 from cicadadoor.agent.operator_api import HostStatus, WithdrawalAnswer
 from cicadadoor.errors import ErrorKind, Failure
-from cicadadoor.http_client import fetch
+from cicadadoor.http_client import DirectClient, fetch
 
 _CALL_TIMEOUT_S = 5.0
 # A status lists every host of the fleet.
@@ -34,9 +34,7 @@
     content: bytes | None = None,
 ) -> 'HostStatus | WithdrawalAnswer | Failure':
     try:
-        async with httpx.AsyncClient(
-            timeout=_CALL_TIMEOUT_S, trust_env=False
-        ) as client:
+        async with DirectClient(timeout=_CALL_TIMEOUT_S, trust_env=False) as client:
             answer = await fetch(
                 client,
                 method,
--- a/cicadadoor/gate/forwarding.py
+++ b/cicadadoor/gate/forwarding.py
@@ -15,7 +15,7 @@
 from cicadadoor.gate.connection_pool import BackendTransport
 from cicadadoor.gate.request import SteeredRequest, SteeredResponse
 from cicadadoor.gate.servers import BackendServers
-from cicadadoor.http_client import no_cookies
+from cicadadoor.http_client import DirectClient, no_cookies
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.telemetry import tracing
 from cicadadoor.timer import TimerService
@@ -85,7 +85,7 @@
         """Create the HTTP client and its connection pool."""
         self._timer = kernel.find('timer')
         self._servers = kernel.find('servers')
-        self._client = httpx.AsyncClient(
+        self._client = DirectClient(
             transport=BackendTransport(_MAX_CONNECTIONS),
             cookies=no_cookies(),
             follow_redirects=False,
--- a/cicadadoor/gate/probing.py
+++ b/cicadadoor/gate/probing.py
@@ -12,7 +12,7 @@
 from cicadadoor.gate.servers import BackendServers
 from cicadadoor.gate.slot_share import SlotShare
 from cicadadoor.gate.state import GateState
-from cicadadoor.http_client import FetchedResponse, fetch, no_cookies
+from cicadadoor.http_client import DirectClient, FetchedResponse, fetch, no_cookies
 from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.messages import Ack
 from cicadadoor.links.peer_hub import PeerHub
@@ -68,7 +68,7 @@
         self._share = kernel.find('slot_share')
         self._directory = kernel.find('directory')
         self._peers = kernel.find('peers')
-        self._client = httpx.AsyncClient(
+        self._client = DirectClient(
             timeout=_TIMEOUT_S, cookies=no_cookies(), trust_env=False
         )
         self._peers.on(LeavingNotice, self.handle_notice)
--- a/cicadadoor/http_client.py
+++ b/cicadadoor/http_client.py
@@ -59,6 +59,19 @@
     return CookieJar(DefaultCookiePolicy(allowed_domains=()))
 
 
+class DirectClient(httpx.AsyncClient):
+    """Return redirects like other responses, without parsing their Location header.
+
+    httpx parses it even if it follows no redirects, and raises InvalidURL, which is no
+    HTTPError, for one such as `mailto:a`.
+    """
+
+    def _build_redirect_request(
+        self, request: httpx.Request, response: httpx.Response
+    ) -> httpx.Request:
+        return request
+
+
 async def fetch(
     client: httpx.AsyncClient,
     method: str,
--- a/cicadadoor/object_store/http.py
+++ b/cicadadoor/object_store/http.py
@@ -12,6 +12,7 @@
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.http_client import (
     IDENTITY_ENCODING_HEADERS,
+    DirectClient,
     check_status,
     fetch,
     no_cookies,
@@ -47,7 +48,7 @@
     """Client of the object API at a base URL."""
 
     def __init__(self, base_url: str) -> None:
-        self._client = httpx.AsyncClient(
+        self._client = DirectClient(
             base_url=f'{base_url}/api/v1/',
             headers=IDENTITY_ENCODING_HEADERS,
             timeout=_CALL_TIMEOUT_S,
--- a/cicadadoor/platform/store_client.py
+++ b/cicadadoor/platform/store_client.py
@@ -11,6 +11,7 @@
 from cicadadoor.decisions.memory_account import MemoryAccount, Owner
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.http_client import (
+    DirectClient,
     FetchedResponse,
     ResponseNotHeldError,
     fetch,
@@ -62,7 +63,7 @@
     def __init__(self, address: str, account: MemoryAccount | None = None) -> None:
         self._account = account or MemoryAccount(_MAX_HELD_BYTES)
         self._owner = Owner(address)
-        self._client = httpx.AsyncClient(
+        self._client = DirectClient(
             base_url=f'http://{address}/v1/objects/',
             timeout=CALL_TIMEOUT_S,
             cookies=no_cookies(),
