Let shares grow only once summaries have told of the demand

What callers saw: nothing; with more than 24 hosts, an organisation whose requests rise at all hosts at once gets more than its limit over all hosts (rule QUOTA). Cause: a share grows 1 s after it is wanted, "by which other hosts have received the demand that shrinks theirs". Beyond 24 hosts they have not: the demand of a host is up to 0.6 s old when it gets into the summary of its domain, and other regions get a summary every 1.5 s. Until then each host takes the demand of its own domain for all there is. It is older than and does not depend on starts. Change: 2.25 s where failure domains exchange summaries.

--- a/cicadadoor/entry/quotas.py
+++ b/cicadadoor/entry/quotas.py
@@ -3,6 +3,7 @@
 import random
 
 from cicadadoor.decisions.buckets import TokenBucket
+from cicadadoor.decisions.domain_summaries import uses_summaries
 from cicadadoor.decisions.host_shares import (
     Demand,
     ProbabilisticLimiter,
@@ -32,6 +33,9 @@
 # A share grows only after this delay, by which other hosts have received the demand
 # that shrinks theirs, or count as silent.
 _GROWTH_DELAY_S = 1.0
+# The same where failure domains exchange summaries: a demand is 0.6 s old when it gets
+# into one, and other regions get one every 1.5 s.
+_SUMMARY_GROWTH_DELAY_S = 2.25
 # For so long after its start, a host expects as much demand as the others report.
 _EXPECTATION_S = 1.0
 _MIN_WAIT_S = 0.1
@@ -249,6 +253,9 @@
         wanted = wanted_share(account.demand.rate_per_s, others, host_count)
         if self._is_isolated:
             wanted = min(wanted, 1 / host_count)
+        account.share_minimum.delay_s = (
+            _SUMMARY_GROWTH_DELAY_S if uses_summaries(host_count) else _GROWTH_DELAY_S
+        )
         share = account.share_minimum.update(wanted, now_s)
         bucket = account.bucket
         bucket.take(now_s, 0)
--- a/tests/test_host_shares.py
+++ b/tests/test_host_shares.py
@@ -363,6 +363,88 @@
         assert most <= (60 * 5 + 60) * 1.1 + 20
 
 
+class _SummaryFleet:
+    """Let hosts of three failure domains report to each other in summaries."""
+
+    domains = 3
+    # The intervals of hosts in domains of 20, and of summaries between regions.
+    heartbeat_steps = 12
+    summary_steps = 30
+
+    def __init__(
+        self, organisation: OrganisationPolicy, host_count: int, seed: int
+    ) -> None:
+        self._organisation = organisation
+        self._timer = ManualTimer()
+        self._random = random.Random(seed)
+        self._hosts = [
+            _quotas(host_count, organisation, self._timer) for _ in range(host_count)
+        ]
+        self._offsets = [self._random.randrange(1000) for _ in self._hosts]
+        self._demands = dict.fromkeys(range(host_count), 0.0)
+        self._summaries = dict.fromkeys(range(self.domains), 0.0)
+        self.admitted_s: list[float] = []
+
+    def run(self, length_s: float, offered_per_s: float) -> None:
+        """Offer requests to random hosts, and exchange reports."""
+        due = 0.0
+        for step in range(int(length_s / _STEP_S)):
+            self._timer.jump(_STEP_S)
+            due += offered_per_s * _STEP_S
+            while due >= 1:
+                due -= 1
+                quotas = self._random.choice(self._hosts)
+                if quotas.take(self._organisation) is None:
+                    self.admitted_s.append(self._timer.now_s())
+            for domain in range(self.domains):
+                if (step + self._offsets[domain]) % self.summary_steps == 0:
+                    members = range(domain, len(self._hosts), self.domains)
+                    self._summaries[domain] = sum(
+                        self._demands[member] for member in members
+                    )
+            for number, offset in enumerate(self._offsets):
+                if (step + offset) % self.heartbeat_steps == 0:
+                    self._exchange(number)
+
+    def _exchange(self, number: int) -> None:
+        name = name_hash(self._organisation.name)
+        own_domain = number % self.domains
+        reported = {
+            str(other): demand
+            for other, demand in self._demands.items()
+            if other != number and other % self.domains == own_domain
+        }
+        for domain, total in self._summaries.items():
+            if domain != own_domain:
+                reported[f'domain {domain}'] = total
+        quotas = self._hosts[number]
+        quotas.on_heartbeats(
+            [
+                SimpleNamespace(host=host, demand={name: demand})
+                for host, demand in reported.items()
+            ]
+        )
+        fields: dict = {}
+        quotas.add_fields(fields)
+        self._demands[number] = fields['demand'].get(name, 0.0)
+
+
+class TestSurgeAtManyHosts:
+    """Guard against shares that grow before the summaries of other domains arrive."""
+
+    @pytest.mark.parametrize('seed', range(3))
+    @pytest.mark.parametrize(('host_count', 'rate_per_s'), ((30, 100), (60, 120)))
+    def test_organisation_stays_within_its_limit(self, host_count, rate_per_s, seed):
+        fleet = _SummaryFleet(_organisation(rate_per_s, rate_per_s), host_count, seed)
+        fleet.run(10, 0)
+        fleet.run(8, 4 * rate_per_s)
+        most = max(
+            sum(1 for at_s in fleet.admitted_s if start_s <= at_s <= start_s + 5)
+            for start_s in sorted(set(fleet.admitted_s))
+        )
+        assert most <= rate_per_s * 6 * 1.1 + 20
+
+
 class TestDemand:
     """The average of requests per second."""
 
