Drop a demand in a heartbeat that is no rate

What callers saw: nothing yet; shown with heartbeats made by hand. One heartbeat with a demand of NaN, infinity or less than 0 lets its receiver admit requests of an organisation without limit (rule QUOTA). Cause: heartbeats accepted any float. A negative demand makes a share of more than 1; NaN gets into the tokens, and min(burst, NaN) is a full bucket at each request. Evidence: two hosts, limit 10 per second and 10, 1,000 requests in 10 s at one of them: 1,000 admitted with NaN, 879 with infinity, 240 with -99; 172 allowed. Test that failed before: test_odd_demands, 6 of 7.

--- a/cicadadoor/entry/heartbeats.py
+++ b/cicadadoor/entry/heartbeats.py
@@ -23,8 +23,11 @@
 _MAX_NAME_LENGTH = 63
 _NAME_HASH_CACHE_SIZE = 16_384
 _RATE_DIGITS = 1
+# Far more than any fleet serves; the bounds exclude NaN and infinity as well.
+_MAX_RATE_PER_S = 1_000_000_000
 
 Name = Annotated[str, msgspec.Meta(max_length=_MAX_NAME_LENGTH)]
+RatePerS = Annotated[float, msgspec.Meta(ge=0, le=_MAX_RATE_PER_S)]
 
 
 class HostHeartbeat(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -57,7 +60,7 @@
     is_leaving: bool
     revisions: tuple[int, ...]
     digests: tuple[int, ...]
-    demand: dict[int, float] = {}
+    demand: dict[int, RatePerS] = {}
     in_flight: dict[int, int] = {}
     unreachable: dict[int, float] = {}
     crashes: dict[int, frozenset[int]] = {}
