Measure all phases of a stop against one end time

What callers saw: a stopping entry host took 6.28 s beside clients that take nothing; the platform sends SIGKILL after 6 s and what is in flight is lost. Cause (one of two): each phase of a stop had a limit of its own, counted from the late end of the phase before it, so that lateness added up. Change: Kernel.run takes the time of the whole stop, and fixes its end when the signal arrives. A late phase shortens the next ones; cancelled requests keep 0.05 s for their responses. Gates and agents state no such time and stop as before. Test that failed before: TestStopDuration in test_kernel, with a simulated loop (it can not run before the change, since the kernel had no such time).

--- a/cicadadoor/core.py
+++ b/cicadadoor/core.py
@@ -75,7 +75,9 @@
             received = await anext(signals)
             log.info('stopping', program=program, signal=received.name)
 
-        unfinished = await kernel.run(wait_for_signal, settings.grace_s)
+        unfinished = await kernel.run(
+            wait_for_signal, settings.grace_s, settings.stop_s
+        )
     if unfinished:
         log.warning('stopped_with_work_left', program=program, left=unfinished)
         return ExitStatus.STOPPED_WITH_WORK_LEFT
--- a/cicadadoor/entry/server.py
+++ b/cicadadoor/entry/server.py
@@ -52,6 +52,7 @@
         self._paths = paths
         self._state: EntryState
         self._timer: TimerService
+        self._kernel: Kernel
         self._limits: _ConfiguredLimits
         self._account: MemoryAccount
         self._callers: CallerHandler
@@ -64,6 +65,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Listen on all addresses."""
+        self._kernel = kernel
         self._state = kernel.find('state')
         self._timer = kernel.find('timer')
         self._limits = _ConfiguredLimits(kernel.find('policy'))
@@ -104,7 +106,7 @@
 
     def refuse(self) -> None:
         """Limit the wait for clients that take responses."""
-        wait_s = self._state.settings.grace_s - _DELIVERY_MARGIN_S
+        wait_s = self._kernel.grace_left_s - _DELIVERY_MARGIN_S
         self._delivery_due_s = self._timer.now_s() + wait_s
 
     async def stop(self, grace_s: float) -> None:
@@ -117,9 +119,10 @@
             )
         )
         began_s = self._timer.now_s()
-        await self._open.cancel_all()
+        timeout_s = min(grace_s, _CLOSE_TIMEOUT_S)
+        await self._open.cancel_all(timeout_s)
         # Beside clients that take nothing, both steps use up their time.
-        left_s = _CLOSE_TIMEOUT_S - (self._timer.now_s() - began_s)
+        left_s = timeout_s - (self._timer.now_s() - began_s)
         await self._server.close(max(0.0, left_s))
         self._callers.cancel_tasks()
 
--- a/cicadadoor/entry/settings.py
+++ b/cicadadoor/entry/settings.py
@@ -4,6 +4,7 @@
 
 from cicadadoor import settings as shared
 from cicadadoor.errors import Failure
+from cicadadoor.kernel import CLOSE_RESERVE_S
 from cicadadoor.settings import FieldRule
 
 # Reserved at the end for responses to aborted requests and for closing connections.
@@ -71,6 +72,11 @@
         """Return how long requests in flight may take after `leave_s`, in seconds."""
         return self.kill_after_s - _SHUTDOWN_RESERVE_S - self.leave_s
 
+    @property
+    def stop_s(self) -> float:
+        """Return how long a stop may take until the process ends, in seconds."""
+        return self.leave_s + self.grace_s + CLOSE_RESERVE_S
+
     def region_of(self, failure_domain: str) -> str:
         """Return the region of a failure domain, or an empty string if unknown."""
         return self.region_of_domain.get(failure_domain, '')
--- a/cicadadoor/kernel.py
+++ b/cicadadoor/kernel.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from enum import Enum, auto, unique
 from functools import partial
@@ -22,6 +23,10 @@
 _FLUSH_DELAY_S = 0.1
 _POLL_S = 0.05
 _STOP_TIMEOUT_S = 5.0
+# Part of the time of a stop that is left for the flush and for stopping the services.
+CLOSE_RESERVE_S = 0.3
+# Responses to cancelled requests are written within a few passes of the event loop.
+_MIN_STOP_S = 0.05
 # A task that fails repeatedly must neither flood the log nor be down for long.
 _MIN_RESTART_DELAY_S = 0.1
 _MAX_RESTART_DELAY_S = 5.0
@@ -81,6 +86,9 @@
         self._must_stop: anyio.Event
         self._errors: list[Exception] = []
         self._is_stopping = False
+        # Set when the stop begins, and when it refuses new work.
+        self._stop_due_s = math.inf
+        self._grace_due_s = math.inf
 
     def register(self, service: Service) -> None:
         """Add a service under its name; raise ValueError if the name is taken."""
@@ -159,30 +167,44 @@
             or (task is not None and bool(task.cancelling()))
         )
 
-    async def run(self, wait_for_signal: WaitForSignal, grace_s: float) -> str:
+    @property
+    def grace_left_s(self) -> float:
+        """Return how long work in flight may still take, once new work is refused."""
+        return max(0.0, self._grace_due_s - anyio.current_time())
+
+    async def run(
+        self,
+        wait_for_signal: WaitForSignal,
+        grace_s: float,
+        stop_s: float = math.inf,
+    ) -> str:
         """Run all services until the first signal, then stop them in phases.
 
-        Work in flight may take up to `grace_s`; a second signal ends the wait. Return
-        the unfinished work as `service=count` pairs, or an empty string. An exception
-        in a task with OnFault.STOP acts as the first signal; it is raised once all
-        services have stopped.
+        Work in flight may take up to `grace_s`; a second signal ends the wait. All
+        phases together end `stop_s` after the first signal, so that one that runs late
+        shortens the next ones. Return the unfinished work as `service=count` pairs, or
+        an empty string. An exception in a task with OnFault.STOP acts as the first
+        signal; it is raised once all services have stopped.
         """
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             self._must_stop = anyio.Event()
             try:
-                return await self._run_phases(wait_for_signal, grace_s)
+                return await self._run_phases(wait_for_signal, grace_s, stop_s)
             finally:
                 self._tasks = None
                 tasks.cancel_scope.cancel()
 
-    async def _run_phases(self, wait_for_signal: WaitForSignal, grace_s: float) -> str:
+    async def _run_phases(
+        self, wait_for_signal: WaitForSignal, grace_s: float, stop_s: float
+    ) -> str:
         await self._start_all()
         if await self._is_stopped_by_signal(wait_for_signal):
             wait_for_end = wait_for_signal
         else:
             # The exception has begun the stop already; the next signal only repeats it.
             wait_for_end = partial(_wait_for_two_signals, wait_for_signal)
+        self._stop_due_s = anyio.current_time() + stop_s
         await self._drain(wait_for_end, grace_s)
         unfinished = self._describe_work()
         await self._stop_all()
@@ -215,12 +237,16 @@
                 await self._leave_all()
             finally:
                 # This also runs if a second signal interrupts the leave phase.
+                self._grace_due_s = min(
+                    anyio.current_time() + grace_s,
+                    self._stop_due_s - CLOSE_RESERVE_S,
+                )
                 self._refuse_all()
-            with anyio.move_on_after(grace_s):
+            with anyio.move_on_after(self.grace_left_s):
                 await anyio.sleep(MIN_DRAIN_S)
                 while self._describe_work():
                     await anyio.sleep(_POLL_S)
-            await anyio.sleep(_FLUSH_DELAY_S)
+            await anyio.sleep(min(_FLUSH_DELAY_S, self._stop_left_s))
             phases.cancel_scope.cancel()
 
     async def _leave_all(self) -> None:
@@ -237,12 +263,17 @@
         counts = {service.name: service.work_left() for service in self._started}
         return ' '.join(f'{name}={count}' for name, count in counts.items() if count)
 
+    @property
+    def _stop_left_s(self) -> float:
+        left_s = self._stop_due_s - anyio.current_time()
+        return min(_STOP_TIMEOUT_S, max(_MIN_STOP_S, left_s))
+
     async def _stop_all(self) -> None:
         self._is_stopping = True
         while self._started:
             service = self._started.pop()
             with anyio.move_on_after(_STOP_TIMEOUT_S) as scope:
-                await service.stop(_STOP_TIMEOUT_S)
+                await service.stop(self._stop_left_s)
             if scope.cancelled_caught:
                 log.warning('service_stop_timed_out', service=service.name)
 
--- a/cicadadoor/open_requests.py
+++ b/cicadadoor/open_requests.py
@@ -55,11 +55,11 @@
             finally:
                 self._scopes.discard(scope)
 
-    async def cancel_all(self) -> None:
+    async def cancel_all(self, timeout_s: float = _CANCEL_TIMEOUT_S) -> None:
         """Cancel all requests, and wait for their responses to be sent."""
         self.is_cancelled = True
         for scope in tuple(self._scopes):
             scope.cancel()
-        with anyio.move_on_after(_CANCEL_TIMEOUT_S):
+        with anyio.move_on_after(min(timeout_s, _CANCEL_TIMEOUT_S)):
             while self._count:
                 await anyio.sleep(_CANCEL_POLL_S)
--- a/cicadadoor/settings.py
+++ b/cicadadoor/settings.py
@@ -1,6 +1,7 @@
 """Read and validate the settings of a daemon, a JSON5 file."""
 
 import ipaddress
+import math
 from pathlib import Path
 from typing import Any
 
@@ -67,6 +68,11 @@
         for name in self.__slots__:
             setattr(self, name, fields[name])
 
+    @property
+    def stop_s(self) -> float:
+        """Return how long a stop may take; only its phases have time limits."""
+        return math.inf
+
 
 class FieldRule:
     """Define how one field of a settings file is parsed and described."""
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -1,5 +1,7 @@
 """Test how the kernel runs and stops services."""
 
+import asyncio
+import selectors
 from functools import partial
 
 import anyio
@@ -105,6 +107,71 @@
         self.left = 0
 
 
+class _SimulatedSelector(selectors.DefaultSelector):
+    """Move the time on instead of waiting for it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+
+    def select(self, timeout: float | None = None) -> list:
+        """Return what is ready now."""
+        self.now_s += timeout or 0
+        return super().select(0)
+
+
+class _SimulatedLoop(asyncio.SelectorEventLoop):
+    """Run at a simulated time, so that phases are late by what a test states."""
+
+    def __init__(self) -> None:
+        self.clock = _SimulatedSelector()
+        super().__init__(self.clock)
+
+    def time(self) -> float:
+        """Return the simulated time."""
+        return self.clock.now_s
+
+
+class _LatePhases(Service):
+    """Run late in phases of a stop, and record the time that is left for others."""
+
+    name = 'late_phases'
+
+    def __init__(self, *, leave_late_s: float, drain_late_s: float) -> None:
+        self._leave_late_s = leave_late_s
+        self._drain_late_s = drain_late_s
+        self._kernel: Kernel
+        self.grace_left_s = 0.0
+        self.stop_left_s = 0.0
+        self.stopped_s = 0.0
+
+    async def start(self, kernel: Kernel) -> None:
+        """Keep the kernel."""
+        self._kernel = kernel
+
+    async def leave(self) -> None:
+        """Return late."""
+        self._pause(self._leave_late_s)
+
+    def refuse(self) -> None:
+        """Record how long work may take."""
+        self.grace_left_s = self._kernel.grace_left_s
+
+    def work_left(self) -> int:
+        """Report work that does not end, late at the first time."""
+        self._pause(self._drain_late_s)
+        self._drain_late_s = 0
+        return 1
+
+    async def stop(self, grace_s: float) -> None:
+        """Record the time."""
+        self.stop_left_s = grace_s
+        self.stopped_s = anyio.current_time()
+
+    def _pause(self, late_s: float) -> None:
+        asyncio.get_running_loop().clock.now_s += late_s
+
+
 async def _run(*services: Service, grace_s: float = 0) -> str:
     kernel = Kernel()
     for service in services:
@@ -140,6 +207,37 @@
         assert not busy.left
 
 
+class TestStopDuration:
+    """Guard against SIGKILL while requests are in flight, after a late phase."""
+
+    @pytest.mark.parametrize(
+        ('leave_late_s', 'drain_late_s', 'grace_left_s', 'stop_left_s'),
+        (
+            (0, 0, 2.4, 0.5),
+            (1, 0, 1.7, 0.2),
+            (0, 1.5, 2.4, 0.4),
+            (0, 1.85, 2.4, 0.05),
+            (1, 0.85, 1.7, 0.05),
+        ),
+    )
+    def test_late_phase_shortens_the_next_ones(
+        self, leave_late_s, drain_late_s, grace_left_s, stop_left_s
+    ):
+        """Each phase had its own limit; a busy host took 6.28 s of 6 s."""
+        late = _LatePhases(leave_late_s=leave_late_s, drain_late_s=drain_late_s)
+
+        async def main() -> None:
+            kernel = Kernel()
+            kernel.register(late)
+            signals = iter((anyio.sleep(0), anyio.sleep_forever()))
+            await kernel.run(lambda: next(signals), 2.4, 3)
+
+        anyio.run(main, backend_options={'loop_factory': _SimulatedLoop})
+        assert late.grace_left_s == pytest.approx(grace_left_s)
+        assert late.stop_left_s == pytest.approx(stop_left_s)
+        assert late.stopped_s < 3
+
+
 class TestFailedTask:
     """Guard the work in flight against an exception in another task."""
 
