End an entry host without the end of the interpreter

What callers saw: the platform ended a stopping entry host with SIGKILL although its services had stopped in time. Change: an entry host ends itself with os._exit behind its last log line. The lines are written unbuffered, and no exit handler is registered. Test that failed before: TestEndOfProcess in test_entry_start, a host whose interpreter takes 600 s to end.

--- a/cicadadoor/core.py
+++ b/cicadadoor/core.py
@@ -30,8 +30,12 @@
     build: BuildKernel,
     load: LoadSettings = settings_module.load,
     configure_logs: Callable[[str], None] = logs.configure,
+    end_process: Callable[[int], Any] | None = None,
 ) -> ExitStatus:
-    """Run until SIGTERM or SIGINT; invalid settings fail before a socket is opened."""
+    """Run until SIGTERM or SIGINT; invalid settings fail before a socket is opened.
+
+    `end_process` is called with the exit status once all services have stopped.
+    """
     if len(arguments) != 1 or arguments[0].startswith('-'):
         sys.stderr.write(f'usage: {program} SETTINGS_FILE\n')
         asked_for_help = arguments in (['--help'], ['-h'])
@@ -46,7 +50,7 @@
     gc.freeze()
     gc.set_threshold(_GC_THRESHOLD_OBJECTS)
     try:
-        return anyio.run(_run, program, settings, build)
+        return anyio.run(_run, program, settings, build, end_process)
     except Exception as error:
         in_use = _find_address_in_use(error)
         if in_use is not None:
@@ -66,7 +70,12 @@
     return None
 
 
-async def _run(program: str, settings: Any, build: BuildKernel) -> ExitStatus:
+async def _run(
+    program: str,
+    settings: Any,
+    build: BuildKernel,
+    end_process: Callable[[int], Any] | None,
+) -> ExitStatus:
     kernel = build(settings)
     log.info('started', program=program, host=settings.host, pid=os.getpid())
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -78,6 +87,13 @@
         unfinished = await kernel.run(
             wait_for_signal, settings.grace_s, settings.stop_s
         )
+        status = _report_end(program, unfinished)
+        if end_process is not None:
+            end_process(status)
+    return status
+
+
+def _report_end(program: str, unfinished: str) -> ExitStatus:
     if unfinished:
         log.warning('stopped_with_work_left', program=program, left=unfinished)
         return ExitStatus.STOPPED_WITH_WORK_LEFT
--- a/cicadadoor/entry/daemon.py
+++ b/cicadadoor/entry/daemon.py
@@ -1,5 +1,6 @@
 """Assemble and run the entry host daemon."""
 
+import os
 import sys
 
 from cicadadoor import core
@@ -92,6 +93,9 @@
             build,
             entry_settings.load,
             _log_to_standard_output,
+            # On a busy machine, the end of the interpreter takes up to 1 s, in which
+            # the platform would end the process. Log lines are written unbuffered.
+            end_process=os._exit,
         )
     )
 
--- a/tests/test_entry_start.py
+++ b/tests/test_entry_start.py
@@ -52,6 +52,42 @@
         assert process.returncode == ExitStatus.USAGE, errors
 
 
+# The end of the interpreter waits for this.
+_SLOW_END = """
+import atexit
+import time
+
+atexit.register(time.sleep, 600)
+"""
+
+
+class TestEndOfProcess:
+    """Guard against SIGKILL after the services have stopped."""
+
+    def test_process_ends_without_the_end_of_the_interpreter(
+        self, tmp_path, monkeypatch
+    ):
+        """On a busy machine, it took up to 0.9 s more than the stop may take."""
+        (tmp_path / 'sitecustomize.py').write_text(_SLOW_END)
+        monkeypatch.setenv(
+            'PYTHONPATH',
+            os.pathsep.join((str(tmp_path), os.environ.get('PYTHONPATH', ''))),
+        )
+
+        async def main() -> None:
+            async with watched_host(
+                tmp_path, memory_mb=300, max_descriptors=400
+            ) as scene:
+                process = scene.host.process
+                process.send(signal.SIGTERM)
+                with anyio.fail_after(_TIMEOUT_S):
+                    while process.is_running():
+                        await anyio.sleep(0.01)
+                assert process.wait() == ExitStatus.SUCCESS, process.log_text()[-500:]
+
+        anyio.run(main)
+
+
 class TestSignalDuringStop:
     """Guard against a SIGHUP that ends a process which is being stopped."""
 
