Hold the summary of a domain only while it counts

What callers saw: nothing; shown by a test. A host keeps the last summary of each host that ever reported for another failure domain, with all demands, limits and quarantines in it, outside of the memory account and until it ends. Cause: SummaryTable skips expired summaries when it is read, and never drops them. Change: a summary that arrives drops those that have expired. Test that failed before: test_expired_summaries_are_dropped (100 of 100 held). Result: one held; test_domain_summaries and test_entry_peers pass.

--- a/cicadadoor/entry/reported_hosts.py
+++ b/cicadadoor/entry/reported_hosts.py
@@ -54,10 +54,20 @@
         self._by_domain: dict[str, dict[str, _ReceivedSummary]] = {}
 
     def record(self, domain: str, summary: HostHeartbeat, now_s: float) -> None:
-        """Replace the summary of a reporter."""
+        """Replace the summary of a reporter, and drop all that have expired."""
         received = self._by_domain.setdefault(domain, {})
         received.pop(summary.host, None)
         received[summary.host] = _ReceivedSummary(summary, now_s)
+        for name, each in list(self._by_domain.items()):
+            kept = {
+                host: one
+                for host, one in each.items()
+                if now_s - one.heard_s <= SUMMARY_TIMEOUT_S
+            }
+            if kept:
+                self._by_domain[name] = kept
+            else:
+                self._by_domain.pop(name)
 
     def fresh(self, domain: str, now_s: float) -> list[HostHeartbeat]:
         """Return the recent summaries of a failure domain, the latest one last."""
