Treat JSON that is nested too deeply as malformed everywhere

What callers saw: nothing yet; shown by tests. A store, an agent or a backend server that answers with values nested more than about a thousand deep raises RecursionError in whoever asked: the watch of a store, the client of agents, and the probe of a server, whose result is then not recorded. Cause: msgspec raises RecursionError, which is no MsgspecError. The metadata store's decoding and the heartbeats handle it; the object store, objects that agents read, sections of the configuration, probes and the client of agents did not. Change: decode_json raises msgspec.DecodeError instead, for all of these. Test that failed before: test_deep_answers, 4 of 4. Result: 4 of 4 pass, and test_unreadable_entries, test_submission, test_planner and test_operator_orders. A run of test_http_client, test_seats and test_shares was cut by its time limit after 138 tests without a failure.

--- a/cicadadoor/agent/claims.py
+++ b/cicadadoor/agent/claims.py
@@ -5,6 +5,7 @@
 from cicadadoor.agent.membership import Membership
 from cicadadoor.agent.state import AgentState
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.json_decoding import decode_json
 from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.claim_messages import ClaimAnswer, ClaimRequest
 from cicadadoor.links.daemon_link import DaemonLink
@@ -106,7 +107,7 @@
 
 def _parse(stored: StoredObject) -> Claim | Failure:
     try:
-        return msgspec.json.decode(stored.body, type=Claim)
+        return decode_json(stored.body, type=Claim)
     except msgspec.MsgspecError as error:
         return Failure(
             ErrorKind.MESSAGE_INVALID,
--- a/cicadadoor/agent/contact_points.py
+++ b/cicadadoor/agent/contact_points.py
@@ -6,6 +6,7 @@
 
 from cicadadoor.agent.state import AgentState
 from cicadadoor.errors import Failure
+from cicadadoor.json_decoding import decode_json
 
 _HOST_KIND = 'host'
 
@@ -38,7 +39,7 @@
         addresses = set()
         for stored in listed.objects:
             try:
-                entry = msgspec.json.decode(stored.body, type=HostAddress)
+                entry = decode_json(stored.body, type=HostAddress)
             except msgspec.MsgspecError:
                 continue
             addresses.add(entry.peer_address)
--- a/cicadadoor/agent/operator_api.py
+++ b/cicadadoor/agent/operator_api.py
@@ -23,6 +23,7 @@
     listen,
     send_response,
 )
+from cicadadoor.json_decoding import decode_json
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.membership_messages import DomainSummary
 from cicadadoor.open_requests import OpenRequests
@@ -153,7 +154,7 @@
     async def _withdraw(self, receive: Receive, send: Send) -> None:
         body = await _read_body(receive)
         try:
-            request = msgspec.json.decode(body, type=WithdrawalRequest)
+            request = decode_json(body, type=WithdrawalRequest)
         except msgspec.MsgspecError as error:
             await _send_json(send, HTTPStatus.BAD_REQUEST, {'detail': str(error)})
             return
--- a/cicadadoor/agent/operator_orders.py
+++ b/cicadadoor/agent/operator_orders.py
@@ -19,6 +19,7 @@
     Scope,
 )
 from cicadadoor.errors import Failure
+from cicadadoor.json_decoding import decode_json
 from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.messages import Ack, Message
@@ -173,7 +174,7 @@
     decoded = []
     for stored_object in stored:
         try:
-            decoded.append(msgspec.json.decode(stored_object.body, type=object_type))
+            decoded.append(decode_json(stored_object.body, type=object_type))
         except msgspec.MsgspecError as error:
             log.warning('object_malformed', object=stored_object.name, error=str(error))
     return decoded
--- a/cicadadoor/agent/plan_context.py
+++ b/cicadadoor/agent/plan_context.py
@@ -17,6 +17,7 @@
 )
 from cicadadoor.decisions.shift_steps import LastWeightChange, Measurements
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.json_decoding import decode_json
 from cicadadoor.object_store.base import ObjectStore, StoredObject
 
 _Operation = TypeVar('_Operation')
@@ -154,7 +155,7 @@
             return listed
         for stored in listed.objects:
             try:
-                operation = msgspec.json.decode(stored.body, type=operation_type)
+                operation = decode_json(stored.body, type=operation_type)
             except msgspec.MsgspecError as error:
                 # Stop planning: the unreadable object may be a hold on any target.
                 return Failure(
--- a/cicadadoor/agent/planner.py
+++ b/cicadadoor/agent/planner.py
@@ -12,6 +12,7 @@
 from cicadadoor.config.operations import LEASE_KIND, LEASE_NAME
 from cicadadoor.decisions.shift_steps import LastWeightChange
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.json_decoding import decode_json
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.object_store.base import ObjectStore, StoredObject
 from cicadadoor.object_store.writes import ObjectWriter
@@ -97,7 +98,7 @@
 
     def _is_own(self, current: StoredObject) -> bool:
         try:
-            body = msgspec.json.decode(current.body, type=LeaseBody)
+            body = decode_json(current.body, type=LeaseBody)
         except msgspec.MsgspecError:
             return False
         return body.holder == self._body.holder
--- a/cicadadoor/agent/seats.py
+++ b/cicadadoor/agent/seats.py
@@ -10,6 +10,7 @@
 from cicadadoor.decisions import seats
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.ids import new_nonce
+from cicadadoor.json_decoding import decode_json
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.share_messages import SeatGrant, SeatReturn, ShareDemand
@@ -294,7 +295,7 @@
 
 def _decode_body(body: bytes) -> seats.SeatTable | None:
     try:
-        return msgspec.json.decode(body, type=seats.SeatTable)
+        return decode_json(body, type=seats.SeatTable)
     except msgspec.MsgspecError as error:
         log.warning('seat_table_malformed', reason=str(error))
         return None
--- a/cicadadoor/agent/shares.py
+++ b/cicadadoor/agent/shares.py
@@ -9,6 +9,7 @@
 from cicadadoor.decisions import shares
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.ids import new_nonce
+from cicadadoor.json_decoding import decode_json
 from cicadadoor.kernel import Kernel, Service
 from cicadadoor.links.daemon_link import DaemonLink
 from cicadadoor.links.share_messages import (
@@ -278,7 +279,7 @@
             return shares.LeaseTable(leases={})
         return None
     try:
-        return msgspec.json.decode(current.body, type=shares.LeaseTable)
+        return decode_json(current.body, type=shares.LeaseTable)
     except msgspec.MsgspecError as error:
         log.warning('floating_share_malformed', reason=str(error))
         return None
--- a/cicadadoor/cli/client.py
+++ b/cicadadoor/cli/client.py
@@ -6,6 +6,7 @@
 from cicadadoor.agent.operator_api import HostStatus, WithdrawalAnswer
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.http_client import DirectClient, fetch
+from cicadadoor.json_decoding import decode_json
 
 _CALL_TIMEOUT_S = 5.0
 # A status lists every host of the fleet.
@@ -54,7 +55,7 @@
             f'request to agent {url} failed: status {answer.status}',
         )
     try:
-        return msgspec.json.decode(answer.content, type=answer_type)
+        return decode_json(answer.content, type=answer_type)
     except msgspec.MsgspecError as error:
         return Failure(
             ErrorKind.MESSAGE_INVALID,
--- a/cicadadoor/config/acceptance.py
+++ b/cicadadoor/config/acceptance.py
@@ -8,6 +8,7 @@
 from cicadadoor.config.merge import SectionEntry
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.ids import digest_of, new_nonce
+from cicadadoor.json_decoding import decode_json
 from cicadadoor.object_store.base import ObjectStore, StoredObject
 from cicadadoor.object_store.writes import ObjectWriter
 
@@ -502,6 +503,6 @@
 
 def _decode(body: bytes, expected_type: type, label: str) -> object:
     try:
-        return msgspec.json.decode(body, type=expected_type)
+        return decode_json(body, type=expected_type)
     except msgspec.MsgspecError as error:
         return Failure(ErrorKind.CONFIG_INVALID, f'malformed {label}: {error}')
--- a/cicadadoor/config/canonical.py
+++ b/cicadadoor/config/canonical.py
@@ -7,6 +7,7 @@
 from cicadadoor.config import checks, chunks, model
 from cicadadoor.config.builder import Deployment
 from cicadadoor.errors import ErrorKind, ExitStatus, Failure
+from cicadadoor.json_decoding import decode_json
 
 
 def render(configuration: model.Configuration) -> bytes:
@@ -18,7 +19,7 @@
 def parse(text: bytes) -> model.Configuration | Failure:
     """Return a parsed configuration, or CONFIG_INVALID with the error's position."""
     try:
-        return msgspec.json.decode(text, type=model.Configuration)
+        return decode_json(text, type=model.Configuration)
     except msgspec.MsgspecError as error:
         return Failure(ErrorKind.CONFIG_INVALID, f'malformed configuration: {error}')
 
--- a/cicadadoor/config/chunks.py
+++ b/cicadadoor/config/chunks.py
@@ -7,6 +7,7 @@
 from cicadadoor.config import model
 from cicadadoor.errors import ErrorKind, Failure
 from cicadadoor.ids import digest_of
+from cicadadoor.json_decoding import decode_json
 
 BLOCKS_PER_SECTION = 4096
 BLOCK_SECTION_PREFIX = 'blocks/'
@@ -80,7 +81,7 @@
     if expected_type is None:
         return Failure(ErrorKind.CONFIG_INVALID, f'section {name!r} is unknown')
     try:
-        return msgspec.json.decode(content, type=expected_type)
+        return decode_json(content, type=expected_type)
     except msgspec.MsgspecError as error:
         return Failure(ErrorKind.CONFIG_INVALID, f'section {name!r}: {error}')
 
--- a/cicadadoor/config/operation_store.py
+++ b/cicadadoor/config/operation_store.py
@@ -15,6 +15,7 @@
     Shift,
 )
 from cicadadoor.errors import ErrorKind, Failure
+from cicadadoor.json_decoding import decode_json
 from cicadadoor.object_store.base import ObjectStore, StoredObject
 from cicadadoor.object_store.writes import ObjectWriter
 
@@ -149,7 +150,7 @@
 
     def _decode(self, stored: StoredObject) -> StoredOperation[_OperationT] | Failure:
         try:
-            operation = msgspec.json.decode(stored.body, type=self._operation_type)
+            operation = decode_json(stored.body, type=self._operation_type)
         except msgspec.MsgspecError as error:
             return Failure(
                 ErrorKind.CONFIG_INVALID,
--- a/cicadadoor/gate/probing.py
+++ b/cicadadoor/gate/probing.py
@@ -13,6 +13,7 @@
 from cicadadoor.gate.slot_share import SlotShare
 from cicadadoor.gate.state import GateState
 from cicadadoor.http_client import DirectClient, FetchedResponse, fetch, no_cookies
+from cicadadoor.json_decoding import decode_json
 from cicadadoor.kernel import Kernel, OnFault, Service
 from cicadadoor.links.messages import Ack
 from cicadadoor.links.peer_hub import PeerHub
@@ -117,7 +118,7 @@
     async def _fetch_load(self, server: BackendServer) -> None:
         try:
             response = await self._get(f'{server.url}/load')
-            reported = msgspec.json.decode(response.content, type=Load)
+            reported = decode_json(response.content, type=Load)
         except (httpx.HTTPError, msgspec.MsgspecError):
             return
         if response.is_success:
@@ -162,6 +163,6 @@
     if response.headers.get('x-draining') == '1':
         return True
     try:
-        return msgspec.json.decode(response.content, type=Health).draining
+        return decode_json(response.content, type=Health).draining
     except msgspec.MsgspecError:
         return False
--- a/cicadadoor/object_store/http.py
+++ b/cicadadoor/object_store/http.py
@@ -18,6 +18,7 @@
     no_cookies,
     read_lines,
 )
+from cicadadoor.json_decoding import decode_json
 from cicadadoor.object_store.base import (
     MAX_OBJECT_BYTES,
     ChangeEvent,
@@ -181,7 +182,7 @@
 
 def _decode(body: bytes, expected_type: type) -> 'StoredObject | ObjectList | Failure':
     try:
-        return msgspec.json.decode(body, type=expected_type)
+        return decode_json(body, type=expected_type)
     except msgspec.MsgspecError as error:
         return Failure(
             ErrorKind.STORE_UNAVAILABLE,
