Show that unread responses end a host beside its account

Cause: the kernel keeps up to 128 KB for each connection to a backend server that the host has not read yet. The machine counts these bytes; the account does not, and the memory watch sees resident memory only.

Evidence: the tests pause a host until its servers can send no more, and resume it.

--- a/tests/utils/endless_backend.py
+++ b/tests/utils/endless_backend.py
@@ -43,3 +43,20 @@
             writer.write(piece)
             await writer.drain()
             self.moved_bytes += len(piece)
+
+
+class HeldBackend(EndlessBackend):
+    """Hold all requests for endless responses, and answer them at the same time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.waiting = 0
+        self.answered = 0
+        self.may_answer = anyio.Event()
+
+    async def _answer(self, request: h11.Request, writer) -> None:
+        if b'/endless/' in request.target:
+            self.waiting += 1
+            await self.may_answer.wait()
+            self.answered += 1
+        await super()._answer(request, writer)
--- a/tests/utils/watched_host.py
+++ b/tests/utils/watched_host.py
@@ -94,10 +94,16 @@
 class Scene:
     """Hold a host, its backend server, and the crowd of clients against it."""
 
-    def __init__(self, host: WatchedHost, backend: StreamingBackend) -> None:
+    def __init__(
+        self,
+        host: WatchedHost,
+        backend: StreamingBackend,
+        store: MetadataStore,
+    ) -> None:
         self.host = host
         self.backend = backend
         self.crowd = Crowd(host.addresses)
+        self.store = store
 
     async def rest(self) -> None:
         """Wait until hardly anything moves, or all clients of the crowd are done.
@@ -216,7 +222,7 @@
         store.put('servers', 'i-0', worker_entry(address, info=info))
         host = WatchedHost(folder, store_server.address, **limits)
         stack.callback(host.process.kill)
-        scene = Scene(host, backend)
+        scene = Scene(host, backend, store)
         stack.callback(scene.crowd.close)
         watcher = asyncio.create_task(host.watch())
         stack.callback(watcher.cancel)
