Count what the kernel holds of responses in the memory account

Cause: sockets to backend servers had the kernel's receive buffer: 128 KB unread each, and up to tcp_rmem (32 MB here) once the kernel has raised it. The machine counts these bytes; neither the account nor the memory watch did. Change: the receive buffer is set to 64 KB (the kernel doubles it), and a running request counts with 128 KB instead of 32. In test_caller_memory, the wait for unread bytes ended at a number of bytes that the running request now holds by itself; it waits for as many more. Not measured: responses of many MB over 40 ms between regions, whose window is now at most 128 KB.

--- a/cicadadoor/entry/connections.py
+++ b/cicadadoor/entry/connections.py
@@ -8,7 +8,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 from functools import partial
 from typing import Any
 
@@ -31,6 +31,9 @@
 # Without it, the event loop receives 256 KB at a time from each of many connections
 # before any of the bytes are parsed.
 _READ_BYTES = 65_536
+# Kernel memory for bytes that the process has not read; the kernel doubles the number.
+# REQUEST_BYTES holds as much for each running request.
+_SOCKET_BUFFER_BYTES = 65_536
 _buffer = memoryview(bytearray(_READ_BYTES))
 WantsBody = Callable[[int, Headers], bool]
 
@@ -244,10 +247,22 @@
     """Open a connection; raise OSError, or TimeoutError after `timeout_s`."""
     host_ip, _, port = address.rpartition(':')
     loop = asyncio.get_running_loop()
-    with anyio.fail_after(timeout_s):
+    with ExitStack() as stack, anyio.fail_after(timeout_s):
+        raw_socket = stack.enter_context(_open_socket(host_ip))
+        await loop.sock_connect(raw_socket, (host_ip, int(port)))
         _, connection = await loop.create_connection(
             partial(BackendConnection, account or MemoryAccount(MAX_RESPONSE_BYTES)),
-            host_ip,
-            int(port),
+            sock=raw_socket,
         )
+        # The transport closes the socket from now on.
+        stack.pop_all()
     return connection
+
+
+def _open_socket(host_ip: str) -> socket.socket:
+    family = socket.AF_INET6 if ':' in host_ip else socket.AF_INET
+    raw_socket = socket.socket(family, socket.SOCK_STREAM)
+    raw_socket.setblocking(False)
+    # Otherwise the kernel may hold megabytes for a connection.
+    raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SOCKET_BUFFER_BYTES)
+    return raw_socket
--- a/cicadadoor/entry/exchange.py
+++ b/cicadadoor/entry/exchange.py
@@ -16,8 +16,9 @@
     from cicadadoor.entry.caller_connection import CallerConnection
 
 Body = bytes | bytearray
-# Objects of a running request and of its connection to a backend server.
-REQUEST_BYTES = 32_768
+# Objects of a running request and of its connection to a backend server, and what the
+# kernel holds of a response that the host has not read yet.
+REQUEST_BYTES = 131_072
 
 
 class Response:
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -124,8 +124,9 @@
             client = await scene.connect()
             await client.request('/book')
             exchange = (await scene.handled(1))[0]
+            full_bytes = scene.account.held_bytes + _UNREAD_BYTES
             await client.send(malformed + bytes(_UNREAD_BYTES))
-            await until(lambda: scene.account.held_bytes > _UNREAD_BYTES)
+            await until(lambda: scene.account.held_bytes > full_bytes)
             assert traced_body_bytes('request_reader') > _UNREAD_BYTES
             exchange.respond(Response(200, [], b''))
             assert await client.status() == 200
