--- a/tests/test_entry_start.py
+++ b/tests/test_entry_start.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+from pathlib import Path
 
 import anyio
 import pytest
@@ -61,6 +62,23 @@
 """
 
 
+def stop_host(folder: Path, repeated: signal.Signals | None = None) -> None:
+    """Stop a host, send a signal repeatedly until it has ended, and check its end."""
+
+    async def main() -> None:
+        async with watched_host(folder, memory_mb=300, max_descriptors=400) as scene:
+            process = scene.host.process
+            process.send(signal.SIGTERM)
+            with anyio.fail_after(_TIMEOUT_S):
+                while process.is_running():
+                    if repeated is not None:
+                        process.send(repeated)
+                    await anyio.sleep(0.001)
+            assert process.wait() == ExitStatus.SUCCESS, process.log_text()[-500:]
+
+    anyio.run(main)
+
+
 class TestEndOfProcess:
     """Guard against SIGKILL after the services have stopped."""
 
@@ -74,18 +92,7 @@
             os.pathsep.join((str(tmp_path), os.environ.get('PYTHONPATH', ''))),
         )
 
-        async def main() -> None:
-            async with watched_host(
-                tmp_path, memory_mb=300, max_descriptors=400
-            ) as scene:
-                process = scene.host.process
-                process.send(signal.SIGTERM)
-                with anyio.fail_after(_TIMEOUT_S):
-                    while process.is_running():
-                        await anyio.sleep(0.01)
-                assert process.wait() == ExitStatus.SUCCESS, process.log_text()[-500:]
-
-        anyio.run(main)
+        stop_host(tmp_path)
 
 
 class TestSignalDuringStop:
@@ -94,16 +101,4 @@
     def test_sighup_until_the_end_does_not_change_the_exit_code(self, tmp_path):
         """Soak seed 3025: the process was ended after its last service had stopped."""
 
-        async def main() -> None:
-            async with watched_host(
-                tmp_path, memory_mb=300, max_descriptors=400
-            ) as scene:
-                process = scene.host.process
-                process.send(signal.SIGTERM)
-                with anyio.fail_after(_TIMEOUT_S):
-                    while process.is_running():
-                        process.send(signal.SIGHUP)
-                        await anyio.sleep(0.001)
-                assert process.wait() == ExitStatus.SUCCESS, process.log_text()[-500:]
-
-        anyio.run(main)
+        stop_host(tmp_path, signal.SIGHUP)
